--- /dev/null
+++ b/crates/pipitcrank-simhost/src/door.rs
@@ -0,0 +1,358 @@
+//! One hosted instance: its ids at the door, its events in, its actions out.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{self, Write};
+
+use pipitcrank::chance::Chance;
+use pipitcrank::decide::{Budget, Cover, FailBack, Root, Terms, Tries};
+use pipitcrank::ids::{Effect, Ending, Leaf, Part, Query, Vertical};
+use pipitcrank::port::Port;
+use pipitcrank::time::{At, Span};
+use serde_json::Value;
+
+use crate::line::{Line, Wrong};
+
+/// One row of a list of replicas, kept until its list's number is used again.
+pub struct Row {
+    replica: String,
+    cell: u32,
+    up: bool,
+    started: Option<At>,
+}
+
+impl Row {
+    pub fn read(line: &Line) -> Result<Row, Wrong> {
+        if line.word() != "ROW" {
+            return Err(line.wrong("rows", "counts more rows than follow"));
+        }
+        let state = line.field("lifecycle")?;
+        if !["U", "L", "D"].contains(&state) {
+            return Err(line.wrong("lifecycle", &format!("is '{state}', none of U, L, D")));
+        }
+        let started = line.amount_or("start_time_s", 0.0)?;
+        Ok(Row {
+            replica: line.field("replica")?.to_string(),
+            cell: if state == "D" { line.number_or("cell", 0)? } else { line.number("cell")? },
+            up: state == "U",
+            started: (started != 0.0).then(|| At::from_s(started)),
+        })
+    }
+}
+
+/// Names and their indices. An entry ends when the module lets go of it; its index is then used again.
+#[derive(Default)]
+struct Names {
+    index: BTreeMap<String, u32>,
+    names: Vec<String>,
+    free: Vec<u32>,
+}
+
+impl Names {
+    fn find(&self, name: &str) -> Option<u32> {
+        self.index.get(name).copied()
+    }
+
+    fn enter(&mut self, name: &str) -> u32 {
+        if let Some(known) = self.find(name) {
+            return known;
+        }
+        let id = self.free.pop().unwrap_or(self.names.len() as u32);
+        if id as usize == self.names.len() {
+            self.names.push(String::new());
+        }
+        self.names[id as usize] = name.to_string();
+        self.index.insert(name.to_string(), id);
+        id
+    }
+
+    fn leave(&mut self, id: u32) {
+        if self.index.remove(&self.names[id as usize]).is_some() {
+            self.free.push(id);
+        }
+    }
+
+    fn name(&self, id: u32) -> &str {
+        &self.names[id as usize]
+    }
+}
+
+struct Door {
+    instance: String,
+    queries: Names,
+    parts: Names,
+    leaves: Names,
+    /// Queries by their number at this instance; an entry ends with the query's.
+    asks: BTreeMap<u64, u32>,
+    /// The reply so far; emptied when it is written.
+    reply: String,
+}
+
+impl Door {
+    fn say(&mut self, line: std::fmt::Arguments) {
+        self.reply.write_fmt(line).expect("a String takes any text");
+        self.reply.push('\n');
+    }
+}
+
+impl Port for Door {
+    fn leaf_call(&mut self, part: Part, leaf: Leaf, until: At) {
+        let (i, job, replica) = (&self.instance, self.parts.name(part.0), self.leaves.name(leaf.0));
+        let line = format!("SEND i={i} job={job} replica={replica} abandon_at_s={:.6}", until.s());
+        self.say(format_args!("{line}"));
+    }
+
+    fn abandon(&mut self, part: Part, nth: u32) {
+        let line = format!("ABANDON i={} job={} trial={nth}", self.instance, self.parts.name(part.0));
+        self.say(format_args!("{line}"));
+    }
+
+    fn merge(&mut self, query: Query, whole: bool) {
+        let (i, job) = (&self.instance, self.queries.name(query.0));
+        let line = format!("RESPOND i={i} job={job} complete={}", u8::from(whole));
+        self.say(format_args!("{line}"));
+    }
+
+    fn reject(&mut self, query: Query, stay_away: Span) {
+        let (i, job) = (&self.instance, self.queries.name(query.0));
+        let line = format!("DECLINE i={i} job={job} stay_away_s={:.6}", stay_away.s());
+        self.say(format_args!("{line}"));
+    }
+
+    fn abort(&mut self, query: Query) {
+        let line = format!("DROP_REQUEST i={} job={}", self.instance, self.queries.name(query.0));
+        self.say(format_args!("{line}"));
+    }
+
+    fn wake_me(&mut self, at: At, label: u64) {
+        let line = format!("NOTIFY_ME i={} alarm_time_s={:.6} label={label}", self.instance, at.s());
+        self.say(format_args!("{line}"));
+    }
+
+    fn probe(&mut self, leaf: Leaf) {
+        let line = format!("CHECK i={} replica={}", self.instance, self.leaves.name(leaf.0));
+        self.say(format_args!("{line}"));
+    }
+
+    fn watch(&mut self) {
+        let line = format!("KEEP_INFORMED i={} complete=1", self.instance);
+        self.say(format_args!("{line}"));
+    }
+
+    fn note(&mut self, text: &str) {
+        let line = format!("TRACE i={} body_text={text}", self.instance);
+        self.say(format_args!("{line}"));
+    }
+
+    fn let_go_query(&mut self, query: Query) {
+        self.queries.leave(query.0);
+        self.asks.retain(|_, q| *q != query.0);
+    }
+
+    fn let_go_part(&mut self, part: Part) {
+        self.parts.leave(part.0);
+    }
+
+    fn let_go_leaf(&mut self, leaf: Leaf) {
+        self.leaves.leave(leaf.0);
+    }
+}
+
+pub struct Host {
+    door: Door,
+    root: Root,
+    verticals: Vec<String>,
+}
+
+impl Host {
+    pub fn start(line: &Line, name: &str) -> Result<Host, Wrong> {
+        let seed = line.number("init_seed")?;
+        let told: Value = serde_json::from_str(line.field("conf")?)
+            .map_err(|e| line.wrong("conf", &format!("is not the JSON expected: {e}")))?;
+        let wrong = |at: &str, what: &str| line.wrong("conf", &format!("{what} {at}"));
+        let number =
+            |at: &str| told.pointer(at).and_then(Value::as_f64).ok_or_else(|| wrong(at, "has no number at"));
+        let count = |at: &str| {
+            let n = told.pointer(at).and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok());
+            n.ok_or_else(|| wrong(at, "has no count at"))
+        };
+        let flag = |at: &str| {
+            told.pointer(at).and_then(Value::as_bool).ok_or_else(|| wrong(at, "has no true or false at"))
+        };
+        let span = |at: &str| number(at).map(Span::from_s);
+        let optional = |at: &str| told.pointer(at).and_then(Value::as_f64);
+
+        let cells = count("/domain/sets")?;
+        if cells == 0 {
+            return Err(wrong("/domain/sets", "names no cells at"));
+        }
+        let cover = Cover::new(
+            cells,
+            count("/domain/span")?,
+            count("/domain/parts_a_call")? as usize,
+            span("/domain/call_cost_s")?,
+        );
+        let budget = Budget::new(
+            optional("/rules/repeat_ratio").unwrap_or(0.0),
+            optional("/rules/extra_free").unwrap_or(0.0),
+            optional("/rules/budget_span_s").map(Span::from_s),
+        );
+        let fail_back = FailBack::new(
+            number("/rules/cold_from")?,
+            span("/rules/cold_s")?,
+            number("/rules/overload_factor")?,
+            span("/rules/fall_s")?,
+        );
+        let tries = Tries {
+            limit: count("/allowed/try_limit")?,
+            may_duplicate: flag("/allowed/may_duplicate")?,
+            may_abandon: flag("/allowed/cancel")?,
+            may_probe: flag("/allowed/probing")?,
+            longest_stay_away: flag("/allowed/retry_after")?
+                .then(|| span("/allowed/max_retry_after_s"))
+                .transpose()?,
+        };
+        let asks_list = told.pointer("/registry_mode").and_then(Value::as_str) == Some("ask");
+        let tick = span("/tick_s")?;
+        let mut root = Root::new(Chance::new(seed), cover, budget, fail_back, tries, asks_list, tick);
+
+        let classes = told.pointer("/classes").and_then(Value::as_array);
+        let mut verticals = Vec::new();
+        for n in 0..classes.ok_or_else(|| wrong("/classes", "has no list at"))?.len() {
+            let of = |key: &str| format!("/classes/{n}/{key}");
+            let domain = |key: &str| format!("/domain/{key}/{n}");
+            let text = |at: &str| {
+                told.pointer(at).and_then(Value::as_str).ok_or_else(|| wrong(at, "has no text at"))
+            };
+            verticals.push(text(&of("name"))?.to_string());
+            root.vertical(Terms {
+                effect: match text(&of("idempotency"))? {
+                    "safe" => Effect::Repeatable,
+                    "keyed" => Effect::Deduplicated,
+                    "unsafe" => Effect::SideEffecting,
+                    _ => return Err(wrong(&of("idempotency"), "has none of safe, keyed, unsafe at")),
+                },
+                dedup_window: Span::from_s(optional(&of("dedup_window_s")).unwrap_or(0.0)),
+                slo: span(&of("aim_s"))?,
+                slo_stretch: optional(&of("aim_stretch")).unwrap_or(0.0),
+                hard_limit: span(&of("hard_limit_s"))?,
+                utility: number(&of("worth"))?,
+                late_utility: number(&of("late_worth"))?,
+                whole_from: number(&domain("complete_from"))?,
+                floor: number(&domain("floor_by_class"))?,
+                partial_earns: number(&domain("partial_earns"))?,
+                second_step: number(&domain("follow_up"))? > 0.0,
+            });
+        }
+        let door = Door {
+            instance: name.to_string(),
+            queries: Names::default(),
+            parts: Names::default(),
+            leaves: Names::default(),
+            asks: BTreeMap::new(),
+            reply: String::new(),
+        };
+        Ok(Host { door, root, verticals })
+    }
+
+    pub fn event(&mut self, now: At, line: &Line, lists: &BTreeMap<u32, Vec<Row>>) -> Result<(), Wrong> {
+        let Host { door, root, verticals } = self;
+        match line.word() {
+            "NEW_INSTANCE" => root.start(door),
+            "DISCOVERY" => {
+                let scope = line.field("scope")?;
+                if scope == "Error" {
+                    root.list_failed(door, now);
+                    return Ok(());
+                }
+                if !["Partial", "Complete", "Persisted"].contains(&scope) {
+                    return Err(line.wrong("scope", &format!("is '{scope}', which is not known")));
+                }
+                let rows = lists.get(&line.number("ref")?);
+                let rows = rows.ok_or_else(|| line.wrong("ref", "names no list received"))?;
+                root.list_begin(scope != "Partial");
+                for row in rows {
+                    let leaf = Leaf(door.leaves.enter(&row.replica));
+                    root.leaf(now, leaf, row.cell, row.up, row.started);
+                }
+                root.list_end(door);
+            }
+            "WORK_ITEM" => {
+                let (job, ask) = (line.field("job")?, line.number("ask_no")?);
+                let amount = line.amount("share_or_count")?;
+                let hinted = line.number::<u64>("state_bits")? & 1 == 1;
+                let hint = line.optional("effort_s").map(|_| line.amount("effort_s")).transpose()?;
+                let hint = hint.filter(|_| hinted);
+                let shard: i64 = line.number("range_no")?;
+                if shard >= 0 {
+                    let shard = u32::try_from(shard).map_err(|_| line.wrong("range_no", "is too large"))?;
+                    if let Some(&query) = door.asks.get(&ask) {
+                        if door.parts.find(job).is_some() {
+                            return Err(line.wrong("job", "repeats an id that is held"));
+                        }
+                        let part = Part(door.parts.enter(job));
+                        root.part(door, now, part, Query(query), shard, amount, hint);
+                    }
+                    return Ok(());
+                }
+                let class = line.field("class")?;
+                let vertical = verticals.iter().position(|v| v == class);
+                let vertical = vertical.ok_or_else(|| line.wrong("class", "is not among the settings'"))?;
+                if door.queries.find(job).is_some() || door.asks.contains_key(&ask) {
+                    return Err(line.wrong("job", "repeats an id that is held"));
+                }
+                let query = Query(door.queries.enter(job));
+                door.asks.insert(ask, query.0);
+                let left = Span::from_s(line.amount("remaining_s")?);
+                root.query(door, now, query, Vertical(vertical as u16), left, hint);
+            }
+            "FINISHED" => {
+                let (nth, over) = (line.number("trial")?, line.flag("over")?);
+                let ending = ending(line)?;
+                if let Some(part) = door.parts.find(line.field("job")?) {
+                    root.ended(door, now, Part(part), nth, ending, over);
+                }
+            }
+            "DROPPED" => {
+                if let Some(query) = door.queries.find(line.field("job")?) {
+                    root.gone(door, Query(query));
+                }
+            }
+            "ELAPSED" => root.woken(door, now, line.number("label")?),
+            "HEALTH" => {
+                let ending = ending(line)?;
+                if let Some(leaf) = door.leaves.find(line.field("replica")?) {
+                    root.probed(now, Leaf(leaf), ending);
+                }
+            }
+            // No streamed vertical and no message between co-ordinators has a part in the decisions.
+            "FIRST" | "MEMO" => {}
+            word => return Err(line.wrong("i", &format!("comes with '{word}', an event that is not known"))),
+        }
+        Ok(())
+    }
+
+    pub fn turn(&mut self, now: At) {
+        self.root.turn(&mut self.door, now);
+    }
+
+    pub fn flush(&mut self, output: &mut dyn Write) -> io::Result<()> {
+        output.write_all(self.door.reply.as_bytes())?;
+        self.door.reply.clear();
+        Ok(())
+    }
+}
+
+fn ending(line: &Line) -> Result<Ending, Wrong> {
+    Ok(match line.field("result")? {
+        "pass" => Ending::Pass,
+        "fault" => Ending::Fault,
+        "no_room" => Ending::NoRoom,
+        "too_slow" => Ending::TooSlow,
+        "no_route" => Ending::NoRoute,
+        "cut" => Ending::Cut,
+        "undone" => Ending::Undone,
+        "stale_send" => Ending::Stale,
+        other => return Err(line.wrong("result", &format!("is '{other}', which is not known"))),
+    })
+}
--- /dev/null
+++ b/crates/pipitcrank/src/decide.rs
@@ -0,0 +1,1011 @@
+//! The decision module: which leaf answers which part of a query, when, how often, and how the query ends.
+//!
+//! A caller makes one `Root` per co-ordinator from what it is told at start, names the verticals in order with
+//! `vertical`, and hands in each event as it comes: `list_begin`/`leaf`/`list_end` for the list of leaves,
+//! `query` and `part` for what is asked, `ended` for each leaf call, `gone`, `probed`, `woken`. After the events
+//! of one moment it calls `turn` once. All that the module wants done goes out through `port::Port`; the ids are
+//! small indices (`ids.rs`) that the caller may use again once they are let go of.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::chance::Chance;
+use crate::ids::{Effect, Ending, Leaf, Part, Query, Vertical};
+use crate::port::Port;
+use crate::time::{At, Span};
+
+/// What a step leaves behind for when its alarm rings.
+type Then = Box<dyn FnOnce(&mut Root, &mut dyn Port, At)>;
+/// What a leaf call leaves behind for its end.
+type AfterCall = Box<dyn FnOnce(&mut Root, &mut dyn Port, At, Ending, bool)>;
+
+/// Sums of weights may fall short by this much (a rule's own figure).
+const SHORT: f64 = 1e-4;
+
+/// One vertical as told at start.
+pub struct Terms {
+    pub effect: Effect,
+    pub dedup_window: Span,
+    pub slo: Span,
+    pub slo_stretch: f64,
+    pub hard_limit: Span,
+    pub utility: f64,
+    pub late_utility: f64,
+    pub whole_from: f64,
+    pub floor: f64,
+    pub partial_earns: f64,
+    pub second_step: bool,
+}
+
+struct Trade {
+    terms: Terms,
+    work: LowMark,
+}
+
+/// A low quantile of the spans seen, followed in small steps: what a part takes where nothing is in its way.
+struct LowMark(Option<f64>);
+
+impl LowMark {
+    /// The quantile: low enough that waiting hardly enters, high enough that a warm key does not set it.
+    const RANK: f64 = 0.2;
+    /// A step as a share of the mark: fifty answers move it by half.
+    const STEP: f64 = 0.04;
+
+    fn see(&mut self, x: f64) {
+        let mark = self.0.unwrap_or(x);
+        self.0 = Some(if x < mark {
+            mark * (1.0 - Self::STEP * (1.0 - Self::RANK))
+        } else {
+            mark * (1.0 + Self::STEP * Self::RANK)
+        });
+    }
+}
+
+/// Which leaves hold a shard, from cells in a ring, and how the cover is cut into calls.
+pub struct Cover {
+    cells: u32,
+    span: u32,
+    call_size: usize,
+    call_cost: f64,
+    /// Leaves by cell; made anew at each change of the list.
+    by_cell: Vec<Vec<Leaf>>,
+}
+
+impl Cover {
+    /// Most rounds of one query in one turn (the design's k): twice what the longest queries seen need, so
+    /// it only stops a cover that makes no headway.
+    const ROUNDS: usize = 32;
+
+    pub fn new(cells: u32, span: u32, call_size: usize, call_cost: Span) -> Cover {
+        let by_cell = vec![Vec::new(); cells as usize];
+        Cover { cells, span, call_size: call_size.max(1), call_cost: call_cost.s(), by_cell }
+    }
+
+    fn holds(&self, cell: u32, shard: u32) -> bool {
+        (cell + self.cells - shard % self.cells) % self.cells < self.span
+    }
+
+    fn holders(&self, shard: u32) -> impl Iterator<Item = Leaf> + '_ {
+        (0..self.span.min(self.cells))
+            .flat_map(move |j| self.by_cell[((shard + j) % self.cells) as usize].iter().copied())
+    }
+}
+
+/// Rule 6: leaf calls beyond a part's first, against what was taken, both over one sliding window.
+pub struct Budget {
+    share: f64,
+    free: f64,
+    span: Span,
+    /// Times of arrivals and of further calls; emptied as they leave the window.
+    taken: VecDeque<At>,
+    further: VecDeque<At>,
+}
+
+impl Budget {
+    /// With no window stated there is no budget.
+    pub fn new(share: f64, free: f64, span: Option<Span>) -> Budget {
+        let span = span.unwrap_or(Span::ZERO);
+        Budget { share, free, span, taken: VecDeque::new(), further: VecDeque::new() }
+    }
+
+    fn left(&mut self, now: At) -> f64 {
+        if self.span == Span::ZERO {
+            return f64::INFINITY;
+        }
+        // An arrival on the window's edge is taken as out, a further call on it as in.
+        while self.taken.front().is_some_and(|&t| now - t >= self.span) {
+            self.taken.pop_front();
+        }
+        while self.further.front().is_some_and(|&t| now - t > self.span) {
+            self.further.pop_front();
+        }
+        self.free + self.share * self.taken.len() as f64 - self.further.len() as f64
+    }
+
+    fn take(&mut self, now: At) {
+        if self.span > Span::ZERO {
+            self.left(now);
+            self.taken.push_back(now);
+        }
+    }
+
+    fn spend(&mut self, now: At) {
+        if self.span > Span::ZERO {
+            self.further.push_back(now);
+        }
+    }
+}
+
+/// Rule 4: what this co-ordinator may send to a leaf that has just started.
+pub struct FailBack {
+    cold_from: f64,
+    cold: Span,
+    factor: f64,
+    window: Span,
+}
+
+impl FailBack {
+    /// Of the allowance that the rule leaves, how much is used: the rest is for uneven co-ordinators.
+    const USED: f64 = 0.6;
+
+    pub fn new(cold_from: f64, cold: Span, factor: f64, window: Span) -> FailBack {
+        FailBack { cold_from, cold, factor, window }
+    }
+
+    fn is_cold(&self, started: Option<At>, now: At) -> bool {
+        started.is_some_and(|t| now - t < self.cold)
+    }
+
+    /// Work that may go to the leaf now. `carried` is the work a second that a warm leaf carries for this
+    /// co-ordinator: in use below capacity, so a careful stand-in for this co-ordinator's share of it. The
+    /// slowest legal warming is assumed. The first part of a window always goes, alone.
+    fn room(&self, started: At, now: At, carried: f64, sent: &VecDeque<(At, f64)>) -> f64 {
+        let age = ((now - started).s() / self.cold.s().max(1e-6)).clamp(0.0, 1.0);
+        let share = self.cold_from + (1.0 - self.cold_from) * age;
+        let before: f64 = sent.iter().filter(|(t, _)| now - *t <= self.window).map(|(_, w)| w).sum();
+        let all = Self::USED * self.factor * share * carried * self.window.s();
+        if before == 0.0 { all.max(f64::MIN_POSITIVE) } else { all - before }
+    }
+}
+
+/// How often and how a part may go.
+pub struct Tries {
+    pub limit: u32,
+    pub may_duplicate: bool,
+    pub may_abandon: bool,
+    pub may_probe: bool,
+    pub longest_stay_away: Option<Span>,
+}
+
+/// What is known of one leaf, from the list and from this co-ordinator's own calls.
+struct LeafState {
+    cell: u32,
+    listed: bool,
+    started: Option<At>,
+    /// Own calls out: parts left in each; emptied by the parts' ends.
+    calls: BTreeMap<u64, usize>,
+    /// Parts out with time sent and work ahead at the time; emptied by their ends.
+    out: BTreeMap<(Part, u32), (At, f64)>,
+    work_out: f64,
+    /// Call that parts of this turn may still join: turn, call, parts in it.
+    joining: (u64, u64, usize),
+    last_sign: Option<At>,
+    faults: f64,
+    pace: f64,
+    /// Not before this time again, and how long the next wait is.
+    trial_at: Option<At>,
+    wait: Span,
+    /// Work sent while cold; emptied as it leaves the fail-back window.
+    sent_cold: VecDeque<(At, f64)>,
+    /// Work merged, fading with time: the rate carried.
+    carried: f64,
+    carried_at: At,
+}
+
+impl LeafState {
+    /// Fading time of the carried rate: about the span of a burst.
+    const FADE_S: f64 = 8.0;
+    /// Share of faults from which a leaf is left out: two in a row, or a quarter over time; the stray error of
+    /// a good leaf stays below.
+    const FAULTY: f64 = 0.3;
+    /// Weight of the newest answer in the share of faults and in the pace.
+    const NEWEST: f64 = 0.2;
+    /// A leaf this many times slower than the others, by work sent, is left out.
+    const SLOW: f64 = 3.0;
+    const FIRST_WAIT: Span = Span::from_ms(500);
+    const LONGEST_WAIT: Span = Span::from_ms(4000);
+
+    fn carry(&mut self, now: At, work: f64) {
+        let age = (now - self.carried_at).s();
+        self.carried = self.carried * (-age / Self::FADE_S).exp() + work / Self::FADE_S;
+        self.carried_at = now;
+    }
+
+    /// Silent, failing or slow: whatever the cause, the sign is that its calls don't come back well.
+    fn sound(&self, now: At, usual_pace: f64) -> bool {
+        self.faults < Self::FAULTY && self.pace < Self::SLOW * usual_pace && !self.quiet(now, usual_pace)
+    }
+
+    /// Calls are out, and nothing at all has come back for far longer than the oldest should take.
+    fn quiet(&self, now: At, usual_pace: f64) -> bool {
+        self.out.values().any(|&(sent, ahead)| {
+            let since = self.last_sign.map_or(sent, |s| s.max(sent));
+            now - since > overdue_after(ahead, usual_pace)
+        })
+    }
+
+    fn on_trouble(&mut self, now: At) {
+        if self.trial_at.is_none_or(|t| t <= now) {
+            self.trial_at = Some(now + self.wait);
+            self.wait = (self.wait * 2.0).min(Self::LONGEST_WAIT);
+        }
+    }
+}
+
+/// When a leaf call is overdue, by the work ahead of it: the spread of parts and one standstill of a healthy
+/// leaf fit below, a second copy that late can still meet the SLO time.
+fn overdue_after(ahead: f64, pace: f64) -> Span {
+    const TIMES: f64 = 2.0;
+    const GRACE: Span = Span::from_ms(350);
+    Span::from_s(ahead * pace * TIMES) + GRACE
+}
+
+struct Sent {
+    leaf: Leaf,
+    at: At,
+    out: bool,
+    /// Proved never to have run.
+    never_ran: bool,
+}
+
+struct PartState {
+    query: Query,
+    shard: u32,
+    weight: f64,
+    work: f64,
+    sent: Vec<Sent>,
+    waits: bool,
+    done: bool,
+}
+
+impl PartState {
+    fn out(&self) -> usize {
+        self.sent.iter().filter(|s| s.out).count()
+    }
+}
+
+struct Open {
+    serial: u64,
+    vertical: Vertical,
+    slo: At,
+    ends: At,
+    arrived: At,
+    parts: Vec<Part>,
+    in_weight: f64,
+    in_parts: usize,
+    /// 0 in the first step, 1 in the second; whether the first was whole.
+    step: u8,
+    first_whole: bool,
+}
+
+pub struct Root {
+    chance: Chance,
+    cover: Cover,
+    budget: Budget,
+    fail_back: FailBack,
+    tries: Tries,
+    asks_list: bool,
+    tick: Span,
+    trades: Vec<Trade>,
+    /// One per leaf listed or with calls out; emptied when it is off the list and its calls have ended.
+    leaves: BTreeMap<Leaf, LeafState>,
+    /// Open queries; emptied by their final answers.
+    queries: BTreeMap<Query, Open>,
+    /// Parts; emptied when their query has ended and their calls have.
+    parts: BTreeMap<Part, PartState>,
+    /// What outstanding leaf calls left behind; emptied by their ends.
+    calls: BTreeMap<(Part, u32), AfterCall>,
+    /// What alarms left behind; emptied as they ring, each set for a time that comes.
+    alarms: BTreeMap<u64, Then>,
+    marks: u64,
+    turn: u64,
+    pace: f64,
+    reviewing: bool,
+    moved: bool,
+}
+
+impl Root {
+    /// Between two looks at what is overdue: a few ticks, far below any SLO time.
+    const REVIEW: Span = Span::from_ms(50);
+    /// Subscriptions that broke are asked for again after this; the list's own calls take about so long.
+    const WATCH_AGAIN: Span = Span::from_ms(2000);
+    /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
+    const WAIT_SHARE: f64 = 0.5;
+    /// A leaf is given work whose predicted end lies within this share of the SLO time.
+    const FILL_SHARE: f64 = 0.6;
+
+    pub fn new(
+        chance: Chance,
+        cover: Cover,
+        budget: Budget,
+        fail_back: FailBack,
+        tries: Tries,
+        asks_list: bool,
+        tick: Span,
+    ) -> Root {
+        Root {
+            chance,
+            cover,
+            budget,
+            fail_back,
+            tries,
+            asks_list,
+            tick,
+            trades: Vec::new(),
+            leaves: BTreeMap::new(),
+            queries: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            alarms: BTreeMap::new(),
+            marks: 0,
+            turn: 0,
+            pace: 1.0,
+            reviewing: false,
+            moved: false,
+        }
+    }
+
+    pub fn vertical(&mut self, terms: Terms) {
+        self.trades.push(Trade { terms, work: LowMark(None) });
+    }
+
+    fn mark(&mut self) -> u64 {
+        self.marks += 1;
+        self.marks
+    }
+
+    fn wake(&mut self, port: &mut dyn Port, at: At, then: Then) {
+        let label = self.mark();
+        self.alarms.insert(label, then);
+        port.wake_me(at, label);
+    }
+
+    pub fn woken(&mut self, port: &mut dyn Port, now: At, label: u64) {
+        if let Some(then) = self.alarms.remove(&label) {
+            then(self, port, now);
+        }
+    }
+
+    // The list of leaves.
+
+    pub fn start(&mut self, port: &mut dyn Port) {
+        if self.asks_list {
+            port.watch();
+        }
+    }
+
+    /// A whole list follows: what it does not name is gone.
+    pub fn list_begin(&mut self, whole: bool) {
+        if whole {
+            self.leaves.values_mut().for_each(|l| l.listed = false);
+        }
+    }
+
+    pub fn leaf(&mut self, now: At, id: Leaf, cell: u32, up: bool, started: Option<At>) {
+        let state = self.leaves.entry(id).or_insert_with(|| LeafState {
+            cell,
+            listed: false,
+            started,
+            calls: BTreeMap::new(),
+            out: BTreeMap::new(),
+            work_out: 0.0,
+            joining: (0, 0, 0),
+            last_sign: None,
+            faults: 0.0,
+            pace: self.pace,
+            trial_at: None,
+            wait: LeafState::FIRST_WAIT,
+            sent_cold: VecDeque::new(),
+            carried: 0.0,
+            carried_at: now,
+        });
+        if started > state.started {
+            // A new process: what was held against the old one is void, and it is cold.
+            state.faults = 0.0;
+            state.pace = self.pace;
+            state.trial_at = None;
+            state.wait = LeafState::FIRST_WAIT;
+            state.last_sign = Some(now);
+        }
+        (state.cell, state.listed, state.started) = (cell, up, started);
+    }
+
+    pub fn list_end(&mut self, port: &mut dyn Port) {
+        self.cover.by_cell.iter_mut().for_each(Vec::clear);
+        for (&id, state) in self.leaves.iter().filter(|(_, l)| l.listed) {
+            self.cover.by_cell[(state.cell % self.cover.cells) as usize].push(id);
+        }
+        let gone = self.leaves.iter().filter(|(_, l)| !l.listed && l.out.is_empty()).map(|(&id, _)| id);
+        for id in gone.collect::<Vec<_>>() {
+            self.drop_leaf(port, id);
+        }
+        self.moved = true;
+    }
+
+    fn drop_leaf(&mut self, port: &mut dyn Port, id: Leaf) {
+        self.leaves.remove(&id);
+        port.let_go_leaf(id);
+    }
+
+    /// The list could not be had or the subscription broke; the old list stands.
+    pub fn list_failed(&mut self, port: &mut dyn Port, now: At) {
+        if self.asks_list {
+            self.wake(port, now + Self::WATCH_AGAIN, Box::new(|_, port, _| port.watch()));
+        }
+    }
+
+    // Queries and parts.
+
+    pub fn query(
+        &mut self,
+        port: &mut dyn Port,
+        now: At,
+        id: Query,
+        v: Vertical,
+        left: Span,
+        work: Option<f64>,
+    ) {
+        self.budget.take(now);
+        let terms = &self.trades[v.0 as usize].terms;
+        let stretch = Span::from_s(terms.slo_stretch * work.unwrap_or(0.0));
+        let slo = now + (terms.slo + stretch).min(terms.hard_limit);
+        let ends = now + left;
+        let serial = self.mark();
+        let open = Open {
+            serial,
+            vertical: v,
+            slo,
+            ends,
+            arrived: now,
+            parts: Vec::new(),
+            in_weight: 0.0,
+            in_parts: 0,
+            step: 0,
+            first_whole: true,
+        };
+        self.queries.insert(id, open);
+        // Rule 1 hangs on this alarm alone, whatever comes of the calls.
+        let last = ends - self.tick;
+        let close: Then = Box::new(move |root, port, _| root.close(port, id, serial));
+        self.wake(port, last, close);
+        // The answer has to travel: three ticks before the SLO time what is in is worth most.
+        let due = (slo - self.tick * 3.0).min(last);
+        let settle: Then = Box::new(move |root, port, now| root.settle(port, now, id, serial));
+        self.wake(port, due, settle);
+        self.review_later(port, now);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn part(
+        &mut self,
+        port: &mut dyn Port,
+        now: At,
+        id: Part,
+        query: Query,
+        shard: u32,
+        weight: f64,
+        work: Option<f64>,
+    ) {
+        self.budget.take(now);
+        let Some(open) = self.queries.get_mut(&query) else { return port.let_go_part(id) };
+        open.parts.push(id);
+        let usual = &self.trades[open.vertical.0 as usize];
+        // With neither a hint nor an answer yet, a tenth of the SLO time: only ratios of work matter then.
+        let work = work.or(usual.work.0).unwrap_or(usual.terms.slo.s() * 0.1);
+        let part = PartState { query, shard, weight, work, sent: Vec::new(), waits: true, done: false };
+        self.parts.insert(id, part);
+        self.moved = true;
+    }
+
+    fn is_open(&self, id: Query, serial: u64) -> bool {
+        self.queries.get(&id).is_some_and(|q| q.serial == serial)
+    }
+
+    /// Rule 5: what the parts that are in allow: nothing, a partial answer, a whole one.
+    fn answer(&self, open: &Open) -> (bool, bool) {
+        let terms = &self.trades[open.vertical.0 as usize].terms;
+        let need = if open.step == 0 { terms.whole_from } else { 1.0 };
+        let floor = if terms.floor < terms.whole_from { terms.floor } else { need };
+        let any = open.in_parts > 0;
+        let whole = any && open.first_whole && open.in_weight >= need - SHORT;
+        let all = open.step == 0 || open.in_parts == open.parts.len();
+        (any && open.in_weight >= floor - SHORT, whole && all)
+    }
+
+    /// The client's time is up: the best answer the parts allow, or none.
+    fn close(&mut self, port: &mut dyn Port, id: Query, serial: u64) {
+        if !self.is_open(id, serial) {
+            return;
+        }
+        let (any, whole) = self.answer(&self.queries[&id]);
+        if any { self.merge(port, id, whole, true) } else { self.give_up(port, id, Span::ZERO) }
+    }
+
+    /// The SLO time is all but here: a partial answer now earns more than a whole one late.
+    fn settle(&mut self, port: &mut dyn Port, _now: At, id: Query, serial: u64) {
+        if self.is_open(id, serial) && self.answer(&self.queries[&id]).0 {
+            let whole = self.answer(&self.queries[&id]).1;
+            self.merge(port, id, whole, false);
+        }
+    }
+
+    fn merge(&mut self, port: &mut dyn Port, id: Query, whole: bool, last: bool) {
+        port.merge(id, whole);
+        let open = self.queries.get_mut(&id).expect("merged queries are open");
+        if self.trades[open.vertical.0 as usize].terms.second_step && open.step == 0 {
+            (open.step, open.first_whole, open.in_weight, open.in_parts) = (1, whole, 0.0, 0);
+            let parts = std::mem::take(&mut open.parts);
+            self.drop_parts(port, parts);
+            if last {
+                self.give_up(port, id, Span::ZERO);
+            }
+            return;
+        }
+        self.end(port, id);
+    }
+
+    /// Final: rejected where asking again is harmless, aborted otherwise (rule 2).
+    fn give_up(&mut self, port: &mut dyn Port, id: Query, stay_away: Span) {
+        let open = &self.queries[&id];
+        let effect = self.trades[open.vertical.0 as usize].terms.effect;
+        let unrun = |p: &Part| self.parts[p].sent.iter().all(|s| s.never_ran);
+        if effect == Effect::Repeatable || open.parts.iter().all(unrun) {
+            port.reject(id, self.tries.longest_stay_away.map_or(Span::ZERO, |most| stay_away.min(most)));
+        } else {
+            port.abort(id);
+        }
+        self.end(port, id);
+    }
+
+    fn end(&mut self, port: &mut dyn Port, id: Query) {
+        let open = self.queries.remove(&id).expect("ended queries are open");
+        self.drop_parts(port, open.parts);
+        port.let_go_query(id);
+    }
+
+    fn drop_parts(&mut self, port: &mut dyn Port, parts: Vec<Part>) {
+        for id in parts {
+            self.withdraw(port, id);
+            let part = self.parts.get_mut(&id).expect("parts outlive their query");
+            (part.waits, part.done) = (false, true);
+            self.free_part(port, id);
+        }
+    }
+
+    fn withdraw(&mut self, port: &mut dyn Port, id: Part) {
+        if self.tries.may_abandon {
+            for (nth, _) in self.parts[&id].sent.iter().enumerate().filter(|(_, s)| s.out) {
+                port.abandon(id, nth as u32);
+            }
+        }
+    }
+
+    /// A part is let go of when its query has ended (or moved on) and none of its calls is out.
+    fn free_part(&mut self, port: &mut dyn Port, id: Part) {
+        let part = &self.parts[&id];
+        let held = self.queries.get(&part.query).is_some_and(|q| q.parts.contains(&id));
+        if !held && part.out() == 0 {
+            self.parts.remove(&id);
+            port.let_go_part(id);
+        }
+    }
+
+    /// The client is gone, or the outside ended the query.
+    pub fn gone(&mut self, port: &mut dyn Port, id: Query) {
+        if self.queries.contains_key(&id) {
+            self.end(port, id);
+        }
+    }
+
+    // Leaf calls.
+
+    /// Rules 1, 2 and 6 for one more leaf call of the part.
+    fn may_go(&mut self, now: At, id: Part) -> bool {
+        let part = &self.parts[&id];
+        let Some(open) = self.queries.get(&part.query) else { return false };
+        let terms = &self.trades[open.vertical.0 as usize].terms;
+        let risky = part.sent.iter().find(|s| !s.never_ran).map(|s| s.at);
+        let effect_ok = match (terms.effect, risky) {
+            (_, None) | (Effect::Repeatable, _) => true,
+            (Effect::Deduplicated, Some(first)) => now - first < terms.dedup_window,
+            (Effect::SideEffecting, Some(_)) => false,
+        };
+        effect_ok
+            && !part.done
+            && now < open.ends - self.tick
+            && (part.sent.len() as u32) < self.tries.limit
+            && (part.out() == 0 || self.tries.may_duplicate)
+            && (part.sent.is_empty() || self.budget.left(now) >= 1.0)
+    }
+
+    fn leaf_call(&mut self, port: &mut dyn Port, now: At, id: Part, leaf: Leaf) {
+        let part = self.parts.get_mut(&id).expect("sent parts are held");
+        let open = &self.queries[&part.query];
+        let nth = part.sent.len() as u32;
+        if nth > 0 {
+            self.budget.spend(now);
+        }
+        part.sent.push(Sent { leaf, at: now, out: true, never_ran: false });
+        part.waits = false;
+        let work = part.work;
+        let (vertical, ends) = (open.vertical, open.ends);
+        let cold = self.fail_back.is_cold(self.leaves[&leaf].started, now);
+        let state = self.leaves.get_mut(&leaf).expect("candidates are held");
+        if state.joining.0 != self.turn || state.joining.2 >= self.cover.call_size {
+            self.marks += 1;
+            state.joining = (self.turn, self.marks, 0);
+            state.work_out += self.cover.call_cost;
+        }
+        state.joining.2 += 1;
+        let call = state.joining.1;
+        *state.calls.entry(call).or_insert(0) += 1;
+        state.work_out += work;
+        let ahead = state.work_out;
+        state.out.insert((id, nth), (now, ahead));
+        if cold {
+            let window = self.fail_back.window;
+            state.sent_cold.retain(|(t, _)| now - *t <= window);
+            state.sent_cold.push_back((now, work + self.cover.call_cost));
+        }
+        port.leaf_call(id, leaf, ends);
+        let after: AfterCall = Box::new(move |root, port, now, ending, over| {
+            root.learn(port, now, leaf, (id, nth), call, work, vertical, ending);
+            root.proceed(port, now, id, nth, ending, over);
+        });
+        self.calls.insert((id, nth), after);
+    }
+
+    pub fn ended(&mut self, port: &mut dyn Port, now: At, id: Part, nth: u32, ending: Ending, over: bool) {
+        if let Some(after) = self.calls.remove(&(id, nth)) {
+            after(self, port, now, ending, over);
+        }
+    }
+
+    /// What the end of a leaf call tells of the leaf, whether or not the query still waits for it.
+    #[allow(clippy::too_many_arguments)]
+    fn learn(
+        &mut self,
+        port: &mut dyn Port,
+        now: At,
+        leaf: Leaf,
+        key: (Part, u32),
+        call: u64,
+        work: f64,
+        vertical: Vertical,
+        ending: Ending,
+    ) {
+        let usual = self.pace;
+        let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
+        let (sent, ahead) = state.out.remove(&key).expect("calls out are listed");
+        state.work_out -= work;
+        if let Some(left) = state.calls.get_mut(&call) {
+            *left -= 1;
+            if *left == 0 {
+                state.calls.remove(&call);
+                state.work_out -= self.cover.call_cost;
+            }
+        }
+        if state.out.is_empty() {
+            state.work_out = 0.0;
+        }
+        match ending {
+            Ending::Pass => {
+                let took = (now - sent).s();
+                let pace = (took / ahead.max(1e-3)).min(20.0);
+                state.last_sign = Some(now);
+                state.faults *= 1.0 - LeafState::NEWEST;
+                state.pace += LeafState::NEWEST * (pace - state.pace);
+                if state.sound(now, usual) {
+                    state.trial_at = None;
+                    state.wait = LeafState::FIRST_WAIT;
+                }
+                state.carry(now, work);
+                self.pace += 0.03 * (pace - self.pace);
+                self.trades[vertical.0 as usize].work.see(took);
+            }
+            Ending::Fault => {
+                state.last_sign = Some(now);
+                state.faults += LeafState::NEWEST * (1.0 - state.faults);
+                state.on_trouble(now);
+            }
+            Ending::NoRoom => {
+                state.last_sign = Some(now);
+                state.on_trouble(now);
+            }
+            Ending::NoRoute | Ending::Cut => {
+                state.faults = state.faults.max(2.0 * LeafState::FAULTY);
+                state.on_trouble(now);
+            }
+            Ending::TooSlow => state.on_trouble(now),
+            Ending::Undone | Ending::Stale => {}
+        }
+        if !state.listed && state.out.is_empty() {
+            self.drop_leaf(port, leaf);
+        }
+        self.moved = true;
+    }
+
+    /// What the end of a leaf call means for its query.
+    fn proceed(&mut self, port: &mut dyn Port, now: At, id: Part, nth: u32, ending: Ending, _over: bool) {
+        let part = self.parts.get_mut(&id).expect("parts outlive their calls");
+        let sent = &mut part.sent[nth as usize];
+        sent.out = false;
+        sent.never_ran = matches!(ending, Ending::NoRoom | Ending::NoRoute | Ending::Stale);
+        if part.done {
+            return self.free_part(port, id);
+        }
+        if ending != Ending::Pass {
+            if part.out() == 0 {
+                part.waits = true;
+            }
+            let query = part.query;
+            return self.check_hope(port, now, query);
+        }
+        part.done = true;
+        part.waits = false;
+        let (query, weight) = (part.query, part.weight);
+        self.withdraw(port, id);
+        let open = self.queries.get_mut(&query).expect("unfinished parts have open queries");
+        open.in_weight += weight;
+        open.in_parts += 1;
+        let late = now >= open.slo - self.tick * 3.0;
+        let (any, whole) = self.answer(&self.queries[&query]);
+        if whole || (any && late) || (any && self.all_in(query)) {
+            self.merge(port, query, whole, false);
+        }
+    }
+
+    fn all_in(&self, query: Query) -> bool {
+        self.queries[&query].parts.iter().all(|p| self.parts[p].done)
+    }
+
+    /// Ends the query at once when the parts that can still come in do not reach an answer.
+    fn check_hope(&mut self, port: &mut dyn Port, now: At, query: Query) {
+        let parts = self.queries[&query].parts.clone();
+        let (mut hope, mut lost) = (0.0, false);
+        for id in parts {
+            let part = &self.parts[&id];
+            if part.done || part.out() > 0 || self.could_go(now, id) {
+                hope += self.parts[&id].weight;
+            } else {
+                self.parts.get_mut(&id).expect("listed parts are held").waits = false;
+                lost = true;
+            }
+        }
+        let terms = &self.trades[self.queries[&query].vertical.0 as usize].terms;
+        if lost && hope < terms.floor.min(terms.whole_from) - SHORT {
+            self.give_up(port, query, Span::ZERO);
+        }
+    }
+
+    /// Like `may_go`, but an exhausted budget refills.
+    fn could_go(&mut self, now: At, id: Part) -> bool {
+        let held = std::mem::replace(&mut self.budget.free, f64::INFINITY);
+        let may = self.may_go(now, id);
+        self.budget.free = held;
+        may
+    }
+
+    // The cover.
+
+    /// Places what waits. Once a moment, after its events, so that what came together shares calls.
+    pub fn turn(&mut self, port: &mut dyn Port, now: At) {
+        if !std::mem::take(&mut self.moved) {
+            return;
+        }
+        self.turn += 1;
+        let mut order: Vec<(u64, Query)> = self.queries.iter().map(|(&id, q)| (q.serial, id)).collect();
+        order.sort();
+        for (_, query) in order {
+            let waits: Vec<Part> =
+                self.queries[&query].parts.iter().copied().filter(|p| self.parts[p].waits).collect();
+            if !waits.is_empty() {
+                self.place(port, now, query, waits);
+            }
+        }
+    }
+
+    /// The modified greedy set cover of the design page over the parts given, all of one query.
+    fn place(&mut self, port: &mut dyn Port, now: At, query: Query, parts: Vec<Part>) {
+        let mut uncovered: Vec<Part> = Vec::new();
+        for id in parts {
+            if self.may_go(now, id) {
+                uncovered.push(id);
+            }
+        }
+        let slo = self.trades[self.queries[&query].vertical.0 as usize].terms.slo;
+        for _ in 0..Cover::ROUNDS {
+            if uncovered.is_empty() {
+                return;
+            }
+            let first = uncovered[self.chance.below(uncovered.len())];
+            let candidates = self.candidates(now, first, slo);
+            let mut best = 0;
+            let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
+            for (leaf, room) in candidates {
+                let bundle = self.bundle(now, leaf, room, first, &uncovered);
+                best = best.max(bundle.len());
+                covers.push((leaf, bundle));
+            }
+            covers.retain(|(_, b)| b.len() + 1 >= best && !b.is_empty());
+            let Some(fewest) = covers.iter().map(|(l, _)| self.leaves[l].calls.len()).min() else {
+                // Nobody can take it now; it waits for the next turn.
+                uncovered.retain(|&p| p != first);
+                continue;
+            };
+            covers.retain(|(l, _)| self.leaves[l].calls.len() == fewest);
+            let (leaf, bundle) = covers.swap_remove(self.chance.below(covers.len()));
+            uncovered.retain(|p| !bundle.contains(p));
+            for id in bundle {
+                if self.may_go(now, id) {
+                    self.leaf_call(port, now, id, leaf);
+                }
+            }
+        }
+        self.moved = true;
+    }
+
+    /// Parts that the leaf would take along with `first`, within its room.
+    fn bundle(&self, now: At, leaf: Leaf, room: Room, first: Part, uncovered: &[Part]) -> Vec<Part> {
+        let cell = self.leaves[&leaf].cell;
+        let mut bundle = vec![first];
+        let mut work = self.parts[&first].work + self.cover.call_cost;
+        for &id in uncovered.iter().filter(|&&id| id != first) {
+            let part = &self.parts[&id];
+            if bundle.len() >= room.parts {
+                break;
+            }
+            let fits = work + part.work <= room.work;
+            if fits && self.cover.holds(cell, part.shard) && part.sent.iter().all(|s| s.leaf != leaf) {
+                work += part.work;
+                bundle.push(id);
+            }
+        }
+        let _ = now;
+        bundle
+    }
+
+    /// Holders of the part's shard that are candidates, each with its room. Narrowed in turn, each time only if
+    /// somebody is left: listed; not asked already; sound, or due for a trial by one part.
+    fn candidates(&self, now: At, id: Part, slo: Span) -> Vec<(Leaf, Room)> {
+        let part = &self.parts[&id];
+        let asked = |l: &Leaf| part.sent.iter().any(|s| s.leaf == *l);
+        let pending = |l: &Leaf| part.sent.iter().any(|s| s.leaf == *l && s.out);
+        let mut who: Vec<Leaf> = self.cover.holders(part.shard).filter(|l| !pending(l)).collect();
+        if who.iter().any(|l| !asked(l)) {
+            who.retain(|l| !asked(l));
+        }
+        let unsound = self.leaves.values().filter(|l| l.listed && !l.sound(now, self.pace)).count();
+        let listed = self.leaves.values().filter(|l| l.listed).count();
+        let sound = |l: &Leaf| {
+            let state = &self.leaves[l];
+            state.sound(now, self.pace) && state.trial_at.is_none()
+        };
+        let mut trial = Vec::new();
+        if unsound * 2 <= listed && who.iter().any(sound) {
+            let due = |l: &&Leaf| {
+                let state = &self.leaves[*l];
+                state.out.is_empty() && state.trial_at.is_some_and(|t| t <= now)
+            };
+            let repeatable = part.sent.is_empty() && {
+                let open = &self.queries[&part.query];
+                self.trades[open.vertical.0 as usize].terms.effect == Effect::Repeatable
+            };
+            if repeatable {
+                trial = who.iter().filter(|l| !sound(l)).filter(due).copied().collect();
+            }
+            who.retain(sound);
+        }
+        let mut found: Vec<(Leaf, Room)> = Vec::new();
+        for leaf in who {
+            let state = &self.leaves[&leaf];
+            let mut room = Room { parts: usize::MAX, work: f64::INFINITY };
+            if let Some(started) = state.started.filter(|_| self.fail_back.is_cold(state.started, now)) {
+                let carried = self.usual_carried(now);
+                room.work = self.fail_back.room(started, now, carried, &state.sent_cold);
+                if room.work <= 0.0 {
+                    continue;
+                }
+            }
+            // A leaf with work out whose end is predicted beyond the share of the SLO time waits its turn.
+            let end = (state.work_out + part.work) * state.pace.max(self.pace);
+            if !state.out.is_empty() && end > slo.s() * Self::FILL_SHARE {
+                continue;
+            }
+            found.push((leaf, room));
+        }
+        // A trial takes precedence: one part, and the rest of the cover goes on without it.
+        if let Some(&leaf) = trial.first() {
+            return vec![(leaf, Room { parts: 1, work: f64::INFINITY })];
+        }
+        found
+    }
+
+    /// Work a second that warm listed leaves carry for this co-ordinator, on average.
+    fn usual_carried(&self, now: At) -> f64 {
+        let warm = |l: &&LeafState| l.listed && !self.fail_back.is_cold(l.started, now);
+        let rate = |l: &LeafState| l.carried * (-(now - l.carried_at).s() / LeafState::FADE_S).exp();
+        let (n, sum) = self.leaves.values().filter(warm).fold((0, 0.0), |(n, s), l| (n + 1, s + rate(l)));
+        if n == 0 { 0.0 } else { sum / f64::from(n) }
+    }
+
+    // Reviews: what no event brings up.
+
+    fn review_later(&mut self, port: &mut dyn Port, now: At) {
+        if !self.reviewing {
+            self.reviewing = true;
+            self.wake(port, now + Self::REVIEW, Box::new(Root::review));
+        }
+    }
+
+    fn review(&mut self, port: &mut dyn Port, now: At) {
+        self.reviewing = false;
+        self.moved = true;
+        for state in self.leaves.values_mut() {
+            if state.quiet(now, self.pace) {
+                state.on_trouble(now);
+            }
+        }
+        let ids: Vec<Query> = self.queries.keys().copied().collect();
+        for &id in &ids {
+            self.review_query(port, now, id);
+        }
+        if !self.queries.is_empty() {
+            self.review_later(port, now);
+        }
+    }
+
+    fn review_query(&mut self, port: &mut dyn Port, now: At, id: Query) {
+        let open = &self.queries[&id];
+        let patience = (open.slo - open.arrived) * Self::WAIT_SHARE;
+        let unsent = |p: &Part| self.parts[p].sent.is_empty();
+        if now - open.arrived > patience && open.parts.iter().any(unsent) {
+            return self.give_up(port, id, patience);
+        }
+        if now >= open.slo {
+            return;
+        }
+        // Overdue leaf calls get a second copy through the same cover.
+        for part in open.parts.clone() {
+            let state = &self.parts[&part];
+            let overdue = |(nth, s): (usize, &Sent)| {
+                s.out
+                    && self.leaves[&s.leaf].out.get(&(part, nth as u32)).is_some_and(|&(sent, ahead)| {
+                        let usual = self.leaves[&s.leaf].pace.min(LeafState::SLOW * self.pace).max(self.pace);
+                        now - sent > overdue_after(ahead, usual)
+                    })
+            };
+            let late = !state.done && !state.sent.is_empty() && !state.waits;
+            if late
+                && state.sent.iter().enumerate().filter(|(_, s)| s.out).all(overdue)
+                && self.may_go(now, part)
+            {
+                self.parts.get_mut(&part).expect("open queries hold their parts").waits = true;
+            }
+        }
+    }
+
+    pub fn probed(&mut self, now: At, leaf: Leaf, ending: Ending) {
+        if let Some(state) = self.leaves.get_mut(&leaf)
+            && ending == Ending::Pass
+        {
+            state.last_sign = Some(now);
+        }
+    }
+}
+
+/// How much a candidate may take at once.
+#[derive(Clone, Copy)]
+struct Room {
+    parts: usize,
+    work: f64,
+}
--- /dev/null
+++ b/crates/pipitcrank/src/lib.rs
@@ -0,0 +1,7 @@
+//! The decisions of a co-ordinator that reads many shards for one query.
+
+pub mod chance;
+pub mod decide;
+pub mod ids;
+pub mod port;
+pub mod time;
