--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -321,7 +321,7 @@
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
     const WAIT_SHARE: f64 = 0.5;
     /// A leaf is given work whose predicted end lies within this share of the SLO time.
-    const FILL_SHARE: f64 = 0.6;
+    const FILL_SHARE: f64 = 0.3;
 
     pub fn new(
         chance: Chance,
