--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -191,6 +191,9 @@
     last_sign: Option<At>,
     faults: f64,
     pace: f64,
+    /// Time lost behind others' work, beyond what own work ahead explains.
+    lag: f64,
+    lag_at: At,
     /// Not before this time again, and how long the next wait is.
     trial_at: Option<At>,
     wait: Span,
@@ -214,6 +217,11 @@
     const FIRST_WAIT: Span = Span::from_ms(500);
     const LONGEST_WAIT: Span = Span::from_ms(4000);
 
+    /// The lag expected now: with nothing heard it halves each time others' work of that length may have run.
+    fn lag_now(&self, now: At) -> f64 {
+        self.lag * 0.5f64.powf((now - self.lag_at).s() / self.lag.max(0.25))
+    }
+
     fn carry(&mut self, now: At, work: f64) {
         let age = (now - self.carried_at).s();
         self.carried = self.carried * (-age / Self::FADE_S).exp() + work / Self::FADE_S;
@@ -309,6 +317,8 @@
     marks: u64,
     turn: u64,
     pace: f64,
+    /// Time a leaf takes for a unit of work where nothing else is in its way.
+    rate: LowMark,
     reviewing: bool,
     moved: bool,
 }
@@ -319,9 +329,9 @@
     /// Subscriptions that broke are asked for again after this; the list's own calls take about so long.
     const WATCH_AGAIN: Span = Span::from_ms(2000);
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
-    const WAIT_SHARE: f64 = 0.5;
-    /// A leaf is given work whose predicted end lies within this share of the SLO time.
-    const FILL_SHARE: f64 = 0.3;
+    const WAIT_SHARE: f64 = 0.2;
+    /// A leaf is given work that it should answer within this share of the time left; the rest is for spread.
+    const FILL_SHARE: f64 = 0.7;
 
     pub fn new(
         chance: Chance,
@@ -349,6 +359,7 @@
             marks: 0,
             turn: 0,
             pace: 1.0,
+            rate: LowMark(None),
             reviewing: false,
             moved: false,
         }
@@ -402,6 +413,8 @@
             last_sign: None,
             faults: 0.0,
             pace: self.pace,
+            lag: 0.0,
+            lag_at: now,
             trial_at: None,
             wait: LeafState::FIRST_WAIT,
             sent_cold: VecDeque::new(),
@@ -704,12 +717,17 @@
                 state.last_sign = Some(now);
                 state.faults *= 1.0 - LeafState::NEWEST;
                 state.pace += LeafState::NEWEST * (pace - state.pace);
+                let rate = self.rate.0.unwrap_or(pace);
+                let lag = (took - rate * ahead).max(0.0);
+                let known = state.lag_now(now);
+                (state.lag, state.lag_at) = (known + 0.3 * (lag - known), now);
                 if state.sound(now, usual) {
                     state.trial_at = None;
                     state.wait = LeafState::FIRST_WAIT;
                 }
                 state.carry(now, work);
                 self.pace += 0.03 * (pace - self.pace);
+                self.rate.see(pace);
                 self.trades[vertical.0 as usize].work.see(took);
             }
             Ending::Fault => {
@@ -814,7 +832,8 @@
         }
     }
 
-    /// The modified greedy set cover of the design page over the parts given, all of one query.
+    /// The modified greedy set cover of the design page over the parts given, all of one query. A query's first
+    /// calls go only when those of all its parts can, so that no work is done for one that is then turned away.
     fn place(&mut self, port: &mut dyn Port, now: At, query: Query, parts: Vec<Part>) {
         let mut uncovered: Vec<Part> = Vec::new();
         for id in parts {
@@ -822,40 +841,61 @@
                 uncovered.push(id);
             }
         }
-        let slo = self.trades[self.queries[&query].vertical.0 as usize].terms.slo;
+        let open = &self.queries[&query];
+        let due = if now < open.slo { open.slo } else { open.ends };
+        let span = (due - now) * Self::FILL_SHARE;
+        let fresh = open.parts.iter().all(|p| self.parts[p].sent.is_empty());
+        let mut plan: Vec<(Leaf, Vec<Part>)> = Vec::new();
+        let mut stuck = false;
         for _ in 0..Cover::ROUNDS {
             if uncovered.is_empty() {
-                return;
+                break;
             }
             let first = uncovered[self.chance.below(uncovered.len())];
-            let candidates = self.candidates(now, first, slo);
             let mut best = 0;
             let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
-            for (leaf, room) in candidates {
-                let bundle = self.bundle(now, leaf, room, first, &uncovered);
-                best = best.max(bundle.len());
-                covers.push((leaf, bundle));
+            for (leaf, room) in self.candidates(now, first) {
+                let bundle = self.bundle(leaf, room, first, &uncovered);
+                let work: f64 = bundle.iter().map(|p| self.parts[p].work).sum();
+                if self.expected(now, leaf, work) <= span {
+                    best = best.max(bundle.len());
+                    covers.push((leaf, bundle));
+                }
             }
-            covers.retain(|(_, b)| b.len() + 1 >= best && !b.is_empty());
+            covers.retain(|(_, b)| b.len() + 1 >= best);
             let Some(fewest) = covers.iter().map(|(l, _)| self.leaves[l].calls.len()).min() else {
-                // Nobody can take it now; it waits for the next turn.
+                // Nobody can take it now; it waits for a later turn.
+                stuck = true;
                 uncovered.retain(|&p| p != first);
                 continue;
             };
             covers.retain(|(l, _)| self.leaves[l].calls.len() == fewest);
             let (leaf, bundle) = covers.swap_remove(self.chance.below(covers.len()));
             uncovered.retain(|p| !bundle.contains(p));
+            plan.push((leaf, bundle));
+        }
+        self.moved |= !uncovered.is_empty();
+        if fresh && stuck {
+            return;
+        }
+        for (leaf, bundle) in plan {
             for id in bundle {
                 if self.may_go(now, id) {
                     self.leaf_call(port, now, id, leaf);
                 }
             }
         }
-        self.moved = true;
+    }
+
+    /// When the leaf should have answered so much more work.
+    fn expected(&self, now: At, leaf: Leaf, work: f64) -> Span {
+        let state = &self.leaves[&leaf];
+        let ahead = state.work_out + self.cover.call_cost + work;
+        Span::from_s(state.lag_now(now) + self.rate.0.unwrap_or(0.0) * ahead)
     }
 
     /// Parts that the leaf would take along with `first`, within its room.
-    fn bundle(&self, now: At, leaf: Leaf, room: Room, first: Part, uncovered: &[Part]) -> Vec<Part> {
+    fn bundle(&self, leaf: Leaf, room: Room, first: Part, uncovered: &[Part]) -> Vec<Part> {
         let cell = self.leaves[&leaf].cell;
         let mut bundle = vec![first];
         let mut work = self.parts[&first].work + self.cover.call_cost;
@@ -870,13 +910,12 @@
                 bundle.push(id);
             }
         }
-        let _ = now;
         bundle
     }
 
     /// Holders of the part's shard that are candidates, each with its room. Narrowed in turn, each time only if
     /// somebody is left: listed; not asked already; sound, or due for a trial by one part.
-    fn candidates(&self, now: At, id: Part, slo: Span) -> Vec<(Leaf, Room)> {
+    fn candidates(&self, now: At, id: Part) -> Vec<(Leaf, Room)> {
         let part = &self.parts[&id];
         let asked = |l: &Leaf| part.sent.iter().any(|s| s.leaf == *l);
         let pending = |l: &Leaf| part.sent.iter().any(|s| s.leaf == *l && s.out);
@@ -916,11 +955,6 @@
                     continue;
                 }
             }
-            // A leaf with work out whose end is predicted beyond the share of the SLO time waits its turn.
-            let end = (state.work_out + part.work) * state.pace.max(self.pace);
-            if !state.out.is_empty() && end > slo.s() * Self::FILL_SHARE {
-                continue;
-            }
             found.push((leaf, room));
         }
         // A trial takes precedence: one part, and the rest of the cover goes on without it.
@@ -967,8 +1001,8 @@
     fn review_query(&mut self, port: &mut dyn Port, now: At, id: Query) {
         let open = &self.queries[&id];
         let patience = (open.slo - open.arrived) * Self::WAIT_SHARE;
-        let unsent = |p: &Part| self.parts[p].sent.is_empty();
-        if now - open.arrived > patience && open.parts.iter().any(unsent) {
+        let stuck = |p: &Part| self.parts[p].waits && self.parts[p].out() == 0;
+        if now - open.arrived > patience && open.parts.iter().any(stuck) {
             return self.give_up(port, id, patience);
         }
         if now >= open.slo {
