--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -331,6 +331,8 @@
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
     const WAIT_SHARE: f64 = 0.2;
     /// A leaf is given work that it should answer within this share of the time left; the rest is for spread.
+    /// Bundles beyond one call are cut to what should be answered within this share of the SLO time.
+    const SOON_SHARE: f64 = 0.2;
     const FILL_SHARE: f64 = 0.7;
 
     pub fn new(
@@ -844,6 +846,7 @@
         let open = &self.queries[&query];
         let due = if now < open.slo { open.slo } else { open.ends };
         let span = (due - now) * Self::FILL_SHARE;
+        let slo = self.trades[open.vertical.0 as usize].terms.slo;
         let fresh = open.parts.iter().all(|p| self.parts[p].sent.is_empty());
         let mut plan: Vec<(Leaf, Vec<Part>)> = Vec::new();
         let mut stuck = false;
@@ -855,7 +858,8 @@
             let mut best = 0;
             let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
             for (leaf, room) in self.candidates(now, first) {
-                let bundle = self.bundle(leaf, room, first, &uncovered);
+                let mut bundle = self.bundle(leaf, room, first, &uncovered);
+                self.cut(now, leaf, &mut bundle, slo);
                 let work: f64 = bundle.iter().map(|p| self.parts[p].work).sum();
                 if self.expected(now, leaf, work) <= span {
                     best = best.max(bundle.len());
@@ -887,6 +891,18 @@
         }
     }
 
+    /// A bundle that the leaf should need long for is cut to as many whole calls as it answers soon, one at the
+    /// least: a query is as slow as its slowest bundle, and calls cost the same wherever they go.
+    fn cut(&self, now: At, leaf: Leaf, bundle: &mut Vec<Part>, slo: Span) {
+        while bundle.len() > self.cover.call_size {
+            let work: f64 = bundle.iter().map(|p| self.parts[p].work).sum();
+            if self.expected(now, leaf, work) <= slo * Self::SOON_SHARE {
+                return;
+            }
+            bundle.truncate((bundle.len() - 1) / self.cover.call_size * self.cover.call_size);
+        }
+    }
+
     /// When the leaf should have answered so much more work.
     fn expected(&self, now: At, leaf: Leaf, work: f64) -> Span {
         let state = &self.leaves[&leaf];
