--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -48,9 +48,9 @@
 
 impl LowMark {
     /// The quantile: low enough that waiting hardly enters, high enough that a warm key does not set it.
-    const RANK: f64 = 0.2;
-    /// A step as a share of the mark: fifty answers move it by half.
-    const STEP: f64 = 0.04;
+    const RANK: f64 = 0.1;
+    /// A step as a share of the mark: in a jam, where no answer is below, hundreds must come to double it.
+    const STEP: f64 = 0.03;
 
     fn see(&mut self, x: f64) {
         let mark = self.0.unwrap_or(x);
@@ -754,7 +754,10 @@
                 state.carry(now, work);
                 self.pace += 0.03 * (pace - self.pace);
                 self.rate.see(pace);
-                self.trades[vertical.0 as usize].work.see((took - self.cover.call_cost).max(took * 0.1));
+                // Only what had nothing of ours before it tells a part's own work.
+                if ahead < (work + self.cover.call_cost) * 1.01 {
+                    self.trades[vertical.0 as usize].work.see((took - self.cover.call_cost).max(took * 0.1));
+                }
             }
             Ending::Fault => {
                 state.last_sign = Some(now);
@@ -883,9 +886,7 @@
             let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
             for (leaf, room) in self.candidates(now, first) {
                 let mut bundle = self.bundle(leaf, room, first, &uncovered);
-                self.cut(now, leaf, &mut bundle, slo);
-                let work: f64 = bundle.iter().map(|p| self.parts[p].work).sum();
-                if self.expected(now, leaf, work) <= span {
+                if self.cut(now, leaf, &mut bundle, slo, span) {
                     best = best.max(bundle.len());
                     covers.push((leaf, bundle));
                 }
@@ -916,15 +917,17 @@
     }
 
     /// A bundle that the leaf should need long for is cut to as many whole calls as it answers soon, one at the
-    /// least: a query is as slow as its slowest bundle, and calls cost the same wherever they go.
-    fn cut(&self, now: At, leaf: Leaf, bundle: &mut Vec<Part>, slo: Span) {
-        while bundle.len() > self.cover.call_size {
-            let work: f64 = bundle.iter().map(|p| self.parts[p].work).sum();
-            if self.expected(now, leaf, work) <= slo * Self::SOON_SHARE {
-                return;
-            }
+    /// least (a query is as slow as its slowest bundle, and calls cost the same wherever they go), and to the
+    /// parts that it answers in time. False where it answers none in time.
+    fn cut(&self, now: At, leaf: Leaf, bundle: &mut Vec<Part>, slo: Span, span: Span) -> bool {
+        let takes = |b: &[Part]| self.expected(now, leaf, b.iter().map(|p| self.parts[p].work).sum());
+        while bundle.len() > self.cover.call_size && takes(bundle) > slo * Self::SOON_SHARE {
             bundle.truncate((bundle.len() - 1) / self.cover.call_size * self.cover.call_size);
         }
+        while bundle.len() > 1 && takes(bundle) > span {
+            bundle.pop();
+        }
+        takes(bundle) <= span
     }
 
     /// When the leaf should have answered so much more work.
