--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -196,6 +196,8 @@
     /// Time lost behind others' work, beyond what own work ahead explains.
     lag: f64,
     lag_at: At,
+    /// It turned a part away as full and is left to drain until then.
+    full_until: At,
     /// Not before this time again, and how long the next wait is.
     trial_at: Option<At>,
     wait: Span,
@@ -216,6 +218,8 @@
     const NEWEST: f64 = 0.2;
     /// A leaf this many times slower than the others, by work sent, is left out.
     const SLOW: f64 = 3.0;
+    /// About the time in which a full leaf works off a third of its waiting room.
+    const FULL_WAIT: Span = Span::from_ms(1000);
     const FIRST_WAIT: Span = Span::from_ms(500);
     const LONGEST_WAIT: Span = Span::from_ms(4000);
 
@@ -426,6 +430,7 @@
             pace: self.pace,
             lag: 0.0,
             lag_at: now,
+            full_until: now,
             trial_at: None,
             wait: LeafState::FIRST_WAIT,
             sent_cold: VecDeque::new(),
@@ -766,7 +771,7 @@
             }
             Ending::NoRoom => {
                 state.last_sign = Some(now);
-                state.on_trouble(now);
+                state.full_until = now + LeafState::FULL_WAIT;
             }
             Ending::NoRoute | Ending::Cut => {
                 state.faults = state.faults.max(2.0 * LeafState::FAULTY);
@@ -990,6 +995,9 @@
         let mut found: Vec<(Leaf, Room)> = Vec::new();
         for leaf in who {
             let state = &self.leaves[&leaf];
+            if now < state.full_until {
+                continue;
+            }
             let mut room = Room { parts: usize::MAX, work: f64::INFINITY };
             if let Some(started) = state.started.filter(|_| self.fail_back.is_cold(state.started, now)) {
                 let carried = self.usual_carried(now);
