--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -1052,8 +1052,8 @@
     fn review_query(&mut self, port: &mut dyn Port, now: At, id: Query) {
         let open = &self.queries[&id];
         let patience = (open.slo - open.arrived) * Self::WAIT_SHARE;
-        let stuck = |p: &Part| self.parts[p].waits && self.parts[p].out() == 0;
-        if now - open.arrived > patience && open.parts.iter().any(stuck) {
+        let unsent = |p: &Part| self.parts[p].sent.is_empty();
+        if now - open.arrived > patience && open.parts.iter().all(unsent) {
             return self.give_up(port, id, patience);
         }
         if now >= open.slo {
