--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -938,8 +938,11 @@
     /// When the leaf should have answered so much more work.
     fn expected(&self, now: At, leaf: Leaf, work: f64) -> Span {
         let state = &self.leaves[&leaf];
-        let ahead = state.work_out + self.cover.call_cost + work;
-        Span::from_s(state.lag_now(now) + self.rate.0.unwrap_or(0.0) * ahead)
+        let rate = self.rate.0.unwrap_or(0.0);
+        // What is out already and not back shows a lag before any answer does.
+        let owed = |&(sent, ahead): &(At, f64)| (now - sent).s() - rate * ahead;
+        let lag = state.out.values().map(owed).fold(state.lag_now(now), f64::max);
+        Span::from_s(lag + rate * (state.work_out + self.cover.call_cost + work))
     }
 
     /// Parts that the leaf would take along with `first`, within its room.
