--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -258,8 +258,8 @@
 /// When a leaf call is overdue, by the work ahead of it: the spread of parts and one standstill of a healthy
 /// leaf fit below, a second copy that late can still meet the SLO time.
 fn overdue_after(ahead: f64, pace: f64) -> Span {
-    const TIMES: f64 = 2.0;
-    const GRACE: Span = Span::from_ms(350);
+    const TIMES: f64 = 4.0;
+    const GRACE: Span = Span::from_ms(800);
     Span::from_s(ahead * pace * TIMES) + GRACE
 }
 
