--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -258,8 +258,8 @@
 /// When a leaf call is overdue, by the work ahead of it: the spread of parts and one standstill of a healthy
 /// leaf fit below, a second copy that late can still meet the SLO time.
 fn overdue_after(ahead: f64, pace: f64) -> Span {
-    const TIMES: f64 = 4.0;
-    const GRACE: Span = Span::from_ms(800);
+    const TIMES: f64 = 2.0;
+    const GRACE: Span = Span::from_ms(350);
     Span::from_s(ahead * pace * TIMES) + GRACE
 }
 
@@ -344,6 +344,7 @@
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
     const WAIT_SHARE: f64 = 0.2;
     /// A leaf is given work that it should answer within this share of the time left; the rest is for spread.
+    const COPY_SHARE: f64 = 0.5;
     /// Bundles beyond one call are cut to what should be answered within this share of the SLO time.
     const SOON_SHARE: f64 = 0.2;
     const FILL_SHARE: f64 = 0.7;
@@ -889,6 +890,10 @@
             let first = uncovered[self.chance.below(uncovered.len())];
             let mut best = 0;
             let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
+            // A second copy must promise an answer in a good deal less than the first has taken: where all
+            // leaves lag alike, copies only add to the jam.
+            let oldest = self.parts[&first].sent.iter().filter(|s| s.out).map(|s| now - s.at).max();
+            let span = oldest.map_or(span, |age| span.min(age * Self::COPY_SHARE));
             for (leaf, room) in self.candidates(now, first) {
                 let mut bundle = self.bundle(leaf, room, first, &uncovered);
                 if self.cut(now, leaf, &mut bundle, slo, span) {
