--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -218,6 +218,9 @@
     const NEWEST: f64 = 0.2;
     /// A leaf this many times slower than the others, by work sent, is left out.
     const SLOW: f64 = 3.0;
+    /// Of the time after which a call is overdue, how often it must pass in silence: a leaf left out loads the
+    /// others, a copy only adds one part.
+    const QUIET: f64 = 2.0;
     /// About the time in which a full leaf works off a third of its waiting room.
     const FULL_WAIT: Span = Span::from_ms(1000);
     const FIRST_WAIT: Span = Span::from_ms(500);
@@ -243,7 +246,7 @@
     fn quiet(&self, now: At, usual_pace: f64) -> bool {
         self.out.values().any(|&(sent, ahead)| {
             let since = self.last_sign.map_or(sent, |s| s.max(sent));
-            now - since > overdue_after(ahead, usual_pace)
+            now - since > overdue_after(ahead, usual_pace) * Self::QUIET
         })
     }
 
