--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -190,9 +190,7 @@
     work_out: f64,
     /// Call that parts of this turn may still join: turn, call, parts in it.
     joining: (u64, u64, usize),
-    last_sign: Option<At>,
     faults: f64,
-    pace: f64,
     /// Time lost behind others' work, beyond what own work ahead explains.
     lag: f64,
     lag_at: At,
@@ -216,11 +214,6 @@
     const FAULTY: f64 = 0.3;
     /// Weight of the newest answer in the share of faults and in the pace.
     const NEWEST: f64 = 0.2;
-    /// A leaf this many times slower than the others, by work sent, is left out.
-    const SLOW: f64 = 3.0;
-    /// Of the time after which a call is overdue, how often it must pass in silence: a leaf left out loads the
-    /// others, a copy only adds one part.
-    const QUIET: f64 = 2.0;
     /// About the time in which a full leaf works off a third of its waiting room.
     const FULL_WAIT: Span = Span::from_ms(1000);
     const FIRST_WAIT: Span = Span::from_ms(500);
@@ -237,19 +230,6 @@
         self.carried_at = now;
     }
 
-    /// Silent, failing or slow: whatever the cause, the sign is that its calls don't come back well.
-    fn sound(&self, now: At, usual_pace: f64) -> bool {
-        self.faults < Self::FAULTY && self.pace < Self::SLOW * usual_pace && !self.quiet(now, usual_pace)
-    }
-
-    /// Calls are out, and nothing at all has come back for far longer than the oldest should take.
-    fn quiet(&self, now: At, usual_pace: f64) -> bool {
-        self.out.values().any(|&(sent, ahead)| {
-            let since = self.last_sign.map_or(sent, |s| s.max(sent));
-            now - since > overdue_after(ahead, usual_pace) * Self::QUIET
-        })
-    }
-
     fn on_trouble(&mut self, now: At) {
         if self.trial_at.is_none_or(|t| t <= now) {
             self.trial_at = Some(now + self.wait);
@@ -429,9 +409,7 @@
             out: BTreeMap::new(),
             work_out: 0.0,
             joining: (0, 0, 0),
-            last_sign: None,
             faults: 0.0,
-            pace: self.pace,
             lag: 0.0,
             lag_at: now,
             full_until: now,
@@ -444,10 +422,8 @@
         if started > state.started {
             // A new process: what was held against the old one is void, and it is cold.
             state.faults = 0.0;
-            state.pace = self.pace;
             state.trial_at = None;
             state.wait = LeafState::FIRST_WAIT;
-            state.last_sign = Some(now);
         }
         (state.cell, state.listed, state.started) = (cell, up, started);
     }
@@ -731,7 +707,6 @@
         vertical: Vertical,
         ending: Ending,
     ) {
-        let usual = self.pace;
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
         let (sent, ahead) = state.out.remove(&key).expect("calls out are listed");
         state.work_out -= work;
@@ -749,14 +724,12 @@
             Ending::Pass => {
                 let took = (now - sent).s();
                 let pace = (took / ahead.max(1e-3)).min(20.0);
-                state.last_sign = Some(now);
                 state.faults *= 1.0 - LeafState::NEWEST;
-                state.pace += LeafState::NEWEST * (pace - state.pace);
                 let rate = self.rate.0.unwrap_or(pace);
                 let lag = (took - rate * ahead).max(0.0);
                 let known = state.lag_now(now);
                 (state.lag, state.lag_at) = (known + 0.3 * (lag - known), now);
-                if state.sound(now, usual) {
+                if state.faults < LeafState::FAULTY {
                     state.trial_at = None;
                     state.wait = LeafState::FIRST_WAIT;
                 }
@@ -769,20 +742,19 @@
                 }
             }
             Ending::Fault => {
-                state.last_sign = Some(now);
                 state.faults += LeafState::NEWEST * (1.0 - state.faults);
-                state.on_trouble(now);
+                if state.faults >= LeafState::FAULTY {
+                    state.on_trouble(now);
+                }
             }
             Ending::NoRoom => {
-                state.last_sign = Some(now);
                 state.full_until = now + LeafState::FULL_WAIT;
             }
             Ending::NoRoute | Ending::Cut => {
                 state.faults = state.faults.max(2.0 * LeafState::FAULTY);
                 state.on_trouble(now);
             }
-            Ending::TooSlow => state.on_trouble(now),
-            Ending::Undone | Ending::Stale => {}
+            Ending::TooSlow | Ending::Undone | Ending::Stale => {}
         }
         if !state.listed && state.out.is_empty() {
             self.drop_leaf(port, leaf);
@@ -982,14 +954,11 @@
         if who.iter().any(|l| !asked(l)) {
             who.retain(|l| !asked(l));
         }
-        let unsound = self.leaves.values().filter(|l| l.listed && !l.sound(now, self.pace)).count();
+        let faulty = self.leaves.values().filter(|l| l.listed && l.trial_at.is_some()).count();
         let listed = self.leaves.values().filter(|l| l.listed).count();
-        let sound = |l: &Leaf| {
-            let state = &self.leaves[l];
-            state.sound(now, self.pace) && state.trial_at.is_none()
-        };
+        let sound = |l: &Leaf| self.leaves[l].trial_at.is_none();
         let mut trial = Vec::new();
-        if unsound * 2 <= listed && who.iter().any(sound) {
+        if faulty * 2 <= listed && who.iter().any(sound) {
             let due = |l: &&Leaf| {
                 let state = &self.leaves[*l];
                 state.out.is_empty() && state.trial_at.is_some_and(|t| t <= now)
@@ -1046,11 +1015,6 @@
     fn review(&mut self, port: &mut dyn Port, now: At) {
         self.reviewing = false;
         self.moved = true;
-        for state in self.leaves.values_mut() {
-            if state.quiet(now, self.pace) {
-                state.on_trouble(now);
-            }
-        }
         let ids: Vec<Query> = self.queries.keys().copied().collect();
         for &id in &ids {
             self.review_query(port, now, id);
@@ -1073,30 +1037,20 @@
         // Overdue leaf calls get a second copy through the same cover.
         for part in open.parts.clone() {
             let state = &self.parts[&part];
-            let overdue = |(nth, s): (usize, &Sent)| {
-                s.out
-                    && self.leaves[&s.leaf].out.get(&(part, nth as u32)).is_some_and(|&(sent, ahead)| {
-                        let usual = self.leaves[&s.leaf].pace.min(LeafState::SLOW * self.pace).max(self.pace);
-                        now - sent > overdue_after(ahead, usual)
-                    })
+            let overdue = |&(nth, s): &(usize, &Sent)| {
+                // The leaf may be off the list and forgotten by now.
+                let out = self.leaves.get(&s.leaf).and_then(|l| l.out.get(&(part, nth as u32)));
+                out.is_none_or(|&(sent, ahead)| now - sent > overdue_after(ahead, self.pace))
             };
-            let late = !state.done && !state.sent.is_empty() && !state.waits;
-            if late
-                && state.sent.iter().enumerate().filter(|(_, s)| s.out).all(overdue)
-                && self.may_go(now, part)
-            {
+            let late = state.out() > 0 && !state.waits && state.sent.iter().enumerate().all(|s| overdue(&s));
+            if late && self.may_go(now, part) {
                 self.parts.get_mut(&part).expect("open queries hold their parts").waits = true;
             }
         }
     }
 
-    pub fn probed(&mut self, now: At, leaf: Leaf, ending: Ending) {
-        if let Some(state) = self.leaves.get_mut(&leaf)
-            && ending == Ending::Pass
-        {
-            state.last_sign = Some(now);
-        }
-    }
+    /// A probe that comes back.
+    pub fn probed(&mut self, _now: At, _leaf: Leaf, _ending: Ending) {}
 }
 
 /// How much a candidate may take at once.
