--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -328,8 +328,6 @@
     const WAIT_SHARE: f64 = 0.2;
     /// A leaf is given work that it should answer within this share of the time left; the rest is for spread.
     const COPY_SHARE: f64 = 0.5;
-    /// Bundles beyond one call are cut to what should be answered within this share of the SLO time.
-    const SOON_SHARE: f64 = 0.2;
     const FILL_SHARE: f64 = 0.7;
 
     pub fn new(
@@ -854,7 +852,7 @@
         let open = &self.queries[&query];
         let due = if now < open.slo { open.slo } else { open.ends };
         let span = (due - now) * Self::FILL_SHARE;
-        let slo = self.trades[open.vertical.0 as usize].terms.slo;
+        let level = self.level(now, &uncovered);
         let fresh = open.parts.iter().all(|p| self.parts[p].sent.is_empty());
         let mut plan: Vec<(Leaf, Vec<Part>)> = Vec::new();
         let mut stuck = false;
@@ -871,7 +869,7 @@
             let span = oldest.map_or(span, |age| span.min(age * Self::COPY_SHARE));
             for (leaf, room) in self.candidates(now, first) {
                 let mut bundle = self.bundle(leaf, room, first, &uncovered);
-                if self.cut(now, leaf, &mut bundle, slo, span) {
+                if self.cut(now, leaf, &mut bundle, level, span) {
                     best = best.max(bundle.len());
                     covers.push((leaf, bundle));
                 }
@@ -901,24 +899,38 @@
         }
     }
 
-    /// A bundle that the leaf should need long for is cut to as many whole calls as it answers soon, one at the
-    /// least (a query is as slow as its slowest bundle, and calls cost the same wherever they go), and to the
-    /// parts that it answers in time. False where it answers none in time.
-    fn cut(&self, now: At, leaf: Leaf, bundle: &mut Vec<Part>, slo: Span, span: Span) -> bool {
+    /// A bundle is cut to what its leaf should answer by the level: a query is as slow as its slowest bundle, and
+    /// one leaf covering much while others idle holds it up. False where not even one part is answered in time.
+    fn cut(&self, now: At, leaf: Leaf, bundle: &mut Vec<Part>, level: Span, span: Span) -> bool {
         let takes = |b: &[Part]| self.expected(now, leaf, b.iter().map(|p| self.parts[p].work).sum());
-        while bundle.len() > self.cover.call_size && takes(bundle) > slo * Self::SOON_SHARE {
-            bundle.truncate((bundle.len() - 1) / self.cover.call_size * self.cover.call_size);
-        }
-        while bundle.len() > 1 && takes(bundle) > span {
+        while bundle.len() > 1 && takes(bundle) > span.min(level) {
             bundle.pop();
         }
         takes(bundle) <= span
     }
 
+    /// When all holders of the parts would have answered if the work could be spread evenly over them.
+    fn level(&self, now: At, parts: &[Part]) -> Span {
+        let holds = |l: &LeafState| parts.iter().any(|p| self.cover.holds(l.cell, self.parts[p].shard));
+        let usable = self.leaves.iter().filter(|(_, l)| l.listed && l.trial_at.is_none() && holds(l));
+        let mut ready: Vec<f64> = usable.map(|(&id, _)| self.expected(now, id, 0.0).s()).collect();
+        ready.sort_by(f64::total_cmp);
+        let work: f64 = parts.iter().map(|p| self.parts[p].work).sum();
+        let (mut sum, mut level) = (work * self.rate.0.unwrap_or(1.0), f64::INFINITY);
+        for (n, at) in ready.into_iter().enumerate() {
+            if at >= level {
+                break;
+            }
+            sum += at;
+            level = sum / (n + 1) as f64;
+        }
+        Span::from_s(level.min(1e6))
+    }
+
     /// When the leaf should have answered so much more work.
     fn expected(&self, now: At, leaf: Leaf, work: f64) -> Span {
         let state = &self.leaves[&leaf];
-        let rate = self.rate.0.unwrap_or(0.0);
+        let rate = self.rate.0.unwrap_or(1.0);
         // What is out already and not back shows a lag before any answer does.
         let owed = |&(sent, ahead): &(At, f64)| (now - sent).s() - rate * ahead;
         let lag = state.out.values().map(owed).fold(state.lag_now(now), f64::max);
