A cover counts what it has planned for a leaf; trials keep to the fail-back allowance

Rounds of one cover did not see what earlier rounds had given a leaf, so a leaf could be filled twice, and a trial part passed by the cold and full guards. Queries of verticals with a floor start once parts enough for an answer can go.

--- a/crates/pipitcrank-simhost/src/door.rs
+++ b/crates/pipitcrank-simhost/src/door.rs
@@ -207,7 +207,6 @@
             limit: count("/allowed/try_limit")?,
             may_duplicate: flag("/allowed/may_duplicate")?,
             may_abandon: flag("/allowed/cancel")?,
-            may_probe: flag("/allowed/probing")?,
             longest_stay_away: flag("/allowed/retry_after")?
                 .then(|| span("/allowed/max_retry_after_s"))
                 .transpose()?,
@@ -236,11 +235,8 @@
                 slo: span(&of("aim_s"))?,
                 slo_stretch: optional(&of("aim_stretch")).unwrap_or(0.0),
                 hard_limit: span(&of("hard_limit_s"))?,
-                utility: number(&of("worth"))?,
-                late_utility: number(&of("late_worth"))?,
                 whole_from: number(&domain("complete_from"))?,
                 floor: number(&domain("floor_by_class"))?,
-                partial_earns: number(&domain("partial_earns"))?,
                 second_step: number(&domain("follow_up"))? > 0.0,
             });
         }
@@ -307,10 +303,10 @@
                 root.query(door, now, query, Vertical(vertical as u16), left, hint, amount);
             }
             "FINISHED" => {
-                let (nth, over) = (line.number("trial")?, line.flag("over")?);
+                let nth = line.number("trial")?;
                 let ending = ending(line)?;
                 if let Some(part) = door.parts.find(line.field("job")?) {
-                    root.ended(door, now, Part(part), nth, ending, over);
+                    root.ended(door, now, Part(part), nth, ending);
                 }
             }
             "DROPPED" => {
@@ -319,14 +315,8 @@
                 }
             }
             "ELAPSED" => root.woken(door, now, line.number("label")?),
-            "HEALTH" => {
-                let ending = ending(line)?;
-                if let Some(leaf) = door.leaves.find(line.field("replica")?) {
-                    root.probed(now, Leaf(leaf), ending);
-                }
-            }
-            // No streamed vertical and no message between co-ordinators has a part in the decisions.
-            "FIRST" | "MEMO" => {}
+            // Probes, streamed verticals and messages between co-ordinators have no part in the decisions.
+            "HEALTH" | "FIRST" | "MEMO" => {}
             word => return Err(line.wrong("i", &format!("comes with '{word}', an event that is not known"))),
         }
         Ok(())
--- a/crates/pipitcrank-simhost/src/line.rs
+++ b/crates/pipitcrank-simhost/src/line.rs
@@ -77,12 +77,4 @@
     pub fn amount_or(&self, name: &str, absent: f64) -> Result<f64, Wrong> {
         if self.optional(name).is_some() { self.amount(name) } else { Ok(absent) }
     }
-
-    pub fn flag(&self, name: &str) -> Result<bool, Wrong> {
-        match self.field(name)? {
-            "1" => Ok(true),
-            "0" => Ok(false),
-            other => Err(self.wrong(name, &format!("is '{other}', not 0 or 1"))),
-        }
-    }
 }
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -16,7 +16,7 @@
 /// What a step leaves behind for when its alarm rings.
 type Then = Box<dyn FnOnce(&mut Root, &mut dyn Port, At)>;
 /// What a leaf call leaves behind for its end.
-type AfterCall = Box<dyn FnOnce(&mut Root, &mut dyn Port, At, Ending, bool)>;
+type AfterCall = Box<dyn FnOnce(&mut Root, &mut dyn Port, At, Ending)>;
 
 /// Sums of weights may fall short by this much (a rule's own figure).
 const SHORT: f64 = 1e-4;
@@ -28,11 +28,8 @@
     pub slo: Span,
     pub slo_stretch: f64,
     pub hard_limit: Span,
-    pub utility: f64,
-    pub late_utility: f64,
     pub whole_from: f64,
     pub floor: f64,
-    pub partial_earns: f64,
     pub second_step: bool,
 }
 
@@ -174,7 +171,6 @@
     pub limit: u32,
     pub may_duplicate: bool,
     pub may_abandon: bool,
-    pub may_probe: bool,
     pub longest_stay_away: Option<Span>,
 }
 
@@ -327,8 +323,10 @@
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
     const WAIT_SHARE: f64 = 0.2;
     /// A leaf is given work that it should answer within this share of the time left; the rest is for spread.
-    const COPY_SHARE: f64 = 0.5;
     const FILL_SHARE: f64 = 0.7;
+    /// A second copy must promise an answer within this share of the time that the first call has been out:
+    /// where all leaves lag alike, copies only add to the jam.
+    const COPY_SHARE: f64 = 0.5;
 
     pub fn new(
         chance: Chance,
@@ -632,6 +630,11 @@
 
     /// Rules 1, 2 and 6 for one more leaf call of the part.
     fn may_go(&mut self, now: At, id: Part) -> bool {
+        self.could_go(now, id) && (self.parts[&id].sent.is_empty() || self.budget.left(now) >= 1.0)
+    }
+
+    /// Rules 1 and 2 alone: an exhausted budget refills.
+    fn could_go(&self, now: At, id: Part) -> bool {
         let part = &self.parts[&id];
         let Some(open) = self.queries.get(&part.query) else { return false };
         let terms = &self.trades[open.vertical.0 as usize].terms;
@@ -646,7 +649,6 @@
             && now < open.ends - self.tick
             && (part.sent.len() as u32) < self.tries.limit
             && (part.out() == 0 || self.tries.may_duplicate)
-            && (part.sent.is_empty() || self.budget.left(now) >= 1.0)
     }
 
     fn leaf_call(&mut self, port: &mut dyn Port, now: At, id: Part, leaf: Leaf) {
@@ -679,16 +681,16 @@
             state.sent_cold.push_back((now, work + self.cover.call_cost));
         }
         port.leaf_call(id, leaf, ends);
-        let after: AfterCall = Box::new(move |root, port, now, ending, over| {
+        let after: AfterCall = Box::new(move |root, port, now, ending| {
             root.learn(port, now, leaf, (id, nth), call, work, vertical, ending);
-            root.proceed(port, now, id, nth, ending, over);
+            root.proceed(port, now, id, nth, ending);
         });
         self.calls.insert((id, nth), after);
     }
 
-    pub fn ended(&mut self, port: &mut dyn Port, now: At, id: Part, nth: u32, ending: Ending, over: bool) {
+    pub fn ended(&mut self, port: &mut dyn Port, now: At, id: Part, nth: u32, ending: Ending) {
         if let Some(after) = self.calls.remove(&(id, nth)) {
-            after(self, port, now, ending, over);
+            after(self, port, now, ending);
         }
     }
 
@@ -761,7 +763,7 @@
     }
 
     /// What the end of a leaf call means for its query.
-    fn proceed(&mut self, port: &mut dyn Port, now: At, id: Part, nth: u32, ending: Ending, _over: bool) {
+    fn proceed(&mut self, port: &mut dyn Port, now: At, id: Part, nth: u32, ending: Ending) {
         let part = self.parts.get_mut(&id).expect("parts outlive their calls");
         let sent = &mut part.sent[nth as usize];
         sent.out = false;
@@ -813,14 +815,6 @@
         }
     }
 
-    /// Like `may_go`, but an exhausted budget refills.
-    fn could_go(&mut self, now: At, id: Part) -> bool {
-        let held = std::mem::replace(&mut self.budget.free, f64::INFINITY);
-        let may = self.may_go(now, id);
-        self.budget.free = held;
-        may
-    }
-
     // The cover.
 
     /// Places what waits. Once a moment, after its events, so that what came together shares calls.
@@ -841,53 +835,49 @@
     }
 
     /// The modified greedy set cover of the design page over the parts given, all of one query. A query's first
-    /// calls go only when those of all its parts can, so that no work is done for one that is then turned away.
+    /// calls go only when those of parts enough for an answer can: no work for one that is then turned away.
     fn place(&mut self, port: &mut dyn Port, now: At, query: Query, parts: Vec<Part>) {
-        let mut uncovered: Vec<Part> = Vec::new();
-        for id in parts {
-            if self.may_go(now, id) {
-                uncovered.push(id);
-            }
-        }
+        let mut uncovered: Vec<Part> = parts.into_iter().filter(|&p| self.may_go(now, p)).collect();
         let open = &self.queries[&query];
         let due = if now < open.slo { open.slo } else { open.ends };
         let span = (due - now) * Self::FILL_SHARE;
         let level = self.level(now, &uncovered);
         let fresh = open.parts.iter().all(|p| self.parts[p].sent.is_empty());
-        let mut plan: Vec<(Leaf, Vec<Part>)> = Vec::new();
-        let mut stuck = false;
+        let mut plan = Plan::new();
         for _ in 0..Cover::ROUNDS {
             if uncovered.is_empty() {
                 break;
             }
             let first = uncovered[self.chance.below(uncovered.len())];
-            let mut best = 0;
-            let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
-            // A second copy must promise an answer in a good deal less than the first has taken: where all
-            // leaves lag alike, copies only add to the jam.
             let oldest = self.parts[&first].sent.iter().filter(|s| s.out).map(|s| now - s.at).max();
             let span = oldest.map_or(span, |age| span.min(age * Self::COPY_SHARE));
-            for (leaf, room) in self.candidates(now, first) {
+            let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
+            for (leaf, room) in self.candidates(now, first, &plan) {
                 let mut bundle = self.bundle(leaf, room, first, &uncovered);
-                if self.cut(now, leaf, &mut bundle, level, span) {
-                    best = best.max(bundle.len());
+                if self.cut(now, leaf, &plan, &mut bundle, level, span) {
                     covers.push((leaf, bundle));
                 }
             }
-            covers.retain(|(_, b)| b.len() + 1 >= best);
-            let Some(fewest) = covers.iter().map(|(l, _)| self.leaves[l].calls.len()).min() else {
+            let best = covers.iter().map(|(_, b)| b.len()).max();
+            covers.retain(|(_, b)| Some(b.len() + 1) >= best);
+            let calls = |l: &Leaf| {
+                let planned = plan.get(l).map_or(0, |b| b.len().div_ceil(self.cover.call_size));
+                self.leaves[l].calls.len() + planned
+            };
+            let Some(fewest) = covers.iter().map(|(l, _)| calls(l)).min() else {
                 // Nobody can take it now; it waits for a later turn.
-                stuck = true;
                 uncovered.retain(|&p| p != first);
                 continue;
             };
-            covers.retain(|(l, _)| self.leaves[l].calls.len() == fewest);
+            covers.retain(|(l, _)| calls(l) == fewest);
             let (leaf, bundle) = covers.swap_remove(self.chance.below(covers.len()));
             uncovered.retain(|p| !bundle.contains(p));
-            plan.push((leaf, bundle));
+            plan.entry(leaf).or_default().extend(bundle);
         }
         self.moved |= !uncovered.is_empty();
-        if fresh && stuck {
+        let placed: f64 = plan.values().flatten().map(|p| self.parts[p].weight).sum();
+        let terms = &self.trades[self.queries[&query].vertical.0 as usize].terms;
+        if fresh && placed < terms.floor.min(terms.whole_from) - SHORT {
             return;
         }
         for (leaf, bundle) in plan {
@@ -899,10 +889,15 @@
         }
     }
 
+    fn work(&self, parts: &[Part]) -> f64 {
+        parts.iter().map(|p| self.parts[p].work).sum()
+    }
+
     /// A bundle is cut to what its leaf should answer by the level: a query is as slow as its slowest bundle, and
     /// one leaf covering much while others idle holds it up. False where not even one part is answered in time.
-    fn cut(&self, now: At, leaf: Leaf, bundle: &mut Vec<Part>, level: Span, span: Span) -> bool {
-        let takes = |b: &[Part]| self.expected(now, leaf, b.iter().map(|p| self.parts[p].work).sum());
+    fn cut(&self, now: At, leaf: Leaf, plan: &Plan, bundle: &mut Vec<Part>, level: Span, span: Span) -> bool {
+        let planned = plan.get(&leaf).map_or(0.0, |b| self.work(b) + self.cover.call_cost);
+        let takes = |b: &[Part]| self.expected(now, leaf, planned + self.work(b));
         while bundle.len() > 1 && takes(bundle) > span.min(level) {
             bundle.pop();
         }
@@ -915,8 +910,7 @@
         let usable = self.leaves.iter().filter(|(_, l)| l.listed && l.trial_at.is_none() && holds(l));
         let mut ready: Vec<f64> = usable.map(|(&id, _)| self.expected(now, id, 0.0).s()).collect();
         ready.sort_by(f64::total_cmp);
-        let work: f64 = parts.iter().map(|p| self.parts[p].work).sum();
-        let (mut sum, mut level) = (work * self.rate.0.unwrap_or(1.0), f64::INFINITY);
+        let (mut sum, mut level) = (self.work(parts) * self.rate.0.unwrap_or(1.0), f64::INFINITY);
         for (n, at) in ready.into_iter().enumerate() {
             if at >= level {
                 break;
@@ -956,9 +950,10 @@
         bundle
     }
 
-    /// Holders of the part's shard that are candidates, each with its room. Narrowed in turn, each time only if
-    /// somebody is left: listed; not asked already; sound, or due for a trial by one part.
-    fn candidates(&self, now: At, id: Part) -> Vec<(Leaf, Room)> {
+    /// Holders of the part's shard that are candidates, each with its room. Narrowed in turn, the first three
+    /// only while somebody is left: not waited for; not asked already; not faulty, but for a trial by one part;
+    /// not full; not so cold that it has had its allowance.
+    fn candidates(&self, now: At, id: Part, plan: &Plan) -> Vec<(Leaf, Room)> {
         let part = &self.parts[&id];
         let asked = |l: &Leaf| part.sent.iter().any(|s| s.leaf == *l);
         let pending = |l: &Leaf| part.sent.iter().any(|s| s.leaf == *l && s.out);
@@ -966,44 +961,41 @@
         if who.iter().any(|l| !asked(l)) {
             who.retain(|l| !asked(l));
         }
-        let faulty = self.leaves.values().filter(|l| l.listed && l.trial_at.is_some()).count();
-        let listed = self.leaves.values().filter(|l| l.listed).count();
+        // Where most leaves look bad it is the co-ordinator's own view or a common cause: none is left out.
+        let listed = || self.leaves.values().filter(|l| l.listed);
         let sound = |l: &Leaf| self.leaves[l].trial_at.is_none();
-        let mut trial = Vec::new();
-        if faulty * 2 <= listed && who.iter().any(sound) {
+        let few = listed().filter(|l| l.trial_at.is_some()).count() * 2 <= listed().count();
+        let mut trial = None;
+        if few && who.iter().any(sound) {
             let due = |l: &&Leaf| {
                 let state = &self.leaves[*l];
-                state.out.is_empty() && state.trial_at.is_some_and(|t| t <= now)
+                state.out.is_empty() && !plan.contains_key(l) && state.trial_at.is_some_and(|t| t <= now)
             };
-            let repeatable = part.sent.is_empty() && {
-                let open = &self.queries[&part.query];
-                self.trades[open.vertical.0 as usize].terms.effect == Effect::Repeatable
-            };
-            if repeatable {
-                trial = who.iter().filter(|l| !sound(l)).filter(due).copied().collect();
+            let vertical = self.queries[&part.query].vertical;
+            if part.sent.is_empty() && self.trades[vertical.0 as usize].terms.effect == Effect::Repeatable {
+                trial = who.iter().find(due).copied();
             }
-            who.retain(sound);
+            who.retain(|l| sound(l) || trial == Some(*l));
         }
         let mut found: Vec<(Leaf, Room)> = Vec::new();
         for leaf in who {
             let state = &self.leaves[&leaf];
-            if now < state.full_until {
-                continue;
-            }
             let mut room = Room { parts: usize::MAX, work: f64::INFINITY };
             if let Some(started) = state.started.filter(|_| self.fail_back.is_cold(state.started, now)) {
-                let carried = self.usual_carried(now);
-                room.work = self.fail_back.room(started, now, carried, &state.sent_cold);
-                if room.work <= 0.0 {
+                room.work = self.fail_back.room(started, now, self.usual_carried(now), &state.sent_cold);
+                if plan.contains_key(&leaf) {
                     continue;
                 }
             }
+            if now < state.full_until || room.work <= 0.0 {
+                continue;
+            }
+            if trial == Some(leaf) {
+                // It takes precedence, so that trust comes back; the rest of the cover goes on without it.
+                return vec![(leaf, Room { parts: 1, work: room.work })];
+            }
             found.push((leaf, room));
         }
-        // A trial takes precedence: one part, and the rest of the cover goes on without it.
-        if let Some(&leaf) = trial.first() {
-            return vec![(leaf, Room { parts: 1, work: f64::INFINITY })];
-        }
         found
     }
 
@@ -1060,11 +1052,11 @@
             }
         }
     }
-
-    /// A probe that comes back.
-    pub fn probed(&mut self, _now: At, _leaf: Leaf, _ending: Ending) {}
 }
 
+/// What a cover gives to each leaf before anything is sent.
+type Plan = BTreeMap<Leaf, Vec<Part>>;
+
 /// How much a candidate may take at once.
 #[derive(Clone, Copy)]
 struct Room {
