The time in which an answer counts is learned where clients leave early

Guards against clients that go before their stated time; should also cover a front layer with a time-out of its own; may answer in part too early for a while after they calm down.

--- a/crates/pipitcrank-simhost/src/door.rs
+++ b/crates/pipitcrank-simhost/src/door.rs
@@ -311,7 +311,7 @@
             }
             "DROPPED" => {
                 if let Some(query) = door.queries.find(line.field("job")?) {
-                    root.gone(door, Query(query));
+                    root.gone(door, now, Query(query));
                 }
             }
             "ELAPSED" => root.woken(door, now, line.number("label")?),
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -40,6 +40,30 @@
     work: LowMark,
     /// Usual hint of a part, as a logarithm.
     hint: Option<f64>,
+    /// How far clients are held to leave before their stated time, and how long they stay then.
+    leaving: f64,
+    stay: Span,
+}
+
+impl Trade {
+    /// Guards against clients that give up well before the time they state (i85cd7c); it should also cover a front
+    /// layer with a time-out of its own. It may answer in part too early for a while after they have calmed.
+    fn left(&mut self, age: Span) {
+        self.stay = if self.leaving < 0.1 { age } else { self.stay * 0.7 + age * 0.3 };
+        self.leaving += LeafState::NEWEST * (1.0 - self.leaving);
+    }
+
+    /// Answered at that age: near the time to stay or past it, clients may stay longer than thought.
+    fn stayed(&mut self, age: Span) {
+        if age > self.stay * 0.8 {
+            (self.stay, self.leaving) = (self.stay * 1.1, self.leaving * 0.9);
+        }
+    }
+
+    /// The time in which an answer counts: two clients of five leaving early are more than chance.
+    fn counts(&self) -> Span {
+        if self.leaving < 0.35 { self.terms.slo } else { self.terms.slo.min(self.stay * 0.9) }
+    }
 }
 
 /// A low quantile of the spans seen, followed in small steps: what a part takes where nothing is in its way.
@@ -353,7 +377,7 @@
     }
 
     pub fn vertical(&mut self, terms: Terms) {
-        self.trades.push(Trade { terms, work: LowMark(None), hint: None });
+        self.trades.push(Trade { terms, work: LowMark(None), hint: None, leaving: 0.0, stay: Span::ZERO });
     }
 
     fn mark(&mut self) -> u64 {
@@ -448,7 +472,7 @@
         let size = a_part.map_or(1.0, |h| ((h.ln() - trade.hint.unwrap_or(h.ln())) * Self::HINT_TRUST).exp());
         let terms = &trade.terms;
         let stretch = Span::from_s(terms.slo_stretch * work.unwrap_or(0.0));
-        let slo = now + (terms.slo + stretch).min(terms.hard_limit);
+        let slo = now + (trade.counts() + stretch).min(terms.hard_limit);
         let ends = now + left;
         let serial = self.mark();
         let open = Open {
@@ -469,9 +493,9 @@
         // Rule 1 hangs on the later alarm alone, whatever comes of the calls. The answer has to travel: three
         // ticks before the SLO time what is in is worth most.
         let end = ends - self.tick;
-        self.wake(port, end, Box::new(move |root, port, _| root.settle(port, id, serial, true)));
+        self.wake(port, end, Box::new(move |root, port, now| root.settle(port, now, id, serial, true)));
         let due = (slo - self.tick * 3.0).min(end);
-        self.wake(port, due, Box::new(move |root, port, _| root.settle(port, id, serial, false)));
+        self.wake(port, due, Box::new(move |root, port, now| root.settle(port, now, id, serial, false)));
         self.review_later(port, now);
     }
 
@@ -516,20 +540,22 @@
 
     /// The SLO time is all but here, where a partial answer now earns more than a whole one late; or the
     /// client's time is (`last`): the best answer the parts allow, or none.
-    fn settle(&mut self, port: &mut dyn Port, id: Query, serial: u64, last: bool) {
+    fn settle(&mut self, port: &mut dyn Port, now: At, id: Query, serial: u64, last: bool) {
         if self.queries.get(&id).is_none_or(|q| q.serial != serial) {
             return;
         }
         let (any, whole) = self.answer(&self.queries[&id]);
         if any {
-            self.merge(port, id, whole, last);
+            self.merge(port, now, id, whole, last);
         } else if last {
             self.give_up(port, id, Span::ZERO);
         }
     }
 
-    fn merge(&mut self, port: &mut dyn Port, id: Query, whole: bool, last: bool) {
+    fn merge(&mut self, port: &mut dyn Port, now: At, id: Query, whole: bool, last: bool) {
         port.merge(id, whole);
+        let (vertical, age) = (self.queries[&id].vertical, now - self.queries[&id].arrived);
+        self.trades[vertical.0 as usize].stayed(age);
         let second = self.terms(&self.queries[&id]).second_step;
         let open = self.queries.get_mut(&id).expect("merged queries are open");
         if second && open.step == 0 {
@@ -591,8 +617,12 @@
     }
 
     /// The client is gone, or the outside ended the query.
-    pub fn gone(&mut self, port: &mut dyn Port, id: Query) {
-        if self.queries.contains_key(&id) {
+    pub fn gone(&mut self, port: &mut dyn Port, now: At, id: Query) {
+        if let Some(open) = self.queries.get(&id) {
+            let (age, slo) = (now - open.arrived, open.slo - open.arrived);
+            if age < slo || self.trades[open.vertical.0 as usize].leaving > 0.0 {
+                self.trades[open.vertical.0 as usize].left(age);
+            }
             self.end(port, id);
         }
     }
@@ -757,7 +787,7 @@
         let (any, whole) = self.answer(&self.queries[&query]);
         let all = self.queries[&query].parts.iter().all(|p| self.parts[p].done);
         if whole || any && (late || all) {
-            self.merge(port, query, whole, false);
+            self.merge(port, now, query, whole, false);
         }
     }
 
--- a/crates/pipitcrank/tests/cases.rs
+++ b/crates/pipitcrank/tests/cases.rs
@@ -238,6 +238,35 @@
     assert_eq!(copies, 1, "the last holder is asked once the second call is overdue");
 }
 
+#[test]
+fn where_clients_leave_early_a_partial_answer_comes_before_they_do() {
+    // In i85cd7c clients left after a third of the SLO time; the vertical with a floor has an answer by then.
+    let (mut root, mut tape) = fresh(7);
+    for n in 0..4 {
+        ask(&mut root, &mut tape, n * 1000, 1, 0, &[0, 1, 2, 3, 4]);
+        turned(&mut root, n * 1000);
+        root.gone(&mut tape, at(n * 1000 + 500), Query(0));
+        for part in 0..5 {
+            end(&mut root, n * 1000 + 510, Part(part), 0, Ending::Undone);
+        }
+    }
+    let mut asked = Tape::default();
+    ask(&mut root, &mut asked, 5000, 1, 0, &[0, 1, 2, 3, 4]);
+    turned(&mut root, 5000);
+    for part in 0..4 {
+        end(&mut root, 5100, Part(part), 0, Ending::Pass);
+    }
+    let mut seen = Tape::default();
+    for act in asked.0 {
+        if let Act::Wake(t, label) = act
+            && t < at(5500)
+        {
+            root.woken(&mut seen, t, label);
+        }
+    }
+    assert!(seen.0.contains(&Act::Merge(Query(0), false)), "{:?}", seen.0);
+}
+
 #[test]
 fn the_generator_is_even_and_follows_its_seed() {
     use pipitcrank::chance::Chance;
--- a/crates/pipitcrank/tests/rules.rs
+++ b/crates/pipitcrank/tests/rules.rs
@@ -296,7 +296,7 @@
                     if !open.is_empty() {
                         let query = open[which % open.len()];
                         w.asked.remove(&query);
-                        w.event(|w, tape| w.root.gone(tape, query))?;
+                        w.event(|w, tape| w.root.gone(tape, w.now, query))?;
                     }
                 }
             }
