--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -188,6 +188,14 @@
     pub longest_stay_away: Option<Span>,
 }
 
+/// A part out: when it went, its work, all own work ahead of its end then, and the call it shares.
+struct Out {
+    at: At,
+    work: f64,
+    ahead: f64,
+    call: u64,
+}
+
 /// What is known of one leaf, from the list and from this co-ordinator's own calls.
 #[derive(Default)]
 struct LeafState {
@@ -196,16 +204,14 @@
     started: Option<At>,
     /// Own calls out: parts left in each; emptied by the parts' ends.
     calls: BTreeMap<u64, usize>,
-    /// Parts out with time sent and work ahead at the time; emptied by their ends.
-    out: BTreeMap<(Part, u32), (At, f64)>,
+    /// Parts out, by number of the leaf call; emptied by their ends.
+    out: BTreeMap<(Part, u32), Out>,
     work_out: f64,
     /// Call that parts of this turn may still join: turn, call, parts in it.
     joining: (u64, u64, usize),
     faults: f64,
     /// Time lost behind others' work, beyond what own work ahead explains, and when last heard.
     lag: Option<(f64, At)>,
-    /// It turned a part away as full and is left to drain until then.
-    full_until: Option<At>,
     /// Not before this time again, and how long the next wait is.
     trial_at: Option<At>,
     wait: Span,
@@ -223,8 +229,6 @@
     const FAULTY: f64 = 0.3;
     /// Weight of the newest answer in the share of faults and in the lag: five answers make a view.
     const NEWEST: f64 = 0.2;
-    /// About the time in which a full leaf works off a third of its waiting room.
-    const FULL_WAIT: Span = Span::from_ms(1000);
     const FIRST_WAIT: Span = Span::from_ms(500);
     const LONGEST_WAIT: Span = Span::from_ms(4000);
 
@@ -232,7 +236,7 @@
     /// what is out already and not back shows a lag before any answer does.
     fn lag_now(&self, now: At, rate: f64) -> f64 {
         let heard = self.lag.map_or(0.0, |(lag, at)| lag * 0.5f64.powf((now - at).s() / lag.max(0.25)));
-        self.out.values().map(|&(sent, ahead)| (now - sent).s() - rate * ahead).fold(heard, f64::max)
+        self.out.values().map(|o| (now - o.at).s() - rate * o.ahead).fold(heard, f64::max)
     }
 
     fn carried_now(&self, now: At) -> f64 {
@@ -265,6 +269,7 @@
 
 struct PartState {
     query: Query,
+    vertical: Vertical,
     shard: u32,
     weight: f64,
     work: f64,
@@ -279,6 +284,7 @@
     }
 }
 
+#[derive(Default)]
 struct Open {
     serial: u64,
     vertical: Vertical,
@@ -487,11 +493,8 @@
             arrived: now,
             a_part,
             size,
-            parts: Vec::new(),
-            in_weight: 0.0,
-            in_parts: 0,
-            step: 0,
             first_whole: true,
+            ..Open::default()
         };
         self.queries.insert(id, open);
         // Rule 1 hangs on the later alarm alone, whatever comes of the calls. The answer has to travel: three
@@ -522,7 +525,9 @@
         let usual = usual.work.0.unwrap_or(usual.terms.slo.s() * 0.1);
         let share = work.zip(open.a_part).map_or(1.0, |(part, mean)| (part / mean).clamp(0.2, 5.0));
         let work = usual * share * open.size;
-        let part = PartState { query, shard, weight, work, sent: Vec::new(), waits: true, done: false };
+        let vertical = open.vertical;
+        let part =
+            PartState { query, vertical, shard, weight, work, sent: Vec::new(), waits: true, done: false };
         self.parts.insert(id, part);
         self.moved = true;
     }
@@ -531,15 +536,19 @@
         &self.trades[open.vertical.0 as usize].terms
     }
 
-    /// Rule 5: what the parts that are in allow: nothing, a partial answer, a whole one.
-    fn answer(&self, open: &Open) -> (bool, bool) {
+    /// Weight needed for any answer and for a whole one, in the step the query is in.
+    fn bounds(&self, open: &Open) -> (f64, f64) {
         let terms = self.terms(open);
         let need = if open.step == 0 { terms.whole_from } else { 1.0 };
-        let floor = if terms.floor < terms.whole_from { terms.floor } else { need };
-        let any = open.in_parts > 0;
-        let whole = any && open.first_whole && open.in_weight >= need - SHORT;
-        let all = open.step == 0 || open.in_parts == open.parts.len();
-        (any && open.in_weight >= floor - SHORT, whole && all)
+        (if terms.floor < terms.whole_from { terms.floor } else { need } - SHORT, need - SHORT)
+    }
+
+    /// Rule 5: whether the parts that are in allow an answer, and a whole one.
+    fn answer(&self, open: &Open) -> (bool, bool) {
+        let (floor, need) = self.bounds(open);
+        let all = open.step == 0 || open.first_whole && open.in_parts == open.parts.len();
+        let any = open.in_parts > 0 && open.in_weight >= floor;
+        (any, any && all && open.in_weight >= need)
     }
 
     /// The SLO time is all but here, where a partial answer now earns more than a whole one late; or the
@@ -677,7 +686,7 @@
         part.sent.push(Sent { leaf, at: now, out: true, never_ran: false });
         part.waits = false;
         let work = part.work;
-        let (vertical, ends) = (open.vertical, open.ends);
+        let ends = open.ends;
         let cold = self.fail_back.is_cold(self.leaves[&leaf].started, now);
         let state = self.leaves.get_mut(&leaf).expect("candidates are held");
         if state.joining.0 != self.turn || state.joining.2 >= self.cover.call_size {
@@ -689,8 +698,7 @@
         let call = state.joining.1;
         *state.calls.entry(call).or_insert(0) += 1;
         state.work_out += work;
-        let ahead = state.work_out;
-        state.out.insert((id, nth), (now, ahead));
+        state.out.insert((id, nth), Out { at: now, work, ahead: state.work_out, call });
         if cold {
             let window = self.fail_back.window;
             state.sent_cold.retain(|(t, _)| now - *t <= window);
@@ -698,7 +706,7 @@
         }
         port.leaf_call(id, leaf, ends);
         let after: AfterCall = Box::new(move |root, port, now, ending| {
-            root.learn(port, now, leaf, (id, nth), call, work, vertical, ending);
+            root.learn(port, now, leaf, id, nth, ending);
             root.proceed(port, now, id, nth, ending);
         });
         self.calls.insert((id, nth), after);
@@ -711,33 +719,23 @@
     }
 
     /// What the end of a leaf call tells of the leaf, whether or not the query still waits for it.
-    fn learn(
-        &mut self,
-        port: &mut dyn Port,
-        now: At,
-        leaf: Leaf,
-        key: (Part, u32),
-        call: u64,
-        work: f64,
-        vertical: Vertical,
-        ending: Ending,
-    ) {
+    fn learn(&mut self, port: &mut dyn Port, now: At, leaf: Leaf, part: Part, nth: u32, ending: Ending) {
+        let vertical = self.parts[&part].vertical;
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
-        let (sent, ahead) = state.out.remove(&key).expect("calls out are listed");
+        let Out { at, work, ahead, call } = state.out.remove(&(part, nth)).expect("calls out are listed");
         state.work_out -= work;
-        if let Some(left) = state.calls.get_mut(&call) {
-            *left -= 1;
-            if *left == 0 {
-                state.calls.remove(&call);
-                state.work_out -= self.cover.call_cost;
-            }
+        let left = state.calls.get_mut(&call).expect("a call is out as long as a part of it");
+        *left -= 1;
+        if *left == 0 {
+            state.calls.remove(&call);
+            state.work_out -= self.cover.call_cost;
         }
         if state.out.is_empty() {
             state.work_out = 0.0;
         }
         match ending {
             Ending::Pass => {
-                let took = (now - sent).s();
+                let took = (now - at).s();
                 let pace = (took / ahead.max(1e-3)).min(20.0);
                 state.faults *= 1.0 - LeafState::NEWEST;
                 let rate = self.rate.0.unwrap_or(pace);
@@ -762,12 +760,11 @@
                     state.on_trouble(now);
                 }
             }
-            Ending::NoRoom => state.full_until = Some(now + LeafState::FULL_WAIT),
             Ending::NoRoute | Ending::Cut => {
                 state.faults = state.faults.max(2.0 * LeafState::FAULTY);
                 state.on_trouble(now);
             }
-            Ending::TooSlow | Ending::Undone | Ending::Stale => {}
+            Ending::NoRoom | Ending::TooSlow | Ending::Undone | Ending::Stale => {}
         }
         if !state.listed && state.out.is_empty() {
             self.drop_leaf(port, leaf);
@@ -808,19 +805,10 @@
 
     /// Ends the query at once when the parts that can still come in do not reach an answer.
     fn check_hope(&mut self, port: &mut dyn Port, now: At, query: Query) {
-        let parts = self.queries[&query].parts.clone();
-        let (mut hope, mut lost) = (0.0, false);
-        for id in parts {
-            let part = &self.parts[&id];
-            if part.done || part.out() > 0 || self.could_go(now, id) {
-                hope += self.parts[&id].weight;
-            } else {
-                self.parts.get_mut(&id).expect("listed parts are held").waits = false;
-                lost = true;
-            }
-        }
-        let terms = self.terms(&self.queries[&query]);
-        if lost && hope < terms.floor.min(terms.whole_from) - SHORT {
+        let open = &self.queries[&query];
+        let may_come = |p: &&Part| self.parts[p].done || self.parts[p].out() > 0 || self.could_go(now, **p);
+        let hope: f64 = open.parts.iter().filter(may_come).map(|p| self.parts[p].weight).sum();
+        if hope < self.bounds(open).0 {
             self.give_up(port, query, Span::ZERO);
         }
     }
@@ -888,8 +876,7 @@
             plan.entry(leaf).or_default().extend(bundle);
         }
         self.moved |= !uncovered.is_empty();
-        let terms = self.terms(&self.queries[&query]);
-        if fresh && stuck > 1.0 - terms.floor.min(terms.whole_from) + SHORT {
+        if fresh && 1.0 - stuck < self.bounds(&self.queries[&query]).0 {
             return;
         }
         for (leaf, bundle) in plan {
@@ -961,7 +948,7 @@
 
     /// Holders of the part's shard that are candidates, each with its room. Narrowed in turn, the first three
     /// only while somebody is left: not waited for; not asked already; not faulty, but for a trial by one part;
-    /// not full; not so cold that it has had its allowance.
+    /// not so cold that it has had its allowance.
     fn candidates(&self, now: At, id: Part, plan: &Plan) -> Vec<(Leaf, Room)> {
         let part = &self.parts[&id];
         let asked = |l: &Leaf| part.sent.iter().any(|s| s.leaf == *l);
@@ -996,7 +983,7 @@
                     continue;
                 }
             }
-            if state.full_until.is_some_and(|t| now < t) || room.work <= 0.0 {
+            if room.work <= 0.0 {
                 continue;
             }
             if trial == Some(leaf) {
@@ -1046,16 +1033,13 @@
         if now >= open.slo {
             return;
         }
-        // Overdue leaf calls get a second copy through the same cover.
+        // Where the newest leaf call is overdue, a second copy goes through the same cover.
         for part in open.parts.clone() {
             let state = &self.parts[&part];
-            let overdue = |&(nth, s): &(usize, &Sent)| {
-                // The leaf may be off the list and forgotten by now.
-                let out = self.leaves.get(&s.leaf).and_then(|l| l.out.get(&(part, nth as u32)));
-                out.is_none_or(|&(sent, ahead)| now - sent > overdue_after(ahead, self.pace))
-            };
-            let late = state.out() > 0 && !state.waits && state.sent.iter().enumerate().all(|s| overdue(&s));
-            if late && self.may_go(now, part) {
+            let Some(nth) = state.sent.iter().rposition(|s| s.out) else { continue };
+            let out = &self.leaves[&state.sent[nth].leaf].out[&(part, nth as u32)];
+            let late = now - out.at > overdue_after(out.ahead, self.pace);
+            if late && !state.waits && self.may_go(now, part) {
                 self.parts.get_mut(&part).expect("open queries hold their parts").waits = true;
             }
         }
--- a/crates/pipitcrank/src/ids.rs
+++ b/crates/pipitcrank/src/ids.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Leaf(pub u32);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Vertical(pub u16);
 
 /// How a leaf call ended, as told from outside.
--- a/crates/pipitcrank/src/time.rs
+++ b/crates/pipitcrank/src/time.rs
@@ -2,7 +2,7 @@
 
 use std::ops::{Add, Mul, Sub};
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct At(i64);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
