--- a/crates/pipitcrank/src/chance.rs
+++ b/crates/pipitcrank/src/chance.rs
@@ -2,6 +2,12 @@
 
 pub struct Chance(u64);
 
+impl Default for Chance {
+    fn default() -> Chance {
+        Chance::new(0)
+    }
+}
+
 impl Chance {
     /// Mixes the seed with the golden ratio's fraction; one set low bit and one clear high bit keep clear of
     /// both states in which the generator stands still.
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -1,10 +1,10 @@
 //! The decision module: which leaf answers which part of a query, when, how often, and how the query ends.
 //!
-//! A caller makes one `Root` per co-ordinator from what it is told at start, names the verticals in order with
-//! `vertical`, and hands in each event as it comes: `list_begin`/`leaf`/`list_end` for the list of leaves,
-//! `query` and `part` for what is asked, `ended` for each leaf call, `gone`, `probed`, `woken`. After the events
-//! of one moment it calls `turn` once. All that the module wants done goes out through `port::Port`; the ids are
-//! small indices (`ids.rs`) that the caller may use again once they are let go of.
+//! A caller makes one `Root` per co-ordinator from what it is told at start, names the verticals in order
+//! with `vertical`, and hands in each event as it comes: `list_begin`/`leaf`/`list_end` for the list of
+//! leaves, `query` and `part` for what is asked, `ended` for each leaf call, `gone`, `woken`. After the
+//! events of one moment it calls `turn` once. All that the module wants done goes out through `port::Port`;
+//! the ids are small indices (`ids.rs`) that the caller may use again once they are let go of.
 
 #![allow(clippy::too_many_arguments)] // a decoded field goes straight into a call
 
@@ -46,8 +46,9 @@
 }
 
 impl Trade {
-    /// Guards against clients that give up well before the time they state (i85cd7c); it should also cover a front
-    /// layer with a time-out of its own. It may answer in part too early for a while after they have calmed.
+    /// Guards against clients that give up well before the time they state (i85cd7c); it should also cover a
+    /// front layer with a time-out of its own. It may answer in part too early for a while after they have
+    /// calmed.
     fn left(&mut self, age: Span) {
         self.stay = if self.leaving < 0.1 { age } else { self.stay * 0.7 + age * 0.3 };
         self.leaving += LeafState::NEWEST * (1.0 - self.leaving);
@@ -67,6 +68,7 @@
 }
 
 /// A low quantile of the spans seen, followed in small steps: what a part takes where nothing is in its way.
+#[derive(Default)]
 struct LowMark(Option<f64>);
 
 impl LowMark {
@@ -86,6 +88,7 @@
 }
 
 /// Which leaves hold a shard, from cells in a ring, and how the cover is cut into calls.
+#[derive(Default)]
 pub struct Cover {
     cells: u32,
     span: u32,
@@ -116,6 +119,7 @@
 }
 
 /// Rule 6: leaf calls beyond a part's first, against what was taken, both over one sliding window.
+#[derive(Default)]
 pub struct Budget {
     share: f64,
     free: f64,
@@ -153,6 +157,7 @@
 }
 
 /// Rule 4: what this co-ordinator may send to a leaf that has just started.
+#[derive(Default)]
 pub struct FailBack {
     pub cold_from: f64,
     pub cold: Span,
@@ -181,6 +186,7 @@
 }
 
 /// How often and how a part may go.
+#[derive(Default)]
 pub struct Tries {
     pub limit: u32,
     pub may_duplicate: bool,
@@ -224,11 +230,13 @@
 impl LeafState {
     /// Fading time of the carried rate: about the span of a burst.
     const FADE_S: f64 = 8.0;
-    /// Share of faults from which a leaf is left out: two in a row, or a quarter over time; the stray error of
-    /// a good leaf stays below.
+    /// Share of faults from which a leaf is left out: two in a row, or a quarter over time; the stray error
+    /// of a good leaf stays below.
     const FAULTY: f64 = 0.3;
     /// Weight of the newest answer in the share of faults and in the lag: five answers make a view.
     const NEWEST: f64 = 0.2;
+    /// A faulty leaf is tried again after this, doubled each time up to the other: short against a day's
+    /// troubles, long against a part.
     const FIRST_WAIT: Span = Span::from_ms(500);
     const LONGEST_WAIT: Span = Span::from_ms(4000);
 
@@ -245,8 +253,8 @@
 
     fn on_trouble(&mut self, now: At) {
         if self.trial_at.is_none_or(|t| t <= now) {
+            self.wait = (self.wait * 2.0).clamp(Self::FIRST_WAIT, Self::LONGEST_WAIT);
             self.trial_at = Some(now + self.wait);
-            self.wait = (self.wait * 2.0).min(Self::LONGEST_WAIT);
         }
     }
 }
@@ -302,6 +310,7 @@
     first_whole: bool,
 }
 
+#[derive(Default)]
 pub struct Root {
     chance: Chance,
     cover: Cover,
@@ -332,27 +341,6 @@
 }
 
 impl Root {
-    /// Between two looks at what is overdue: a few ticks, far below any SLO time.
-    const REVIEW: Span = Span::from_ms(50);
-    /// Subscriptions that broke are asked for again after this; the list's own calls take about so long.
-    const WATCH_AGAIN: Span = Span::from_ms(2000);
-    /// How far a hint's distance from the usual is believed, in logarithms: hints of like queries were seen to
-    /// scatter threefold, their times by half, with hardly any tie between the two.
-    const HINT_TRUST: f64 = 0.2;
-    const HINT_STEP: f64 = 0.05;
-    /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
-    const WAIT_SHARE: f64 = 0.2;
-    /// A leaf is given work that it should answer within a share of the time left. The share follows what became
-    /// of begun queries: down by a fifth for one that ends late, up by a hundredth for one in time, so it settles
-    /// where about one in fifteen is late, between a level that keeps leaves busy and one that leaves room for spread.
-    const FILL: (f64, f64) = (0.3, 0.7);
-    /// What a leaf should answer within this share of the SLO time is never cut: there the design's plain cover
-    /// saves calls and holds nobody up. A twentieth did not earn more, a seventh cost the longest queries much.
-    const SOON_SHARE: f64 = 0.1;
-    /// A second copy must promise an answer within this share of the time that the first call has been out:
-    /// where all leaves lag alike, copies only add to the jam.
-    const COPY_SHARE: f64 = 0.5;
-
     pub fn new(
         chance: Chance,
         cover: Cover,
@@ -362,28 +350,8 @@
         asks_list: bool,
         tick: Span,
     ) -> Root {
-        Root {
-            chance,
-            cover,
-            budget,
-            fail_back,
-            tries,
-            asks_list,
-            tick,
-            trades: Vec::new(),
-            leaves: BTreeMap::new(),
-            queries: BTreeMap::new(),
-            parts: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            alarms: BTreeMap::new(),
-            marks: 0,
-            turn: 0,
-            pace: 1.0,
-            rate: LowMark(None),
-            fill: Self::FILL.1,
-            reviewing: false,
-            moved: false,
-        }
+        let (pace, fill) = (1.0, Self::FILL.1);
+        Root { chance, cover, budget, fail_back, tries, asks_list, tick, pace, fill, ..Root::default() }
     }
 
     pub fn vertical(&mut self, terms: Terms) {
@@ -423,14 +391,10 @@
     }
 
     pub fn leaf(&mut self, id: Leaf, cell: u32, up: bool, started: Option<At>) {
-        let state = self.leaves.entry(id).or_insert_with(|| LeafState {
-            started,
-            wait: LeafState::FIRST_WAIT,
-            ..LeafState::default()
-        });
+        let state = self.leaves.entry(id).or_default();
         if started > state.started {
             // A new process: what was held against the old one is void, and it is cold.
-            (state.faults, state.trial_at, state.wait) = (0.0, None, LeafState::FIRST_WAIT);
+            (state.faults, state.trial_at, state.wait) = (0.0, None, Span::ZERO);
         }
         (state.cell, state.listed, state.started) = (cell, up, started);
     }
@@ -452,6 +416,9 @@
         port.let_go_leaf(id);
     }
 
+    /// Subscriptions that broke are asked for again after this; the list's own calls take about so long.
+    const WATCH_AGAIN: Span = Span::from_ms(2000);
+
     /// The list could not be had or the subscription broke; the old list stands.
     pub fn list_failed(&mut self, port: &mut dyn Port, now: At) {
         if self.asks_list {
@@ -461,6 +428,12 @@
 
     // Queries and parts.
 
+    /// How far a hint's distance from the usual is believed, in logarithms: hints of like queries were seen
+    /// to scatter threefold, their times by half, with hardly any tie between the two.
+    const HINT_TRUST: f64 = 0.2;
+    /// Weight of the newest hint in the usual one: some twenty queries make it.
+    const HINT_STEP: f64 = 0.05;
+
     /// A query of `count` parts, with a hint of all their work if there is one.
     pub fn query(
         &mut self,
@@ -485,18 +458,8 @@
         let slo = now + (trade.counts() + stretch).min(terms.hard_limit);
         let ends = now + left;
         let serial = self.mark();
-        let open = Open {
-            serial,
-            vertical: v,
-            slo,
-            ends,
-            arrived: now,
-            a_part,
-            size,
-            first_whole: true,
-            ..Open::default()
-        };
-        self.queries.insert(id, open);
+        let open = Open { serial, vertical: v, slo, ends, arrived: now, a_part, size, ..Open::default() };
+        self.queries.insert(id, Open { first_whole: true, ..open });
         // Rule 1 hangs on the later alarm alone, whatever comes of the calls. The answer has to travel: three
         // ticks before the SLO time what is in is worth most.
         let end = ends - self.tick;
@@ -520,8 +483,8 @@
         let Some(open) = self.queries.get_mut(&query) else { return port.let_go_part(id) };
         open.parts.push(id);
         let usual = &self.trades[open.vertical.0 as usize];
-        // Hints compare a query's parts well, but queries badly: a part's work is the usual of its vertical, by
-        // its share of the query's hint. Before any answer a tenth of the SLO time stands for the usual.
+        // Hints compare a query's parts well, but queries badly: a part's work is the usual of its vertical,
+        // by its share of the query's hint. Before any answer a tenth of the SLO time stands for the usual.
         let usual = usual.work.0.unwrap_or(usual.terms.slo.s() * 0.1);
         let share = work.zip(open.a_part).map_or(1.0, |(part, mean)| (part / mean).clamp(0.2, 5.0));
         let work = usual * share * open.size;
@@ -601,6 +564,12 @@
         self.end(port, id);
     }
 
+    /// A leaf is given work that it should answer within a share of the time left. The share follows what
+    /// became of begun queries: down by a fifth for one that ends late, up by a hundredth for one in time, so
+    /// it settles where one in fifteen to twenty is late, between what leaves room for spread and what keeps
+    /// leaves busy.
+    const FILL: (f64, f64) = (0.3, 0.7);
+
     /// A begun query has ended, in time or not.
     fn judge(&mut self, in_time: bool) {
         let fill = if in_time { self.fill + 0.01 } else { self.fill * 0.8 };
@@ -643,9 +612,9 @@
     /// The client is gone, or the outside ended the query.
     pub fn gone(&mut self, port: &mut dyn Port, now: At, id: Query) {
         if let Some(open) = self.queries.get(&id) {
-            let (age, slo) = (now - open.arrived, open.slo - open.arrived);
-            if age < slo || self.trades[open.vertical.0 as usize].leaving > 0.0 {
-                self.trades[open.vertical.0 as usize].left(age);
+            let (trade, age) = (&mut self.trades[open.vertical.0 as usize], now - open.arrived);
+            if age < trade.terms.slo {
+                trade.left(age);
             }
             self.end(port, id);
         }
@@ -744,7 +713,7 @@
                 state.lag = Some((known + LeafState::NEWEST * (lag - known), now));
                 if state.faults < LeafState::FAULTY {
                     state.trial_at = None;
-                    state.wait = LeafState::FIRST_WAIT;
+                    state.wait = Span::ZERO;
                 }
                 state.carried = Some((state.carried_now(now) + work / LeafState::FADE_S, now));
                 self.pace += 0.03 * (pace - self.pace);
@@ -832,8 +801,17 @@
         }
     }
 
-    /// The modified greedy set cover of the design page over the parts given, all of one query. A query's first
-    /// calls go only when those of parts enough for an answer can: no work for one that is then turned away.
+    /// What a leaf should answer within this share of the SLO time is never cut: there the design's plain
+    /// cover saves calls and holds nobody up. A twentieth did not earn more, a seventh cost the longest
+    /// queries much.
+    const SOON_SHARE: f64 = 0.1;
+    /// A second copy must promise an answer within this share of the time that the first call has been out:
+    /// where all leaves lag alike, copies only add to the jam.
+    const COPY_SHARE: f64 = 0.5;
+
+    /// The modified greedy set cover of the design page over the parts given, all of one query. A query's
+    /// first calls go only when those of parts enough for an answer can: no work for one that is then turned
+    /// away.
     fn place(&mut self, port: &mut dyn Port, now: At, query: Query, parts: Vec<Part>) {
         let mut uncovered: Vec<Part> = parts.into_iter().filter(|&p| self.may_go(now, p)).collect();
         let open = &self.queries[&query];
@@ -892,8 +870,9 @@
         parts.iter().map(|p| self.parts[p].work).sum()
     }
 
-    /// A bundle is cut to what its leaf should answer by the level: a query is as slow as its slowest bundle, and
-    /// one leaf covering much while others idle holds it up. False where not even one part is answered in time.
+    /// A bundle is cut to what its leaf should answer by the level: a query is as slow as its slowest bundle,
+    /// and one leaf covering much while others idle holds it up. False where not even one part is answered in
+    /// time.
     fn cut(&self, now: At, leaf: Leaf, plan: &Plan, bundle: &mut Vec<Part>, level: Span, span: Span) -> bool {
         let planned = plan.get(&leaf).map_or(0.0, |b| self.work(b) + self.cover.call_cost);
         let takes = |b: &[Part]| self.expected(now, leaf, planned + self.work(b));
@@ -927,29 +906,26 @@
         Span::from_s(state.lag_now(now, rate) + rate * (state.work_out + self.cover.call_cost + work))
     }
 
-    /// Parts that the leaf would take along with `first`, within its room.
-    fn bundle(&self, leaf: Leaf, room: Room, first: Part, uncovered: &[Part]) -> Vec<Part> {
+    /// Parts that the leaf would take along with `first`, within its room for work.
+    fn bundle(&self, leaf: Leaf, room: f64, first: Part, uncovered: &[Part]) -> Vec<Part> {
         let cell = self.leaves[&leaf].cell;
         let mut bundle = vec![first];
-        let mut work = self.parts[&first].work + self.cover.call_cost;
+        let mut left = room - self.parts[&first].work - self.cover.call_cost;
         for &id in uncovered.iter().filter(|&&id| id != first) {
             let part = &self.parts[&id];
-            if bundle.len() >= room.parts {
-                break;
-            }
-            let fits = work + part.work <= room.work;
-            if fits && self.cover.holds(cell, part.shard) && part.sent.iter().all(|s| s.leaf != leaf) {
-                work += part.work;
+            let may = self.cover.holds(cell, part.shard) && part.sent.iter().all(|s| s.leaf != leaf);
+            if may && part.work <= left {
+                left -= part.work;
                 bundle.push(id);
             }
         }
         bundle
     }
 
-    /// Holders of the part's shard that are candidates, each with its room. Narrowed in turn, the first three
-    /// only while somebody is left: not waited for; not asked already; not faulty, but for a trial by one part;
-    /// not so cold that it has had its allowance.
-    fn candidates(&self, now: At, id: Part, plan: &Plan) -> Vec<(Leaf, Room)> {
+    /// Holders of the part's shard that are candidates, each with its room for work (the first part always
+    /// fits). Narrowed in turn, the first three only while somebody is left: not waited for; not asked
+    /// already; not faulty, but for a trial by one part; not so cold that it has had its allowance.
+    fn candidates(&self, now: At, id: Part, plan: &Plan) -> Vec<(Leaf, f64)> {
         let part = &self.parts[&id];
         let asked = |l: &Leaf| part.sent.iter().any(|s| s.leaf == *l);
         let pending = |l: &Leaf| part.sent.iter().any(|s| s.leaf == *l && s.out);
@@ -971,28 +947,22 @@
             if part.sent.is_empty() && effect == Effect::Repeatable {
                 trial = who.iter().find(due).copied();
             }
-            who.retain(|l| sound(l) || trial == Some(*l));
+            who.retain(sound);
         }
-        let mut found: Vec<(Leaf, Room)> = Vec::new();
-        for leaf in who {
+        let room = |leaf: Leaf| {
             let state = &self.leaves[&leaf];
-            let mut room = Room { parts: usize::MAX, work: f64::INFINITY };
-            if let Some(started) = state.started.filter(|_| self.fail_back.is_cold(state.started, now)) {
-                room.work = self.fail_back.room(started, now, self.usual_carried(now), &state.sent_cold);
-                if plan.contains_key(&leaf) {
-                    continue;
-                }
+            match state.started.filter(|_| self.fail_back.is_cold(state.started, now)) {
+                None => f64::INFINITY,
+                Some(_) if plan.contains_key(&leaf) => 0.0,
+                Some(t) => self.fail_back.room(t, now, self.usual_carried(now), &state.sent_cold),
             }
-            if room.work <= 0.0 {
-                continue;
-            }
-            if trial == Some(leaf) {
-                // It takes precedence, so that trust comes back; the rest of the cover goes on without it.
-                return vec![(leaf, Room { parts: 1, work: room.work })];
-            }
-            found.push((leaf, room));
+        };
+        // A trial takes precedence, so that trust comes back; the rest of the cover goes on without it.
+        if let Some(leaf) = trial.filter(|&l| room(l) > 0.0) {
+            return vec![(leaf, f64::MIN_POSITIVE)];
         }
-        found
+        let rooms = who.into_iter().map(|l| (l, room(l)));
+        rooms.filter(|(_, room)| *room > 0.0).collect()
     }
 
     /// Work a second that warm listed leaves carry for this co-ordinator, on average.
@@ -1004,6 +974,9 @@
 
     // Reviews: what no event brings up.
 
+    /// Between two looks at what is overdue: a few ticks, far below any SLO time.
+    const REVIEW: Span = Span::from_ms(50);
+
     fn review_later(&mut self, port: &mut dyn Port, now: At) {
         if !self.reviewing {
             self.reviewing = true;
@@ -1014,8 +987,7 @@
     fn review(&mut self, port: &mut dyn Port, now: At) {
         self.reviewing = false;
         self.moved = true;
-        let ids: Vec<Query> = self.queries.keys().copied().collect();
-        for &id in &ids {
+        for id in self.queries.keys().copied().collect::<Vec<_>>() {
             self.review_query(port, now, id);
         }
         if !self.queries.is_empty() {
@@ -1023,6 +995,9 @@
         }
     }
 
+    /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
+    const WAIT_SHARE: f64 = 0.2;
+
     fn review_query(&mut self, port: &mut dyn Port, now: At, id: Query) {
         let open = &self.queries[&id];
         let patience = (open.slo - open.arrived) * Self::WAIT_SHARE;
@@ -1048,10 +1023,3 @@
 
 /// What a cover gives to each leaf before anything is sent.
 type Plan = BTreeMap<Leaf, Vec<Part>>;
-
-/// How much a candidate may take at once.
-#[derive(Clone, Copy)]
-struct Room {
-    parts: usize,
-    work: f64,
-}
