--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -240,10 +240,11 @@
     const FIRST_WAIT: Span = Span::from_ms(500);
     const LONGEST_WAIT: Span = Span::from_ms(4000);
 
-    /// The lag expected now: with nothing heard it halves each time others' work of that length may have run;
-    /// what is out already and not back shows a lag before any answer does.
+    /// The lag expected now: what was heard drains as time passes, as the queue behind it does, so that a leaf
+    /// nobody dares ask is asked again (ie11df8: leaves stood idle for a lag of the past); what is out already
+    /// and not back shows a lag before any answer does.
     fn lag_now(&self, now: At, rate: f64) -> f64 {
-        let heard = self.lag.map_or(0.0, |(lag, at)| lag * 0.5f64.powf((now - at).s() / lag.max(0.25)));
+        let heard = self.lag.map_or(0.0, |(lag, at)| (lag - (now - at).s()).max(0.0));
         self.out.values().map(|o| (now - o.at).s() - rate * o.ahead).fold(heard, f64::max)
     }
 
--- a/crates/pipitcrank/tests/cases.rs
+++ b/crates/pipitcrank/tests/cases.rs
@@ -226,6 +226,27 @@
     assert_eq!(copies, 1, "the last holder is asked once the second call is overdue");
 }
 
+#[test]
+fn a_lag_of_the_past_does_not_keep_leaves_idle() {
+    // In ie11df8 leaves stood idle because of answers that had come late seconds before.
+    let (mut root, mut tape) = taught(12);
+    let shards: Vec<u32> = (0..6).collect();
+    for n in 0..4 {
+        ask(&mut root, &mut tape, n * 10, 0, n as u32 * 10, &shards);
+        turned(&mut root, n * 10);
+    }
+    for n in 0..4 {
+        for part in 0..6 {
+            end(&mut root, 2800, Part(n * 10 + part), 0, Ending::Pass);
+        }
+    }
+    ask(&mut root, &mut tape, 2800, 0, 50, &shards);
+    assert_eq!(turned(&mut root, 2800).calls(), [], "just after, every leaf is held to lag");
+    ask(&mut root, &mut tape, 5600, 0, 60, &shards);
+    let calls = turned(&mut root, 5600).calls();
+    assert!(calls.iter().filter(|c| c.0.0 >= 60).count() == 6, "{calls:?}");
+}
+
 #[test]
 fn where_clients_leave_early_a_partial_answer_comes_before_they_do() {
     // In i85cd7c clients left after a third of the SLO time; the vertical with a floor has an answer by then.
