--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -166,8 +166,9 @@
 }
 
 impl FailBack {
-    /// Of the allowance that the rule leaves, how much is used: the rest is for uneven co-ordinators.
-    const USED: f64 = 0.6;
+    /// Of the allowance that the rule leaves, how much is used: the rest is for uneven co-ordinators and leaves
+    /// smaller than the mean. At 0.6 a release starved the fresh leaves and jammed the others (if0ee79).
+    const USED: f64 = 0.8;
 
     fn is_cold(&self, started: Option<At>, now: At) -> bool {
         started.is_some_and(|t| now - t < self.cold)
