--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -236,6 +236,9 @@
     const FAULTY: f64 = 0.3;
     /// Weight of the newest answer in the share of faults and in the lag: five answers make a view.
     const NEWEST: f64 = 0.2;
+    /// Lag of a leaf that turns a part away as full: about what a full waiting room takes to work off. Guards
+    /// against storms of calls turned away in a millisecond and sent on to the next full leaf (i695bd0).
+    const FULL_LAG_S: f64 = 2.0;
     /// A faulty leaf is tried again after this, doubled each time up to the other: short against a day's
     /// troubles, long against a part.
     const FIRST_WAIT: Span = Span::from_ms(500);
@@ -735,7 +738,11 @@
                 state.faults = state.faults.max(2.0 * LeafState::FAULTY);
                 state.on_trouble(now);
             }
-            Ending::NoRoom | Ending::TooSlow | Ending::Undone | Ending::Stale => {}
+            Ending::NoRoom => {
+                let known = state.lag_now(now, self.rate.0.unwrap_or(1.0));
+                state.lag = Some((known.max(LeafState::FULL_LAG_S), now));
+            }
+            Ending::TooSlow | Ending::Undone | Ending::Stale => {}
         }
         if !state.listed && state.out.is_empty() {
             self.drop_leaf(port, leaf);
