--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -46,18 +46,18 @@
 }
 
 impl Trade {
-    /// Guards against clients that give up well before the time they state (i85cd7c); it should also cover a
-    /// front layer with a time-out of its own. It may answer in part too early for a while after they have
-    /// calmed.
+    /// Guards against clients that give up before the time they state (i85cd7c), or a front layer that does.
+    /// Early leavers move the view by half, late ones by a tenth: the answer must be there before most go.
     fn left(&mut self, age: Span) {
-        self.stay = if self.leaving < 0.1 { age } else { self.stay * 0.7 + age * 0.3 };
+        let newest = if age < self.stay { 0.5 } else { 0.1 };
+        self.stay = if self.leaving < 0.1 { age } else { self.stay * (1.0 - newest) + age * newest };
         self.leaving += LeafState::NEWEST * (1.0 - self.leaving);
     }
 
     /// Answered at that age: near the time to stay or past it, clients may stay longer than thought.
     fn stayed(&mut self, age: Span) {
         if age > self.stay * 0.8 {
-            (self.stay, self.leaving) = (self.stay * 1.1, self.leaving * 0.9);
+            (self.stay, self.leaving) = (self.stay * 1.02, self.leaving * 0.9);
         }
     }
 
--- a/crates/pipitcrank/tests/cases.rs
+++ b/crates/pipitcrank/tests/cases.rs
@@ -150,6 +150,21 @@
     assert_eq!(calls.iter().filter(|c| c.1 == bad).count(), 1, "one part as a trial: {calls:?}");
 }
 
+#[test]
+fn a_full_leaf_is_left_to_drain() {
+    // In i695bd0 parts turned away in a millisecond went straight on to the next full leaf, a thousand times.
+    let (mut root, mut tape) = fresh(8);
+    ask(&mut root, &mut tape, 0, 0, 0, &[2]);
+    let full = turned(&mut root, 0).calls()[0].1;
+    end(&mut root, 1, Part(0), 0, Ending::NoRoom);
+    let mut met = 0;
+    for n in 1..10 {
+        ask(&mut root, &mut tape, 100, 0, n * 10, &[2]);
+        met += turned(&mut root, 100).calls().iter().filter(|c| c.1 == full).count();
+    }
+    assert_eq!(met, 0);
+}
+
 #[test]
 fn a_cold_leaf_gets_one_part_a_window_until_more_is_known() {
     let (mut root, mut tape) = (root(9, 2, true), Tape::default());
