--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -166,8 +166,9 @@
 }
 
 impl FailBack {
-    /// Of the allowance that the rule leaves, how much is used: the rest is for uneven co-ordinators and leaves
-    /// smaller than the mean. At 0.6 a release starved the fresh leaves and jammed the others (if0ee79).
+    /// Of the allowance that the rule leaves, how much is used: the rest is for uneven co-ordinators and
+    /// leaves smaller than the mean. At 0.6 a release starved the fresh leaves and jammed the others
+    /// (if0ee79).
     const USED: f64 = 0.8;
 
     fn is_cold(&self, started: Option<At>, now: At) -> bool {
@@ -244,9 +245,9 @@
     const FIRST_WAIT: Span = Span::from_ms(500);
     const LONGEST_WAIT: Span = Span::from_ms(4000);
 
-    /// The lag expected now: what was heard drains as time passes, as the queue behind it does, so that a leaf
-    /// nobody dares ask is asked again (ie11df8: leaves stood idle for a lag of the past); what is out already
-    /// and not back shows a lag before any answer does.
+    /// The lag expected now: what was heard drains as time passes, as the queue behind it does, so that a
+    /// leaf nobody dares ask is asked again (ie11df8: leaves stood idle for a lag of the past); what is out
+    /// already and not back shows a lag before any answer does.
     fn lag_now(&self, now: At, rate: f64) -> f64 {
         let heard = self.lag.map_or(0.0, |(lag, at)| (lag - (now - at).s()).max(0.0));
         self.out.values().map(|o| (now - o.at).s() - rate * o.ahead).fold(heard, f64::max)
