--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -710,7 +710,7 @@
         }
         match ending {
             Ending::Pass => {
-                let took = (now - at).s();
+                let took = (now - at).s().max(1e-6);
                 let pace = (took / ahead.max(1e-3)).min(20.0);
                 state.faults *= 1.0 - LeafState::NEWEST;
                 let rate = self.rate.0.unwrap_or(pace);
