--- a/crates/pipitcrank-simhost/src/door.rs
+++ b/crates/pipitcrank-simhost/src/door.rs
@@ -206,6 +206,7 @@
             limit: count("/allowed/try_limit")?,
             may_duplicate: flag("/allowed/may_duplicate")?,
             may_abandon: flag("/allowed/cancel")?,
+            may_probe: flag("/allowed/probing")?,
             longest_stay_away: flag("/allowed/retry_after")?
                 .then(|| span("/allowed/max_retry_after_s"))
                 .transpose()?,
@@ -304,6 +305,7 @@
             "FINISHED" => {
                 let nth = line.number("trial")?;
                 let ending = ending(line)?;
+                report(root, door, now, line)?;
                 if let Some(part) = door.parts.find(line.field("job")?) {
                     root.ended(door, now, Part(part), nth, ending);
                 }
@@ -314,8 +316,15 @@
                 }
             }
             "ELAPSED" => root.woken(door, now, line.number("label")?),
-            // Probes, streamed verticals and messages between co-ordinators have no part in the decisions.
-            "HEALTH" | "FIRST" | "MEMO" => {}
+            "HEALTH" => {
+                report(root, door, now, line)?;
+                let ending = ending(line)?;
+                if let Some(leaf) = door.leaves.find(line.field("replica")?) {
+                    root.probed(now, Leaf(leaf), ending);
+                }
+            }
+            // Streamed verticals and messages between co-ordinators have no part in the decisions.
+            "FIRST" | "MEMO" => {}
             word => return Err(line.wrong("i", &format!("comes with '{word}', an event that is not known"))),
         }
         Ok(())
@@ -332,6 +341,21 @@
     }
 }
 
+/// A load report that came with a line, if one did.
+fn report(root: &mut Root, door: &Door, now: At, line: &Line) -> Result<(), Wrong> {
+    let Some(pairs) = line.optional("feedback") else { return Ok(()) };
+    let Some(leaf) = door.leaves.find(line.field("replica")?) else { return Ok(()) };
+    let value = |name: &str| {
+        let text = pairs.split(',').filter_map(|p| p.split_once(':')).find(|(key, _)| *key == name);
+        let number = text.map(|(_, v)| v.parse::<f64>().ok().filter(|v| v.is_finite()));
+        number
+            .map(|v| v.ok_or_else(|| line.wrong("feedback", &format!("has no number for '{name}'"))))
+            .transpose()
+    };
+    root.load_report(now, Leaf(leaf), value("backlog")?, value("outstanding")?);
+    Ok(())
+}
+
 fn ending(line: &Line) -> Result<Ending, Wrong> {
     Ok(match line.field("result")? {
         "pass" => Ending::Pass,
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -8,7 +8,7 @@
 
 #![allow(clippy::too_many_arguments)] // a decoded field goes straight into a call
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::chance::Chance;
 use crate::ids::{Effect, Ending, Leaf, Part, Query, Vertical};
@@ -193,6 +193,7 @@
     pub limit: u32,
     pub may_duplicate: bool,
     pub may_abandon: bool,
+    pub may_probe: bool,
     pub longest_stay_away: Option<Span>,
 }
 
@@ -202,6 +203,42 @@
     work: f64,
     ahead: f64,
     call: u64,
+    /// What the leaf was told to hold shortly before, where none of our own work was ahead.
+    held: Option<f64>,
+}
+
+/// How the lag of leaves goes with what they report to hold: a straight line through what was seen of late.
+/// Reports that tell nothing make it flat, so that they count for nothing.
+struct Drift {
+    n: f64,
+    held: f64,
+    lag: f64,
+    held2: f64,
+    both: f64,
+}
+
+impl Drift {
+    /// What is seen fades by this with each answer: some hundred make the line.
+    const FADE: f64 = 0.99;
+    /// Before any answer, a reported part stands for this: a small part's work on a leaf of two cores.
+    const FIRST_S: f64 = 0.05;
+
+    fn new() -> Drift {
+        Drift { n: 2.0, held: 10.0, lag: 10.0 * Self::FIRST_S, held2: 100.0, both: 100.0 * Self::FIRST_S }
+    }
+
+    fn see(&mut self, held: f64, lag: f64) {
+        let sums = [&mut self.n, &mut self.held, &mut self.lag, &mut self.held2, &mut self.both];
+        for (sum, new) in sums.into_iter().zip([1.0, held, lag, held * held, held * lag]) {
+            *sum = *sum * Self::FADE + new;
+        }
+    }
+
+    fn lag(&self, held: f64) -> f64 {
+        let (x, y) = (self.held / self.n, self.lag / self.n);
+        let slope = (self.both / self.n - x * y) / (self.held2 / self.n - x * x).max(1e-3);
+        (y + slope.max(0.0) * (held - x)).max(0.0)
+    }
 }
 
 /// What is known of one leaf, from the list and from this co-ordinator's own calls.
@@ -220,6 +257,10 @@
     faults: f64,
     /// Time lost behind others' work, beyond what own work ahead explains, and when last heard.
     lag: Option<(f64, At)>,
+    /// Parts it last reported to hold, and when that was heard.
+    held: Option<(f64, At)>,
+    /// Last probe sent, and whether it is still out.
+    probed: Option<(At, bool)>,
     /// Not before this time again, and how long the next wait is.
     trial_at: Option<At>,
     wait: Span,
@@ -339,6 +380,7 @@
     marks: u64,
     turn: u64,
     pace: f64,
+    drift: Option<Drift>,
     /// Time a leaf takes for a unit of work where nothing else is in its way.
     rate: LowMark,
     fill: f64,
@@ -671,9 +713,10 @@
         }
         state.joining.2 += 1;
         let call = state.joining.1;
+        let held = state.held.filter(|&(_, at)| now - at < Self::FRESH && state.out.is_empty()).map(|h| h.0);
         *state.calls.entry(call).or_insert(0) += 1;
         state.work_out += work;
-        state.out.insert((id, nth), Out { at: now, work, ahead: state.work_out, call });
+        state.out.insert((id, nth), Out { at: now, work, ahead: state.work_out, call, held });
         if cold {
             let window = self.fail_back.window;
             state.sent_cold.retain(|(t, _)| now - *t <= window);
@@ -697,7 +740,8 @@
     fn learn(&mut self, port: &mut dyn Port, now: At, leaf: Leaf, part: Part, nth: u32, ending: Ending) {
         let vertical = self.parts[&part].vertical;
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
-        let Out { at, work, ahead, call } = state.out.remove(&(part, nth)).expect("calls out are listed");
+        let Out { at, work, ahead, call, held } =
+            state.out.remove(&(part, nth)).expect("calls out are listed");
         state.work_out -= work;
         let left = state.calls.get_mut(&call).expect("a call is out as long as a part of it");
         *left -= 1;
@@ -715,6 +759,9 @@
                 state.faults *= 1.0 - LeafState::NEWEST;
                 let rate = self.rate.0.unwrap_or(pace);
                 let lag = (took - rate * ahead).max(0.0);
+                if let Some(held) = held {
+                    self.drift.get_or_insert_with(Drift::new).see(held, lag);
+                }
                 let known = state.lag_now(now, rate);
                 state.lag = Some((known + LeafState::NEWEST * (lag - known), now));
                 if state.faults < LeafState::FAULTY {
@@ -792,6 +839,55 @@
         }
     }
 
+    // Probes.
+
+    /// A report is good for so long: leaves make theirs anew about as often.
+    const FRESH: Span = Span::from_ms(300);
+    /// A probe out for longer is held to be unanswered: several times the way there and back with a new
+    /// connection, little of any SLO time.
+    const PROBE_WAIT: Span = Span::from_ms(30);
+
+    /// Probes the holders of the parts that have not reported of late; true once all have, or won't. Guards
+    /// against others' load, slow and silent leaves, which one co-ordinator of many sees too rarely.
+    fn scouted(&mut self, port: &mut dyn Port, now: At, parts: &[Part]) -> bool {
+        let shards = parts.iter().map(|p| self.parts[p].shard);
+        let holders: BTreeSet<Leaf> = shards.flat_map(|s| self.cover.holders(s)).collect();
+        let (mut sent, mut all) = (false, true);
+        for leaf in holders {
+            let state = self.leaves.get_mut(&leaf).expect("holders are held");
+            if state.probed.is_none_or(|(at, _)| now - at >= Self::FRESH) {
+                state.probed = Some((now, true));
+                port.probe(leaf);
+                sent = true;
+            }
+            all &= state.probed.is_some_and(|(at, out)| !out || now - at >= Self::PROBE_WAIT);
+        }
+        if sent {
+            self.wake(port, now + Self::PROBE_WAIT, Box::new(|root, _, _| root.moved = true));
+        }
+        all
+    }
+
+    /// The end of a probe.
+    pub fn probed(&mut self, now: At, leaf: Leaf, ending: Ending) {
+        let Some(state) = self.leaves.get_mut(&leaf) else { return };
+        match ending {
+            Ending::TooSlow => {}
+            Ending::NoRoute | Ending::Cut => state.on_trouble(now),
+            _ => state.probed = state.probed.map(|(at, _)| (at, false)),
+        }
+        self.moved = true;
+    }
+
+    /// What a leaf reports to hold: parts waiting, or in hand.
+    pub fn load_report(&mut self, now: At, leaf: Leaf, waiting: Option<f64>, in_hand: Option<f64>) {
+        let (Some(state), Some(held)) = (self.leaves.get_mut(&leaf), in_hand.or(waiting)) else { return };
+        state.held = Some((held, now));
+        if self.tries.may_probe {
+            state.lag = Some((self.drift.get_or_insert_with(Drift::new).lag(held), now));
+        }
+    }
+
     // The cover.
 
     /// Places what waits. Once a moment, after its events, so that what came together shares calls.
@@ -824,6 +920,9 @@
     /// away.
     fn place(&mut self, port: &mut dyn Port, now: At, query: Query, parts: Vec<Part>) {
         let mut uncovered: Vec<Part> = parts.into_iter().filter(|&p| self.may_go(now, p)).collect();
+        if self.tries.may_probe && !self.scouted(port, now, &uncovered) {
+            return;
+        }
         let open = &self.queries[&query];
         let due = if now < open.slo { open.slo } else { open.ends };
         let span = (due - now) * self.fill;
@@ -943,6 +1042,12 @@
         if who.iter().any(|l| !asked(l)) {
             who.retain(|l| !asked(l));
         }
+        // Silent to a probe: gone, standing still, or out of reach.
+        let answers =
+            |l: &Leaf| !self.leaves[l].probed.is_some_and(|(at, out)| out && now - at >= Self::PROBE_WAIT);
+        if who.iter().any(answers) {
+            who.retain(answers);
+        }
         // Where most leaves look bad it is the co-ordinator's own view or a common cause: none is left out.
         let listed = || self.leaves.values().filter(|l| l.listed);
         let sound = |l: &Leaf| self.leaves[l].trial_at.is_none();
--- a/crates/pipitcrank/tests/helper/mod.rs
+++ b/crates/pipitcrank/tests/helper/mod.rs
@@ -93,8 +93,13 @@
 }
 
 pub fn root_on(cells: u32, hold: u32, seed: u64, call_size: usize, may_duplicate: bool) -> Root {
-    let tries =
-        Tries { limit: TRY_LIMIT as u32, may_duplicate, may_abandon: true, longest_stay_away: Some(ms(500)) };
+    let tries = Tries {
+        limit: TRY_LIMIT as u32,
+        may_duplicate,
+        may_abandon: true,
+        may_probe: false,
+        longest_stay_away: Some(ms(500)),
+    };
     let fail_back = FailBack { cold_from: 0.2, cold: ms(10_000), factor: 3.0, window: ms(2000) };
     let budget = Budget::new(SHARE, FREE, Some(BUDGET_SPAN));
     let cover = Cover::new(cells, hold, call_size, ms(50));
