Holders later to come to new work by 0.05 of the SLO time are no candidates

Cause: coverage decided among holders of very different load. Covers slow and loaded leaves alike; may hurt where lags are wrongly heard, as fewer parts share calls.

--- a/crates/pipitcrank-simhost/tests/wire.rs
+++ b/crates/pipitcrank-simhost/tests/wire.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-const CONF: &str = r#"{"allowed":{"cancel":true,"max_retry_after_s":2.0,"may_duplicate":true,"retry_after":true,"try_limit":4,"unheard_of":1},"classes":[{"aim_s":2.5,"hard_limit_s":6.0,"idempotency":"safe","name":"view"}],"domain":{"call_cost_s":0.05,"complete_from":[1.0],"floor_by_class":[1.0],"follow_up":[0],"parts_a_call":4,"sets":2,"shards":8,"span":1},"registry_mode":"ask","rules":{"cold_from":0.27,"cold_s":18.0,"fall_s":1.5,"overload_factor":4.0},"tick_s":0.005}"#;
+const CONF: &str = r#"{"allowed":{"cancel":true,"probing":false,"max_retry_after_s":2.0,"may_duplicate":true,"retry_after":true,"try_limit":4,"unheard_of":1},"classes":[{"aim_s":2.5,"hard_limit_s":6.0,"idempotency":"safe","name":"view"}],"domain":{"call_cost_s":0.05,"complete_from":[1.0],"floor_by_class":[1.0],"follow_up":[0],"parts_a_call":4,"sets":2,"shards":8,"span":1},"registry_mode":"ask","rules":{"cold_from":0.27,"cold_s":18.0,"fall_s":1.5,"overload_factor":4.0},"tick_s":0.005}"#;
 
 fn start() -> String {
     format!(
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -911,6 +911,9 @@
     /// cover saves calls and holds nobody up. A twentieth did not earn more, a seventh cost the longest
     /// queries much.
     const SOON_SHARE: f64 = 0.1;
+    /// A holder expected to come to new work later than another by more than this share of the SLO time is no
+    /// candidate: coverage decides among leaves that are about as free.
+    const BEHIND_SHARE: f64 = 0.05;
     /// A second copy must promise an answer within this share of the time that the first call has been out:
     /// where all leaves lag alike, copies only add to the jam.
     const COPY_SHARE: f64 = 0.5;
@@ -927,6 +930,7 @@
         let due = if now < open.slo { open.slo } else { open.ends };
         let span = (due - now) * self.fill;
         let soon = self.terms(open).slo * Self::SOON_SHARE;
+        let behind = self.terms(open).slo * Self::BEHIND_SHARE;
         let level = self.level(now, &uncovered).max(soon);
         let fresh = open.parts.iter().all(|p| self.parts[p].sent.is_empty());
         let mut plan = Plan::new();
@@ -939,7 +943,10 @@
             let oldest = self.parts[&first].sent.iter().filter(|s| s.out).map(|s| now - s.at).max();
             let span = oldest.map_or(span, |age| span.min(age * Self::COPY_SHARE));
             let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
-            for (leaf, room) in self.candidates(now, first, &plan) {
+            let mut who = self.candidates(now, first, &plan);
+            let least = who.iter().map(|(l, _)| self.ready(now, *l, &plan)).min();
+            who.retain(|(l, _)| least.is_some_and(|least| self.ready(now, *l, &plan) <= least + behind));
+            for (leaf, room) in who {
                 let mut bundle = self.bundle(leaf, room, first, &uncovered);
                 if self.cut(now, leaf, &plan, &mut bundle, level, span) {
                     covers.push((leaf, bundle));
@@ -1008,6 +1015,11 @@
         Span::from_s(level.min(1e6))
     }
 
+    /// When the leaf should come to a first new part.
+    fn ready(&self, now: At, leaf: Leaf, plan: &Plan) -> Span {
+        self.expected(now, leaf, plan.get(&leaf).map_or(0.0, |b| self.work(b)))
+    }
+
     /// When the leaf should have answered so much more work.
     fn expected(&self, now: At, leaf: Leaf, work: f64) -> Span {
         let state = &self.leaves[&leaf];
