--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -37,7 +37,7 @@
 
 struct Trade {
     terms: Terms,
-    work: LowMark,
+    work: Mark,
     /// Usual hint of a part, as a logarithm.
     hint: Option<f64>,
     /// How far clients are held to leave before their stated time, and how long they stay then.
@@ -67,23 +67,23 @@
     }
 }
 
-/// A low quantile of the spans seen, followed in small steps: what a part takes where nothing is in its way.
+/// A quantile of what was seen, followed in small steps.
 #[derive(Default)]
-struct LowMark(Option<f64>);
-
-impl LowMark {
-    /// The quantile: low enough that waiting hardly enters, high enough that a warm key does not set it.
-    const RANK: f64 = 0.1;
-    /// A step as a share of the mark: in a jam, where no answer is below, hundreds must come to double it.
+struct Mark(Option<f64>);
+
+impl Mark {
+    /// What a part takes where nothing is in its way: low enough that waiting hardly enters, high enough that
+    /// a warm key does not set it.
+    const LOW: f64 = 0.1;
+    /// What one answer in so many outlasts is overdue.
+    const HIGH: f64 = 0.93;
+    /// A step as a share of the mark: in a jam, where no answer is below, hundreds must come to double a low.
     const STEP: f64 = 0.03;
 
-    fn see(&mut self, x: f64) {
+    fn see(&mut self, x: f64, rank: f64) {
         let mark = self.0.unwrap_or(x);
-        self.0 = Some(if x < mark {
-            mark * (1.0 - Self::STEP * (1.0 - Self::RANK))
-        } else {
-            mark * (1.0 + Self::STEP * Self::RANK)
-        });
+        self.0 =
+            Some(mark * if x < mark { 1.0 - Self::STEP * (1.0 - rank) } else { 1.0 + Self::STEP * rank });
     }
 }
 
@@ -306,14 +306,6 @@
     }
 }
 
-/// When a leaf call is overdue, by the work ahead of it: the spread of parts and one standstill of a healthy
-/// leaf fit below, a second copy that late can still meet the SLO time.
-fn overdue_after(ahead: f64, pace: f64) -> Span {
-    const TIMES: f64 = 2.0;
-    const GRACE: Span = Span::from_ms(350);
-    Span::from_s(ahead * pace * TIMES) + GRACE
-}
-
 struct Sent {
     leaf: Leaf,
     at: At,
@@ -379,10 +371,11 @@
     alarms: BTreeMap<u64, Then>,
     marks: u64,
     turn: u64,
-    pace: f64,
+    /// Time that most leaf calls end in, for a unit of work ahead.
+    overdue: Mark,
     drift: Option<Drift>,
     /// Time a leaf takes for a unit of work where nothing else is in its way.
-    rate: LowMark,
+    rate: Mark,
     fill: f64,
     reviewing: bool,
     moved: bool,
@@ -398,12 +391,12 @@
         asks_list: bool,
         tick: Span,
     ) -> Root {
-        let (pace, fill) = (1.0, Self::FILL.1);
-        Root { chance, cover, budget, fail_back, tries, asks_list, tick, pace, fill, ..Root::default() }
+        let (fill, overdue) = (Self::FILL.1, Mark(Some(Self::FIRST_OVERDUE)));
+        Root { chance, cover, budget, fail_back, tries, asks_list, tick, overdue, fill, ..Root::default() }
     }
 
     pub fn vertical(&mut self, terms: Terms) {
-        self.trades.push(Trade { terms, work: LowMark(None), hint: None, leaving: 0.0, stay: Span::ZERO });
+        self.trades.push(Trade { terms, work: Mark(None), hint: None, leaving: 0.0, stay: Span::ZERO });
     }
 
     fn mark(&mut self) -> u64 {
@@ -769,11 +762,13 @@
                     state.wait = Span::ZERO;
                 }
                 state.carried = Some((state.carried_now(now) + work / LeafState::FADE_S, now));
-                self.pace += 0.03 * (pace - self.pace);
-                self.rate.see(pace);
+                self.overdue.see(pace, Mark::HIGH);
+                self.rate.see(pace, Mark::LOW);
                 // Only what had nothing of ours before it tells a part's own work.
                 if ahead < (work + self.cover.call_cost) * 1.01 {
-                    self.trades[vertical.0 as usize].work.see((took - self.cover.call_cost).max(took * 0.1));
+                    self.trades[vertical.0 as usize]
+                        .work
+                        .see((took - self.cover.call_cost).max(took * 0.1), Mark::LOW);
                 }
             }
             Ending::Fault => {
@@ -1122,6 +1117,8 @@
         }
     }
 
+    /// Where the mark for overdue calls starts: with a small part's work, a standstill of a healthy leaf fits.
+    const FIRST_OVERDUE: f64 = 3.0;
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
     const WAIT_SHARE: f64 = 0.2;
 
@@ -1140,7 +1137,7 @@
             let state = &self.parts[&part];
             let Some(nth) = state.sent.iter().rposition(|s| s.out) else { continue };
             let out = &self.leaves[&state.sent[nth].leaf].out[&(part, nth as u32)];
-            let late = now - out.at > overdue_after(out.ahead, self.pace);
+            let late = (now - out.at).s() > out.ahead * self.overdue.0.unwrap_or(1.0);
             if late && !state.waits && self.may_go(now, part) {
                 self.parts.get_mut(&part).expect("open queries hold their parts").waits = true;
             }
