--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -76,7 +76,7 @@
     /// a warm key does not set it.
     const LOW: f64 = 0.1;
     /// What one answer in so many outlasts is overdue.
-    const HIGH: f64 = 0.93;
+    const HIGH: f64 = 0.97;
     /// A step as a share of the mark: in a jam, where no answer is below, hundreds must come to double a low.
     const STEP: f64 = 0.03;
 
