A leaf not heard of for two seconds is held to lag as all leaves did of late

Covers overload where nothing is told; may hold queries back for a moment after a trouble that has passed (the lag drains with time).

--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -270,6 +270,11 @@
     carried: Option<(f64, At)>,
 }
 
+/// A lag drains as time passes, as the queue behind it does.
+fn drained((lag, at): (f64, At), now: At) -> f64 {
+    (lag - (now - at).s()).max(0.0)
+}
+
 impl LeafState {
     /// Fading time of the carried rate: about the span of a burst.
     const FADE_S: f64 = 8.0;
@@ -286,11 +291,16 @@
     const FIRST_WAIT: Span = Span::from_ms(500);
     const LONGEST_WAIT: Span = Span::from_ms(4000);
 
+    /// What was heard of one leaf counts for so long, then what was heard of all: at a grown size a leaf is met
+    /// once in half a minute, and nobody knows it.
+    const KNOWN: Span = Span::from_ms(2000);
+
     /// The lag expected now: what was heard drains as time passes, as the queue behind it does, so that a
     /// leaf nobody dares ask is asked again (ie11df8: leaves stood idle for a lag of the past); what is out
     /// already and not back shows a lag before any answer does.
-    fn lag_now(&self, now: At, rate: f64) -> f64 {
-        let heard = self.lag.map_or(0.0, |(lag, at)| (lag - (now - at).s()).max(0.0));
+    fn lag_now(&self, now: At, rate: f64, usual: f64) -> f64 {
+        let known = self.lag.filter(|&(_, at)| now - at < Self::KNOWN);
+        let heard = known.map_or(usual, |lag| drained(lag, now));
         self.out.values().map(|o| (now - o.at).s() - rate * o.ahead).fold(heard, f64::max)
     }
 
@@ -374,6 +384,8 @@
     /// Time that most leaf calls end in, for a unit of work ahead.
     overdue: Mark,
     drift: Option<Drift>,
+    /// Lag of late over all leaves, and when last heard.
+    lag: Option<(f64, At)>,
     /// Time a leaf takes for a unit of work where nothing else is in its way.
     rate: Mark,
     fill: f64,
@@ -729,6 +741,9 @@
         }
     }
 
+    /// Weight of the newest answer in the lag of all leaves: one query's answers make it.
+    const NEWEST_OF_ALL: f64 = 0.03;
+
     /// What the end of a leaf call tells of the leaf, whether or not the query still waits for it.
     fn learn(&mut self, port: &mut dyn Port, now: At, leaf: Leaf, part: Part, nth: u32, ending: Ending) {
         let vertical = self.parts[&part].vertical;
@@ -755,7 +770,9 @@
                 if let Some(held) = held {
                     self.drift.get_or_insert_with(Drift::new).see(held, lag);
                 }
-                let known = state.lag_now(now, rate);
+                let usual = self.lag.map_or(0.0, |l| drained(l, now));
+                self.lag = Some((usual + Self::NEWEST_OF_ALL * (lag - usual), now));
+                let known = state.lag_now(now, rate, usual);
                 state.lag = Some((known + LeafState::NEWEST * (lag - known), now));
                 if state.faults < LeafState::FAULTY {
                     state.trial_at = None;
@@ -782,7 +799,7 @@
                 state.on_trouble(now);
             }
             Ending::NoRoom => {
-                let known = state.lag_now(now, self.rate.0.unwrap_or(1.0));
+                let known = state.lag_now(now, self.rate.0.unwrap_or(1.0), 0.0);
                 state.lag = Some((known.max(LeafState::FULL_LAG_S), now));
             }
             Ending::TooSlow | Ending::Undone | Ending::Stale => {}
@@ -1019,7 +1036,8 @@
     fn expected(&self, now: At, leaf: Leaf, work: f64) -> Span {
         let state = &self.leaves[&leaf];
         let rate = self.rate.0.unwrap_or(1.0);
-        Span::from_s(state.lag_now(now, rate) + rate * (state.work_out + self.cover.call_cost + work))
+        let usual = self.lag.map_or(0.0, |l| drained(l, now));
+        Span::from_s(state.lag_now(now, rate, usual) + rate * (state.work_out + self.cover.call_cost + work))
     }
 
     /// Parts that the leaf would take along with `first`, within its room for work.
