--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -101,7 +101,7 @@
 impl Cover {
     /// Most rounds of one query in one turn (the design's k): twice what the longest queries seen need, so
     /// it only stops a cover that makes no headway.
-    const ROUNDS: usize = 32;
+    const ROUNDS: usize = 128;
 
     pub fn new(cells: u32, span: u32, call_size: usize, call_cost: Span) -> Cover {
         let by_cell = vec![Vec::new(); cells as usize];
