Faulty leaves are left out also where they are over half of those listed

Leaves may be bad for one co-ordinator alone; a shard whose every holder is faulty still goes to them.

--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -1073,12 +1073,10 @@
         if who.iter().any(answers) {
             who.retain(answers);
         }
-        // Where most leaves look bad it is the co-ordinator's own view or a common cause: none is left out.
-        let listed = || self.leaves.values().filter(|l| l.listed);
+        // Also where over half of the leaves look bad: they may be bad for this co-ordinator alone.
         let sound = |l: &Leaf| self.leaves[l].trial_at.is_none();
-        let few = listed().filter(|l| l.trial_at.is_some()).count() * 2 <= listed().count();
         let mut trial = None;
-        if few && who.iter().any(sound) {
+        if who.iter().any(sound) {
             let due = |l: &&Leaf| {
                 let state = &self.leaves[*l];
                 state.out.is_empty() && !plan.contains_key(l) && state.trial_at.is_some_and(|t| t <= now)
