--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -616,7 +616,7 @@
 
     /// Bounds of the spread: one standstill of a healthy leaf fits even where answers are even; jams and
     /// silence do not stop second copies.
-    const SPREAD: (f64, f64) = (1.5, 3.0);
+    const SPREAD: (f64, f64) = (1.5, 2.2);
 
     fn spread(&self) -> f64 {
         self.spread.0.unwrap_or(Self::SPREAD.1).clamp(Self::SPREAD.0, Self::SPREAD.1)
