--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -405,7 +405,7 @@
         asks_list: bool,
         tick: Span,
     ) -> Root {
-        let spread = Mark(Some(Self::SPREAD.1));
+        let spread = Mark(Some(3.0));
         Root { chance, cover, budget, fail_back, tries, asks_list, tick, spread, ..Root::default() }
     }
 
@@ -616,7 +616,7 @@
 
     /// Bounds of the spread: one standstill of a healthy leaf fits even where answers are even; jams and
     /// silence do not stop second copies.
-    const SPREAD: (f64, f64) = (1.5, 2.2);
+    const SPREAD: (f64, f64) = (1.5, 5.0);
 
     fn spread(&self) -> f64 {
         self.spread.0.unwrap_or(Self::SPREAD.1).clamp(Self::SPREAD.0, Self::SPREAD.1)
