--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -1145,7 +1145,7 @@
             let state = &self.parts[&part];
             let Some(nth) = state.sent.iter().rposition(|s| s.out) else { continue };
             let out = &self.leaves[&state.sent[nth].leaf].out[&(part, nth as u32)];
-            let late = (now - out.at).s() > out.expected * self.spread();
+            let late = (now - out.at).s() > out.expected * self.spread().min(2.5);
             if late && !state.waits && self.may_go(now, part) {
                 self.parts.get_mut(&part).expect("open queries hold their parts").waits = true;
             }
