--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -922,7 +922,7 @@
     const BEHIND_SHARE: f64 = 0.05;
     /// A second copy must promise an answer within this share of the time that the first call has been out:
     /// where all leaves lag alike, copies only add to the jam.
-    const COPY_SHARE: f64 = 0.5;
+    const COPY_SHARE: f64 = 1.5;
 
     /// The modified greedy set cover of the design page over the parts given, all of one query. A query's
     /// first calls go only when those of parts enough for an answer can: no work for one that is then turned
@@ -947,7 +947,7 @@
             }
             let first = uncovered[self.chance.below(uncovered.len())];
             let oldest = self.parts[&first].sent.iter().filter(|s| s.out).map(|s| now - s.at).max();
-            let span = oldest.map_or(span, |age| span.min(age * Self::COPY_SHARE));
+            let span = oldest.map_or(span, |age| span.min(age * (Self::COPY_SHARE / self.spread())));
             let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
             let mut who = self.candidates(now, first, &plan);
             let least = who.iter().map(|(l, _)| self.ready(now, *l, &plan)).min();
