--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -75,7 +75,7 @@
     /// What a part takes where nothing is in its way: low enough that waiting hardly enters, high enough that
     /// a warm key does not set it.
     const LOW: f64 = 0.1;
-    /// By what the expected time of a leaf call falls short once in thirty calls.
+    /// What one answer in so many outlasts is overdue.
     const HIGH: f64 = 0.97;
     /// A step as a share of the mark: in a jam, where no answer is below, hundreds must come to double a low.
     const STEP: f64 = 0.03;
@@ -202,8 +202,6 @@
     at: At,
     work: f64,
     ahead: f64,
-    /// Seconds in which its end was expected.
-    expected: f64,
     call: u64,
     /// What the leaf was told to hold shortly before, where none of our own work was ahead.
     held: Option<f64>,
@@ -383,14 +381,14 @@
     alarms: BTreeMap<u64, Then>,
     marks: u64,
     turn: u64,
-    /// How many times the expected time most leaf calls end in: a call out longer is overdue, and no call goes
-    /// whose expected time so many times is not left.
-    spread: Mark,
+    /// Time that most leaf calls end in, for a unit of work ahead.
+    overdue: Mark,
     drift: Option<Drift>,
     /// Lag of late over all leaves, and when last heard.
     lag: Option<(f64, At)>,
     /// Time a leaf takes for a unit of work where nothing else is in its way.
     rate: Mark,
+    fill: f64,
     reviewing: bool,
     moved: bool,
 }
@@ -405,8 +403,8 @@
         asks_list: bool,
         tick: Span,
     ) -> Root {
-        let spread = Mark(Some(3.0));
-        Root { chance, cover, budget, fail_back, tries, asks_list, tick, spread, ..Root::default() }
+        let (fill, overdue) = (Self::FILL.1, Mark(Some(Self::FIRST_OVERDUE)));
+        Root { chance, cover, budget, fail_back, tries, asks_list, tick, overdue, fill, ..Root::default() }
     }
 
     pub fn vertical(&mut self, terms: Terms) {
@@ -587,6 +585,7 @@
         port.merge(id, whole);
         let (vertical, age) = (self.queries[&id].vertical, now - self.queries[&id].arrived);
         self.trades[vertical.0 as usize].stayed(age);
+        self.judge(now <= self.queries[&id].slo);
         let second = self.terms(&self.queries[&id]).second_step;
         let open = self.queries.get_mut(&id).expect("merged queries are open");
         if second && open.step == 0 {
@@ -606,20 +605,28 @@
         let open = &self.queries[&id];
         let effect = self.terms(open).effect;
         let unrun = |p: &Part| self.parts[p].sent.iter().all(|s| s.never_ran);
+        let begun = open.parts.iter().any(|p| !self.parts[p].sent.is_empty());
         if effect == Effect::Repeatable || open.parts.iter().all(unrun) {
             port.reject(id, self.tries.longest_stay_away.map_or(Span::ZERO, |most| stay_away.min(most)));
         } else {
             port.abort(id);
         }
+        if begun {
+            self.judge(false);
+        }
         self.end(port, id);
     }
 
-    /// Bounds of the spread: one standstill of a healthy leaf fits even where answers are even; jams and
-    /// silence do not stop second copies.
-    const SPREAD: (f64, f64) = (1.5, 5.0);
+    /// A leaf is given work that it should answer within a share of the time left. The share follows what
+    /// became of begun queries: down by a fifth for one that ends late, up by a hundredth for one in time, so
+    /// it settles where one in fifteen to twenty is late, between what leaves room for spread and what keeps
+    /// leaves busy.
+    const FILL: (f64, f64) = (0.3, 0.7);
 
-    fn spread(&self) -> f64 {
-        self.spread.0.unwrap_or(Self::SPREAD.1).clamp(Self::SPREAD.0, Self::SPREAD.1)
+    /// A begun query has ended, in time or not.
+    fn judge(&mut self, in_time: bool) {
+        let fill = if in_time { self.fill + 0.01 } else { self.fill * 0.8 };
+        self.fill = fill.clamp(Self::FILL.0, Self::FILL.1);
     }
 
     fn end(&mut self, port: &mut dyn Port, id: Query) {
@@ -703,7 +710,6 @@
         let work = part.work;
         let ends = open.ends;
         let cold = self.fail_back.is_cold(self.leaves[&leaf].started, now);
-        let expected = self.expected(now, leaf, work).s().max(1e-3);
         let state = self.leaves.get_mut(&leaf).expect("candidates are held");
         if state.joining.0 != self.turn || state.joining.2 >= self.cover.call_size {
             self.marks += 1;
@@ -715,7 +721,7 @@
         let held = state.held.filter(|&(_, at)| now - at < Self::FRESH && state.out.is_empty()).map(|h| h.0);
         *state.calls.entry(call).or_insert(0) += 1;
         state.work_out += work;
-        state.out.insert((id, nth), Out { at: now, work, ahead: state.work_out, expected, call, held });
+        state.out.insert((id, nth), Out { at: now, work, ahead: state.work_out, call, held });
         if cold {
             let window = self.fail_back.window;
             state.sent_cold.retain(|(t, _)| now - *t <= window);
@@ -742,7 +748,7 @@
     fn learn(&mut self, port: &mut dyn Port, now: At, leaf: Leaf, part: Part, nth: u32, ending: Ending) {
         let vertical = self.parts[&part].vertical;
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
-        let Out { at, work, ahead, expected, call, held } =
+        let Out { at, work, ahead, call, held } =
             state.out.remove(&(part, nth)).expect("calls out are listed");
         state.work_out -= work;
         let left = state.calls.get_mut(&call).expect("a call is out as long as a part of it");
@@ -773,7 +779,7 @@
                     state.wait = Span::ZERO;
                 }
                 state.carried = Some((state.carried_now(now) + work / LeafState::FADE_S, now));
-                self.spread.see(took / expected, Mark::HIGH);
+                self.overdue.see(pace, Mark::HIGH);
                 self.rate.see(pace, Mark::LOW);
                 // Only what had nothing of ours before it tells a part's own work.
                 if ahead < (work + self.cover.call_cost) * 1.01 {
@@ -922,7 +928,7 @@
     const BEHIND_SHARE: f64 = 0.05;
     /// A second copy must promise an answer within this share of the time that the first call has been out:
     /// where all leaves lag alike, copies only add to the jam.
-    const COPY_SHARE: f64 = 1.5;
+    const COPY_SHARE: f64 = 0.5;
 
     /// The modified greedy set cover of the design page over the parts given, all of one query. A query's
     /// first calls go only when those of parts enough for an answer can: no work for one that is then turned
@@ -934,7 +940,7 @@
         }
         let open = &self.queries[&query];
         let due = if now < open.slo { open.slo } else { open.ends };
-        let span = (due - now) * (1.0 / self.spread());
+        let span = (due - now) * self.fill;
         let soon = self.terms(open).slo * Self::SOON_SHARE;
         let behind = self.terms(open).slo * Self::BEHIND_SHARE;
         let level = self.level(now, &uncovered).max(soon);
@@ -947,7 +953,7 @@
             }
             let first = uncovered[self.chance.below(uncovered.len())];
             let oldest = self.parts[&first].sent.iter().filter(|s| s.out).map(|s| now - s.at).max();
-            let span = oldest.map_or(span, |age| span.min(age * (Self::COPY_SHARE / self.spread())));
+            let span = oldest.map_or(span, |age| span.min(age * Self::COPY_SHARE));
             let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
             let mut who = self.candidates(now, first, &plan);
             let least = who.iter().map(|(l, _)| self.ready(now, *l, &plan)).min();
@@ -1127,6 +1133,8 @@
         }
     }
 
+    /// Where the mark for overdue calls starts: with a small part's work, a standstill of a healthy leaf fits.
+    const FIRST_OVERDUE: f64 = 3.0;
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
     const WAIT_SHARE: f64 = 0.2;
 
@@ -1145,7 +1153,7 @@
             let state = &self.parts[&part];
             let Some(nth) = state.sent.iter().rposition(|s| s.out) else { continue };
             let out = &self.leaves[&state.sent[nth].leaf].out[&(part, nth as u32)];
-            let late = (now - out.at).s() > out.expected * self.spread().min(2.5);
+            let late = (now - out.at).s() > out.ahead * self.overdue.0.unwrap_or(1.0);
             if late && !state.waits && self.may_go(now, part) {
                 self.parts.get_mut(&part).expect("open queries hold their parts").waits = true;
             }
