--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Work of a part; before any answer a tenth of the SLO time stands for it.
+    fn usual_work(&self) -> f64 {
+        self.work.0.unwrap_or(self.terms.slo.s() * 0.1)
+    }
+
     /// The time in which an answer counts: two clients of five leaving early are more than chance.
     fn counts(&self) -> Span {
         if self.leaving < 0.35 { self.terms.slo } else { self.terms.slo.min(self.stay * 0.9) }
@@ -203,42 +208,6 @@
     work: f64,
     ahead: f64,
     call: u64,
-    /// What the leaf was told to hold shortly before, where none of our own work was ahead.
-    held: Option<f64>,
-}
-
-/// How the lag of leaves goes with what they report to hold: a straight line through what was seen of late.
-/// Reports that tell nothing make it flat, so that they count for nothing.
-struct Drift {
-    n: f64,
-    held: f64,
-    lag: f64,
-    held2: f64,
-    both: f64,
-}
-
-impl Drift {
-    /// What is seen fades by this with each answer: some hundred make the line.
-    const FADE: f64 = 0.99;
-    /// Before any answer, a reported part stands for this: a small part's work on a leaf of two cores.
-    const FIRST_S: f64 = 0.05;
-
-    fn new() -> Drift {
-        Drift { n: 2.0, held: 10.0, lag: 10.0 * Self::FIRST_S, held2: 100.0, both: 100.0 * Self::FIRST_S }
-    }
-
-    fn see(&mut self, held: f64, lag: f64) {
-        let sums = [&mut self.n, &mut self.held, &mut self.lag, &mut self.held2, &mut self.both];
-        for (sum, new) in sums.into_iter().zip([1.0, held, lag, held * held, held * lag]) {
-            *sum = *sum * Self::FADE + new;
-        }
-    }
-
-    fn lag(&self, held: f64) -> f64 {
-        let (x, y) = (self.held / self.n, self.lag / self.n);
-        let slope = (self.both / self.n - x * y) / (self.held2 / self.n - x * x).max(1e-3);
-        (y + slope.max(0.0) * (held - x)).max(0.0)
-    }
 }
 
 /// What is known of one leaf, from the list and from this co-ordinator's own calls.
@@ -257,8 +226,6 @@
     faults: f64,
     /// Time lost behind others' work, beyond what own work ahead explains, and when last heard.
     lag: Option<(f64, At)>,
-    /// Parts it last reported to hold, and when that was heard.
-    held: Option<(f64, At)>,
     /// Last probe sent, and whether it is still out.
     probed: Option<(At, bool)>,
     /// Not before this time again, and how long the next wait is.
@@ -383,7 +350,6 @@
     turn: u64,
     /// Time that most leaf calls end in, for a unit of work ahead.
     overdue: Mark,
-    drift: Option<Drift>,
     /// Lag of late over all leaves, and when last heard.
     lag: Option<(f64, At)>,
     /// Time a leaf takes for a unit of work where nothing else is in its way.
@@ -535,10 +501,9 @@
         self.budget.take(now);
         let Some(open) = self.queries.get_mut(&query) else { return port.let_go_part(id) };
         open.parts.push(id);
-        let usual = &self.trades[open.vertical.0 as usize];
         // Hints compare a query's parts well, but queries badly: a part's work is the usual of its vertical,
-        // by its share of the query's hint. Before any answer a tenth of the SLO time stands for the usual.
-        let usual = usual.work.0.unwrap_or(usual.terms.slo.s() * 0.1);
+        // by its share of the query's hint.
+        let usual = self.trades[open.vertical.0 as usize].usual_work();
         let share = work.zip(open.a_part).map_or(1.0, |(part, mean)| (part / mean).clamp(0.2, 5.0));
         let work = usual * share * open.size;
         let vertical = open.vertical;
@@ -718,10 +683,9 @@
         }
         state.joining.2 += 1;
         let call = state.joining.1;
-        let held = state.held.filter(|&(_, at)| now - at < Self::FRESH && state.out.is_empty()).map(|h| h.0);
         *state.calls.entry(call).or_insert(0) += 1;
         state.work_out += work;
-        state.out.insert((id, nth), Out { at: now, work, ahead: state.work_out, call, held });
+        state.out.insert((id, nth), Out { at: now, work, ahead: state.work_out, call });
         if cold {
             let window = self.fail_back.window;
             state.sent_cold.retain(|(t, _)| now - *t <= window);
@@ -748,8 +712,7 @@
     fn learn(&mut self, port: &mut dyn Port, now: At, leaf: Leaf, part: Part, nth: u32, ending: Ending) {
         let vertical = self.parts[&part].vertical;
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
-        let Out { at, work, ahead, call, held } =
-            state.out.remove(&(part, nth)).expect("calls out are listed");
+        let Out { at, work, ahead, call } = state.out.remove(&(part, nth)).expect("calls out are listed");
         state.work_out -= work;
         let left = state.calls.get_mut(&call).expect("a call is out as long as a part of it");
         *left -= 1;
@@ -767,9 +730,6 @@
                 state.faults *= 1.0 - LeafState::NEWEST;
                 let rate = self.rate.0.unwrap_or(pace);
                 let lag = (took - rate * ahead).max(0.0);
-                if let Some(held) = held {
-                    self.drift.get_or_insert_with(Drift::new).see(held, lag);
-                }
                 let usual = self.lag.map_or(0.0, |l| drained(l, now));
                 self.lag = Some((usual + Self::NEWEST_OF_ALL * (lag - usual), now));
                 let known = state.lag_now(now, rate, usual);
@@ -894,9 +854,10 @@
     /// What a leaf reports to hold: parts waiting, or in hand.
     pub fn load_report(&mut self, now: At, leaf: Leaf, waiting: Option<f64>, in_hand: Option<f64>) {
         let (Some(state), Some(held)) = (self.leaves.get_mut(&leaf), in_hand.or(waiting)) else { return };
-        state.held = Some((held, now));
         if self.tries.may_probe {
-            state.lag = Some((self.drift.get_or_insert_with(Drift::new).lag(held), now));
+            let usual: f64 = self.trades.iter().map(Trade::usual_work).sum();
+            let a_part = usual / self.trades.len().max(1) as f64 * self.rate.0.unwrap_or(1.0);
+            state.lag = Some((held * a_part, now));
         }
     }
 
