--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -857,7 +857,8 @@
         if self.tries.may_probe {
             let usual: f64 = self.trades.iter().map(Trade::usual_work).sum();
             let a_part = usual / self.trades.len().max(1) as f64 * self.rate.0.unwrap_or(1.0);
-            state.lag = Some((held * a_part, now));
+            let others = (held - state.out.len() as f64).max(0.0);
+            state.lag = Some((others * a_part, now));
         }
     }
 
