--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -207,7 +207,7 @@
     at: At,
     work: f64,
     ahead: f64,
-    call: u64,
+    call: (u64, usize),
 }
 
 /// What is known of one leaf, from the list and from this co-ordinator's own calls.
@@ -216,13 +216,10 @@
     cell: u32,
     listed: bool,
     started: Option<At>,
-    /// Own calls out: parts left in each; emptied by the parts' ends.
-    calls: BTreeMap<u64, usize>,
     /// Parts out, by number of the leaf call; emptied by their ends.
     out: BTreeMap<(Part, u32), Out>,
-    work_out: f64,
-    /// Call that parts of this turn may still join: turn, call, parts in it.
-    joining: (u64, u64, usize),
+    /// The last turn that sent here, and how many parts: those share calls.
+    joining: (u64, usize),
     faults: f64,
     /// Time lost behind others' work, beyond what own work ahead explains, and when last heard.
     lag: Option<(f64, At)>,
@@ -271,6 +268,15 @@
         self.out.values().map(|o| (now - o.at).s() - rate * o.ahead).fold(heard, f64::max)
     }
 
+    /// Own calls out; parts that share a call count once.
+    fn calls(&self) -> BTreeSet<(u64, usize)> {
+        self.out.values().map(|o| o.call).collect()
+    }
+
+    fn work_out(&self, call_cost: f64) -> f64 {
+        self.out.values().map(|o| o.work).sum::<f64>() + call_cost * self.calls().len() as f64
+    }
+
     fn carried_now(&self, now: At) -> f64 {
         self.carried.map_or(0.0, |(rate, at)| rate * (-(now - at).s() / Self::FADE_S).exp())
     }
@@ -676,16 +682,12 @@
         let ends = open.ends;
         let cold = self.fail_back.is_cold(self.leaves[&leaf].started, now);
         let state = self.leaves.get_mut(&leaf).expect("candidates are held");
-        if state.joining.0 != self.turn || state.joining.2 >= self.cover.call_size {
-            self.marks += 1;
-            state.joining = (self.turn, self.marks, 0);
-            state.work_out += self.cover.call_cost;
-        }
-        state.joining.2 += 1;
-        let call = state.joining.1;
-        *state.calls.entry(call).or_insert(0) += 1;
-        state.work_out += work;
-        state.out.insert((id, nth), Out { at: now, work, ahead: state.work_out, call });
+        let before = if state.joining.0 == self.turn { state.joining.1 } else { 0 };
+        state.joining = (self.turn, before + 1);
+        let call = (self.turn, before / self.cover.call_size);
+        state.out.insert((id, nth), Out { at: now, work, ahead: 0.0, call });
+        let ahead = state.work_out(self.cover.call_cost);
+        state.out.get_mut(&(id, nth)).expect("just sent").ahead = ahead;
         if cold {
             let window = self.fail_back.window;
             state.sent_cold.retain(|(t, _)| now - *t <= window);
@@ -712,17 +714,7 @@
     fn learn(&mut self, port: &mut dyn Port, now: At, leaf: Leaf, part: Part, nth: u32, ending: Ending) {
         let vertical = self.parts[&part].vertical;
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
-        let Out { at, work, ahead, call } = state.out.remove(&(part, nth)).expect("calls out are listed");
-        state.work_out -= work;
-        let left = state.calls.get_mut(&call).expect("a call is out as long as a part of it");
-        *left -= 1;
-        if *left == 0 {
-            state.calls.remove(&call);
-            state.work_out -= self.cover.call_cost;
-        }
-        if state.out.is_empty() {
-            state.work_out = 0.0;
-        }
+        let Out { at, work, ahead, .. } = state.out.remove(&(part, nth)).expect("calls out are listed");
         match ending {
             Ending::Pass => {
                 let took = (now - at).s().max(1e-6);
@@ -930,7 +922,7 @@
             covers.retain(|(_, b)| Some(b.len() + 1) >= best);
             let calls = |l: &Leaf| {
                 let planned = plan.get(l).map_or(0, |b| b.len().div_ceil(self.cover.call_size));
-                self.leaves[l].calls.len() + planned
+                self.leaves[l].calls().len() + planned
             };
             let Some(fewest) = covers.iter().map(|(l, _)| calls(l)).min() else {
                 // Nobody can take it now; it waits for a later turn.
@@ -999,7 +991,10 @@
         let state = &self.leaves[&leaf];
         let rate = self.rate.0.unwrap_or(1.0);
         let usual = self.lag.map_or(0.0, |l| drained(l, now));
-        Span::from_s(state.lag_now(now, rate, usual) + rate * (state.work_out + self.cover.call_cost + work))
+        Span::from_s(
+            state.lag_now(now, rate, usual)
+                + rate * (state.work_out(self.cover.call_cost) + self.cover.call_cost + work),
+        )
     }
 
     /// Parts that the leaf would take along with `first`, within its room for work.
--- a/crates/pipitcrank/tests/cases.rs
+++ b/crates/pipitcrank/tests/cases.rs
@@ -89,19 +89,19 @@
 #[test]
 fn at_most_k_rounds_a_turn_and_the_rest_is_placed_anew() {
     let mut tape = Tape::default();
-    let mut root = helper::root_on(40, 1, 1, 2, true);
+    let mut root = helper::root_on(160, 1, 1, 2, true);
     root.list_begin(true);
-    for n in 0..40 {
+    for n in 0..160 {
         root.leaf(Leaf(n), n, true, None);
     }
     root.list_end(&mut tape);
-    let shards: Vec<u32> = (0..40).collect();
+    let shards: Vec<u32> = (0..160).collect();
     ask(&mut root, &mut tape, 0, 0, 0, &shards);
     let first = turned(&mut root, 0).calls();
     let second = turned(&mut root, 5).calls();
-    assert_eq!((first.len(), second.len()), (32, 8));
+    assert_eq!((first.len(), second.len()), (128, 32));
     let all: BTreeSet<Part> = first.into_iter().chain(second).map(|c| c.0).collect();
-    assert_eq!(all.len(), 40);
+    assert_eq!(all.len(), 160);
 }
 
 #[test]
