--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -180,7 +180,7 @@
         started.is_some_and(|t| now - t < self.cold)
     }
 
-    /// Work that may go to the leaf now. `carried` is the work a second that a warm leaf carries for this
+    /// Work that may go to the leaf now. `carried` is the work a second that a leaf carries for this
     /// co-ordinator: in use below capacity, so a careful stand-in for this co-ordinator's share of it. The
     /// slowest legal warming is assumed. The first part of a window always goes, alone.
     fn room(&self, started: At, now: At, carried: f64, sent: &VecDeque<(At, f64)>) -> f64 {
@@ -230,8 +230,6 @@
     wait: Span,
     /// Work sent while cold; emptied as it leaves the fail-back window.
     sent_cold: VecDeque<(At, f64)>,
-    /// Work a second merged of late, and when last counted.
-    carried: Option<(f64, At)>,
 }
 
 /// A lag drains as time passes, as the queue behind it does.
@@ -240,8 +238,6 @@
 }
 
 impl LeafState {
-    /// Fading time of the carried rate: about the span of a burst.
-    const FADE_S: f64 = 8.0;
     /// Share of faults from which a leaf is left out: two in a row, or a quarter over time; the stray error
     /// of a good leaf stays below.
     const FAULTY: f64 = 0.3;
@@ -277,10 +273,6 @@
         self.out.values().map(|o| o.work).sum::<f64>() + call_cost * self.calls().len() as f64
     }
 
-    fn carried_now(&self, now: At) -> f64 {
-        self.carried.map_or(0.0, |(rate, at)| rate * (-(now - at).s() / Self::FADE_S).exp())
-    }
-
     fn on_trouble(&mut self, now: At) {
         if self.trial_at.is_none_or(|t| t <= now) {
             self.wait = (self.wait * 2.0).clamp(Self::FIRST_WAIT, Self::LONGEST_WAIT);
@@ -356,6 +348,9 @@
     turn: u64,
     /// Time that most leaf calls end in, for a unit of work ahead.
     overdue: Mark,
+    /// Leaves listed, and work a second merged of late, when last counted.
+    listed: usize,
+    carried: Option<(f64, At)>,
     /// Lag of late over all leaves, and when last heard.
     lag: Option<(f64, At)>,
     /// Time a leaf takes for a unit of work where nothing else is in its way.
@@ -429,6 +424,7 @@
         for (&id, state) in self.leaves.iter().filter(|(_, l)| l.listed) {
             self.cover.by_cell[(state.cell % self.cover.cells) as usize].push(id);
         }
+        self.listed = self.leaves.values().filter(|l| l.listed).count();
         let gone = self.leaves.iter().filter(|(_, l)| !l.listed && l.out.is_empty()).map(|(&id, _)| id);
         for id in gone.collect::<Vec<_>>() {
             self.drop_leaf(port, id);
@@ -713,6 +709,7 @@
     /// What the end of a leaf call tells of the leaf, whether or not the query still waits for it.
     fn learn(&mut self, port: &mut dyn Port, now: At, leaf: Leaf, part: Part, nth: u32, ending: Ending) {
         let vertical = self.parts[&part].vertical;
+        let carried = self.carried_now(now);
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
         let Out { at, work, ahead, .. } = state.out.remove(&(part, nth)).expect("calls out are listed");
         match ending {
@@ -730,9 +727,9 @@
                     state.trial_at = None;
                     state.wait = Span::ZERO;
                 }
-                state.carried = Some((state.carried_now(now) + work / LeafState::FADE_S, now));
                 self.overdue.see(pace, Mark::HIGH);
                 self.rate.see(pace, Mark::LOW);
+                self.carried = Some((carried + work / Self::FADE_S, now));
                 // Only what had nothing of ours before it tells a part's own work.
                 if ahead < (work + self.cover.call_cost) * 1.01 {
                     self.trades[vertical.0 as usize]
@@ -811,13 +808,15 @@
     /// connection, little of any SLO time.
     const PROBE_WAIT: Span = Span::from_ms(30);
 
+    fn holders(&self, parts: &[Part]) -> BTreeSet<Leaf> {
+        parts.iter().flat_map(|p| self.cover.holders(self.parts[p].shard)).collect()
+    }
+
     /// Probes the holders of the parts that have not reported of late; true once all have, or won't. Guards
     /// against others' load, slow and silent leaves, which one co-ordinator of many sees too rarely.
     fn scouted(&mut self, port: &mut dyn Port, now: At, parts: &[Part]) -> bool {
-        let shards = parts.iter().map(|p| self.parts[p].shard);
-        let holders: BTreeSet<Leaf> = shards.flat_map(|s| self.cover.holders(s)).collect();
         let (mut sent, mut all) = (false, true);
-        for leaf in holders {
+        for leaf in self.holders(parts) {
             let state = self.leaves.get_mut(&leaf).expect("holders are held");
             if state.probed.is_none_or(|(at, _)| now - at >= Self::FRESH) {
                 state.probed = Some((now, true));
@@ -966,9 +965,8 @@
 
     /// When all holders of the parts would have answered if the work could be spread evenly over them.
     fn level(&self, now: At, parts: &[Part]) -> Span {
-        let holds = |l: &LeafState| parts.iter().any(|p| self.cover.holds(l.cell, self.parts[p].shard));
-        let usable = self.leaves.iter().filter(|(_, l)| l.listed && l.trial_at.is_none() && holds(l));
-        let mut ready: Vec<f64> = usable.map(|(&id, _)| self.expected(now, id, 0.0).s()).collect();
+        let usable = self.holders(parts).into_iter().filter(|l| self.leaves[l].trial_at.is_none());
+        let mut ready: Vec<f64> = usable.map(|l| self.expected(now, l, 0.0).s()).collect();
         ready.sort_by(f64::total_cmp);
         let (mut sum, mut level) = (self.work(parts) * self.rate.0.unwrap_or(1.0), f64::INFINITY);
         for (n, at) in ready.into_iter().enumerate() {
@@ -1049,7 +1047,10 @@
             match state.started.filter(|_| self.fail_back.is_cold(state.started, now)) {
                 None => f64::INFINITY,
                 Some(_) if plan.contains_key(&leaf) => 0.0,
-                Some(t) => self.fail_back.room(t, now, self.usual_carried(now), &state.sent_cold),
+                Some(t) => {
+                    let a_leaf = self.carried_now(now) / self.listed.max(1) as f64;
+                    self.fail_back.room(t, now, a_leaf, &state.sent_cold)
+                }
             }
         };
         // A trial takes precedence, so that trust comes back; the rest of the cover goes on without it.
@@ -1060,11 +1061,12 @@
         rooms.filter(|(_, room)| *room > 0.0).collect()
     }
 
-    /// Work a second that warm listed leaves carry for this co-ordinator, on average.
-    fn usual_carried(&self, now: At) -> f64 {
-        let warm = |l: &&LeafState| l.listed && !self.fail_back.is_cold(l.started, now);
-        let sum: f64 = self.leaves.values().filter(warm).map(|l| l.carried_now(now)).sum();
-        sum / self.leaves.values().filter(warm).count().max(1) as f64
+    /// Fading time of the carried rate: about the span of a burst.
+    const FADE_S: f64 = 8.0;
+
+    /// Work a second that all leaves carry for this co-ordinator.
+    fn carried_now(&self, now: At) -> f64 {
+        self.carried.map_or(0.0, |(rate, at)| rate * (-(now - at).s() / Self::FADE_S).exp())
     }
 
     // Reviews: what no event brings up.
