--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -172,8 +172,7 @@
 
 impl FailBack {
     /// Of the allowance that the rule leaves, how much is used: the rest is for uneven co-ordinators and
-    /// leaves smaller than the mean. At 0.6 a release starved the fresh leaves and jammed the others
-    /// (if0ee79).
+    /// small leaves. At 0.6 a release starved the fresh leaves and jammed the others (if0ee79).
     const USED: f64 = 0.8;
 
     fn is_cold(&self, started: Option<At>, now: At) -> bool {
@@ -202,7 +201,7 @@
     pub longest_stay_away: Option<Span>,
 }
 
-/// A part out: when it went, its work, all own work ahead of its end then, and the call it shares.
+/// A part out: its work, all own work ahead of its end as it went, and the call it shares.
 struct Out {
     at: At,
     work: f64,
@@ -222,12 +221,11 @@
     joining: (u64, usize),
     faults: f64,
     /// Time lost behind others' work, beyond what own work ahead explains, and when last heard.
-    lag: Option<(f64, At)>,
+    lag: (f64, At),
     /// Last probe sent, and whether it is still out.
     probed: Option<(At, bool)>,
-    /// Not before this time again, and how long the next wait is.
+    /// Left out as faulty, and to be tried again from then on.
     trial_at: Option<At>,
-    wait: Span,
     /// Work sent while cold; emptied as it leaves the fail-back window.
     sent_cold: VecDeque<(At, f64)>,
 }
@@ -246,21 +244,16 @@
     /// Lag of a leaf that turns a part away as full: about what a full waiting room takes to work off. Guards
     /// against storms of calls turned away in a millisecond and sent on to the next full leaf (i695bd0).
     const FULL_LAG_S: f64 = 2.0;
-    /// A faulty leaf is tried again after this, doubled each time up to the other: short against a day's
-    /// troubles, long against a part.
-    const FIRST_WAIT: Span = Span::from_ms(500);
-    const LONGEST_WAIT: Span = Span::from_ms(4000);
-
+    /// A faulty leaf is tried again after this: short against a day's troubles, long against a part.
+    const TRIAL_WAIT: Span = Span::from_ms(1000);
     /// What was heard of one leaf counts for so long, then what was heard of all: at a grown size a leaf is met
     /// once in half a minute, and nobody knows it.
     const KNOWN: Span = Span::from_ms(2000);
 
-    /// The lag expected now: what was heard drains as time passes, as the queue behind it does, so that a
-    /// leaf nobody dares ask is asked again (ie11df8: leaves stood idle for a lag of the past); what is out
-    /// already and not back shows a lag before any answer does.
+    /// The lag expected now: what was heard, drained, so that a leaf nobody dares ask is asked again
+    /// (ie11df8); what is out and not back shows a lag before any answer does.
     fn lag_now(&self, now: At, rate: f64, usual: f64) -> f64 {
-        let known = self.lag.filter(|&(_, at)| now - at < Self::KNOWN);
-        let heard = known.map_or(usual, |lag| drained(lag, now));
+        let heard = if now - self.lag.1 < Self::KNOWN { drained(self.lag, now) } else { usual };
         self.out.values().map(|o| (now - o.at).s() - rate * o.ahead).fold(heard, f64::max)
     }
 
@@ -275,8 +268,7 @@
 
     fn on_trouble(&mut self, now: At) {
         if self.trial_at.is_none_or(|t| t <= now) {
-            self.wait = (self.wait * 2.0).clamp(Self::FIRST_WAIT, Self::LONGEST_WAIT);
-            self.trial_at = Some(now + self.wait);
+            self.trial_at = Some(now + Self::TRIAL_WAIT);
         }
     }
 }
@@ -311,6 +303,8 @@
     serial: u64,
     vertical: Vertical,
     slo: At,
+    /// From then on what is in is worth most: the answer has to travel.
+    answer_by: At,
     ends: At,
     arrived: At,
     /// Hinted work of a mean part, and how large the query is taken to be against its vertical's usual.
@@ -350,13 +344,12 @@
     overdue: Mark,
     /// Leaves listed, and work a second merged of late, when last counted.
     listed: usize,
-    carried: Option<(f64, At)>,
+    carried: (f64, At),
     /// Lag of late over all leaves, and when last heard.
-    lag: Option<(f64, At)>,
+    lag: (f64, At),
     /// Time a leaf takes for a unit of work where nothing else is in its way.
     rate: Mark,
     fill: f64,
-    reviewing: bool,
     moved: bool,
 }
 
@@ -414,7 +407,7 @@
         let state = self.leaves.entry(id).or_default();
         if started > state.started {
             // A new process: what was held against the old one is void, and it is cold.
-            (state.faults, state.trial_at, state.wait) = (0.0, None, Span::ZERO);
+            (state.faults, state.trial_at) = (0.0, None);
         }
         (state.cell, state.listed, state.started) = (cell, up, started);
     }
@@ -449,8 +442,8 @@
 
     // Queries and parts.
 
-    /// How far a hint's distance from the usual is believed, in logarithms: hints of like queries were seen
-    /// to scatter threefold, their times by half, with hardly any tie between the two.
+    /// How far a hint's distance from the usual is believed, in logarithms: hints of like queries scatter
+    /// threefold, their times by half.
     const HINT_TRUST: f64 = 0.2;
     /// Weight of the newest hint in the usual one: some twenty queries make it.
     const HINT_STEP: f64 = 0.05;
@@ -478,16 +471,13 @@
         let stretch = Span::from_s(terms.slo_stretch * work.unwrap_or(0.0));
         let slo = now + (trade.counts() + stretch).min(terms.hard_limit);
         let ends = now + left;
+        let end = ends - self.tick;
+        let answer_by = (slo - self.tick * 3.0).min(end);
         let serial = self.mark();
-        let open = Open { serial, vertical: v, slo, ends, arrived: now, a_part, size, ..Open::default() };
+        let open =
+            Open { serial, vertical: v, slo, answer_by, ends, arrived: now, a_part, size, ..Open::default() };
         self.queries.insert(id, Open { first_whole: true, ..open });
-        // Rule 1 hangs on the later alarm alone, whatever comes of the calls. The answer has to travel: three
-        // ticks before the SLO time what is in is worth most.
-        let end = ends - self.tick;
-        self.wake(port, end, Box::new(move |root, port, now| root.settle(port, now, id, serial, true)));
-        let due = (slo - self.tick * 3.0).min(end);
-        self.wake(port, due, Box::new(move |root, port, now| root.settle(port, now, id, serial, false)));
-        self.review_later(port, now);
+        self.tend(port, now, id, serial);
     }
 
     pub fn part(
@@ -534,20 +524,6 @@
         (any, any && all && open.in_weight >= need)
     }
 
-    /// The SLO time is all but here, where a partial answer now earns more than a whole one late; or the
-    /// client's time is (`last`): the best answer the parts allow, or none.
-    fn settle(&mut self, port: &mut dyn Port, now: At, id: Query, serial: u64, last: bool) {
-        if self.queries.get(&id).is_none_or(|q| q.serial != serial) {
-            return;
-        }
-        let (any, whole) = self.answer(&self.queries[&id]);
-        if any {
-            self.merge(port, now, id, whole, last);
-        } else if last {
-            self.give_up(port, id, Span::ZERO);
-        }
-    }
-
     fn merge(&mut self, port: &mut dyn Port, now: At, id: Query, whole: bool, last: bool) {
         port.merge(id, whole);
         let (vertical, age) = (self.queries[&id].vertical, now - self.queries[&id].arrived);
@@ -584,13 +560,10 @@
         self.end(port, id);
     }
 
-    /// A leaf is given work that it should answer within a share of the time left. The share follows what
-    /// became of begun queries: down by a fifth for one that ends late, up by a hundredth for one in time, so
-    /// it settles where one in fifteen to twenty is late, between what leaves room for spread and what keeps
-    /// leaves busy.
+    /// A leaf is given work that it should answer within a share of the time left, between what leaves room
+    /// for spread and what keeps leaves busy. It settles where one begun query in fifteen to twenty is late.
     const FILL: (f64, f64) = (0.3, 0.7);
 
-    /// A begun query has ended, in time or not.
     fn judge(&mut self, in_time: bool) {
         let fill = if in_time { self.fill + 0.01 } else { self.fill * 0.8 };
         self.fill = fill.clamp(Self::FILL.0, Self::FILL.1);
@@ -719,17 +692,16 @@
                 state.faults *= 1.0 - LeafState::NEWEST;
                 let rate = self.rate.0.unwrap_or(pace);
                 let lag = (took - rate * ahead).max(0.0);
-                let usual = self.lag.map_or(0.0, |l| drained(l, now));
-                self.lag = Some((usual + Self::NEWEST_OF_ALL * (lag - usual), now));
+                let usual = drained(self.lag, now);
+                self.lag = (usual + Self::NEWEST_OF_ALL * (lag - usual), now);
                 let known = state.lag_now(now, rate, usual);
-                state.lag = Some((known + LeafState::NEWEST * (lag - known), now));
+                state.lag = (known + LeafState::NEWEST * (lag - known), now);
                 if state.faults < LeafState::FAULTY {
                     state.trial_at = None;
-                    state.wait = Span::ZERO;
                 }
                 self.overdue.see(pace, Mark::HIGH);
                 self.rate.see(pace, Mark::LOW);
-                self.carried = Some((carried + work / Self::FADE_S, now));
+                self.carried = (carried + work / Self::FADE_S, now);
                 // Only what had nothing of ours before it tells a part's own work.
                 if ahead < (work + self.cover.call_cost) * 1.01 {
                     self.trades[vertical.0 as usize]
@@ -749,7 +721,7 @@
             }
             Ending::NoRoom => {
                 let known = state.lag_now(now, self.rate.0.unwrap_or(1.0), 0.0);
-                state.lag = Some((known.max(LeafState::FULL_LAG_S), now));
+                state.lag = (known.max(LeafState::FULL_LAG_S), now);
             }
             Ending::TooSlow | Ending::Undone | Ending::Stale => {}
         }
@@ -782,7 +754,7 @@
         let open = self.queries.get_mut(&query).expect("unfinished parts have open queries");
         open.in_weight += weight;
         open.in_parts += 1;
-        let late = now >= open.slo - self.tick * 3.0;
+        let late = now >= open.answer_by;
         let (any, whole) = self.answer(&self.queries[&query]);
         let all = self.queries[&query].parts.iter().all(|p| self.parts[p].done);
         if whole || any && (late || all) {
@@ -849,7 +821,7 @@
             let usual: f64 = self.trades.iter().map(Trade::usual_work).sum();
             let a_part = usual / self.trades.len().max(1) as f64 * self.rate.0.unwrap_or(1.0);
             let others = (held - state.out.len() as f64).max(0.0);
-            state.lag = Some((others * a_part, now));
+            state.lag = (others * a_part, now);
         }
     }
 
@@ -873,8 +845,7 @@
     }
 
     /// What a leaf should answer within this share of the SLO time is never cut: there the design's plain
-    /// cover saves calls and holds nobody up. A twentieth did not earn more, a seventh cost the longest
-    /// queries much.
+    /// cover saves calls and holds nobody up. A twentieth earned no more and a fifth cost 0.03.
     const SOON_SHARE: f64 = 0.1;
     /// A holder expected to come to new work later than another by more than this share of the SLO time is no
     /// candidate: coverage decides among leaves that are about as free.
@@ -884,8 +855,7 @@
     const COPY_SHARE: f64 = 0.5;
 
     /// The modified greedy set cover of the design page over the parts given, all of one query. A query's
-    /// first calls go only when those of parts enough for an answer can: no work for one that is then turned
-    /// away.
+    /// first calls go only when those of parts enough for an answer can: else the work is lost.
     fn place(&mut self, port: &mut dyn Port, now: At, query: Query, parts: Vec<Part>) {
         let mut uncovered: Vec<Part> = parts.into_iter().filter(|&p| self.may_go(now, p)).collect();
         if self.tries.may_probe && !self.scouted(port, now, &uncovered) {
@@ -909,8 +879,9 @@
             let span = oldest.map_or(span, |age| span.min(age * Self::COPY_SHARE));
             let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
             let mut who = self.candidates(now, first, &plan);
-            let least = who.iter().map(|(l, _)| self.ready(now, *l, &plan)).min();
-            who.retain(|(l, _)| least.is_some_and(|least| self.ready(now, *l, &plan) <= least + behind));
+            let ready = |l: Leaf| self.expected(now, l, &plan, 0.0);
+            let least = who.iter().map(|(l, _)| ready(*l)).min().unwrap_or_default();
+            who.retain(|(l, _)| ready(*l) <= least + behind);
             for (leaf, room) in who {
                 let mut bundle = self.bundle(leaf, room, first, &uncovered);
                 if self.cut(now, leaf, &plan, &mut bundle, level, span) {
@@ -951,12 +922,10 @@
         parts.iter().map(|p| self.parts[p].work).sum()
     }
 
-    /// A bundle is cut to what its leaf should answer by the level: a query is as slow as its slowest bundle,
-    /// and one leaf covering much while others idle holds it up. False where not even one part is answered in
-    /// time.
+    /// A bundle is cut to what its leaf should answer by the level: a query is as slow as its slowest bundle.
+    /// False where not even one part is answered in time.
     fn cut(&self, now: At, leaf: Leaf, plan: &Plan, bundle: &mut Vec<Part>, level: Span, span: Span) -> bool {
-        let planned = plan.get(&leaf).map_or(0.0, |b| self.work(b) + self.cover.call_cost);
-        let takes = |b: &[Part]| self.expected(now, leaf, planned + self.work(b));
+        let takes = |b: &[Part]| self.expected(now, leaf, plan, self.work(b));
         while bundle.len() > 1 && takes(bundle) > span.min(level) {
             bundle.pop();
         }
@@ -966,7 +935,7 @@
     /// When all holders of the parts would have answered if the work could be spread evenly over them.
     fn level(&self, now: At, parts: &[Part]) -> Span {
         let usable = self.holders(parts).into_iter().filter(|l| self.leaves[l].trial_at.is_none());
-        let mut ready: Vec<f64> = usable.map(|l| self.expected(now, l, 0.0).s()).collect();
+        let mut ready: Vec<f64> = usable.map(|l| self.expected(now, l, &Plan::new(), 0.0).s()).collect();
         ready.sort_by(f64::total_cmp);
         let (mut sum, mut level) = (self.work(parts) * self.rate.0.unwrap_or(1.0), f64::INFINITY);
         for (n, at) in ready.into_iter().enumerate() {
@@ -979,20 +948,14 @@
         Span::from_s(level.min(1e6))
     }
 
-    /// When the leaf should come to a first new part.
-    fn ready(&self, now: At, leaf: Leaf, plan: &Plan) -> Span {
-        self.expected(now, leaf, plan.get(&leaf).map_or(0.0, |b| self.work(b)))
-    }
-
-    /// When the leaf should have answered so much more work.
-    fn expected(&self, now: At, leaf: Leaf, work: f64) -> Span {
+    /// When the leaf should have answered so much more work on top of what is planned for it.
+    fn expected(&self, now: At, leaf: Leaf, plan: &Plan, work: f64) -> Span {
         let state = &self.leaves[&leaf];
         let rate = self.rate.0.unwrap_or(1.0);
-        let usual = self.lag.map_or(0.0, |l| drained(l, now));
-        Span::from_s(
-            state.lag_now(now, rate, usual)
-                + rate * (state.work_out(self.cover.call_cost) + self.cover.call_cost + work),
-        )
+        let usual = drained(self.lag, now);
+        let planned = plan.get(&leaf).map_or(0.0, |b| self.work(b) + self.cover.call_cost);
+        let ahead = state.work_out(self.cover.call_cost) + planned + self.cover.call_cost + work;
+        Span::from_s(state.lag_now(now, rate, usual) + rate * ahead)
     }
 
     /// Parts that the leaf would take along with `first`, within its room for work.
@@ -1012,36 +975,29 @@
     }
 
     /// Holders of the part's shard that are candidates, each with its room for work (the first part always
-    /// fits). Narrowed in turn, the first three only while somebody is left: not waited for; not asked
-    /// already; not faulty, but for a trial by one part; not so cold that it has had its allowance.
+    /// fits). Narrowed in turn, where somebody is left: not asked already; not silent; not faulty, but for a
+    /// trial by one part. Never one waited for, or so cold that it has had its allowance.
     fn candidates(&self, now: At, id: Part, plan: &Plan) -> Vec<(Leaf, f64)> {
         let part = &self.parts[&id];
-        let asked = |l: &Leaf| part.sent.iter().any(|s| s.leaf == *l);
-        let pending = |l: &Leaf| part.sent.iter().any(|s| s.leaf == *l && s.out);
-        let mut who: Vec<Leaf> = self.cover.holders(part.shard).filter(|l| !pending(l)).collect();
-        if who.iter().any(|l| !asked(l)) {
-            who.retain(|l| !asked(l));
-        }
+        let mut who: Vec<Leaf> = self.cover.holders(part.shard).collect();
+        who.retain(|l| !part.sent.iter().any(|s| s.leaf == *l && s.out));
+        let narrow = |who: &mut Vec<Leaf>, keep: &dyn Fn(&Leaf) -> bool| {
+            if who.iter().any(keep) {
+                who.retain(keep);
+            }
+        };
+        narrow(&mut who, &|l| part.sent.iter().all(|s| s.leaf != *l));
         // Silent to a probe: gone, standing still, or out of reach.
-        let answers =
-            |l: &Leaf| !self.leaves[l].probed.is_some_and(|(at, out)| out && now - at >= Self::PROBE_WAIT);
-        if who.iter().any(answers) {
-            who.retain(answers);
-        }
+        let silent = |(at, out): (At, bool)| out && now - at >= Self::PROBE_WAIT;
+        narrow(&mut who, &|l| !self.leaves[l].probed.is_some_and(silent));
         // Also where over half of the leaves look bad: they may be bad for this co-ordinator alone.
-        let sound = |l: &Leaf| self.leaves[l].trial_at.is_none();
-        let mut trial = None;
-        if who.iter().any(sound) {
-            let due = |l: &&Leaf| {
-                let state = &self.leaves[*l];
-                state.out.is_empty() && !plan.contains_key(l) && state.trial_at.is_some_and(|t| t <= now)
-            };
-            let effect = self.terms(&self.queries[&part.query]).effect;
-            if part.sent.is_empty() && effect == Effect::Repeatable {
-                trial = who.iter().find(due).copied();
-            }
-            who.retain(sound);
-        }
+        let due = |l: &&Leaf| {
+            let state = &self.leaves[*l];
+            state.out.is_empty() && !plan.contains_key(l) && state.trial_at.is_some_and(|t| t <= now)
+        };
+        let repeatable = self.terms(&self.queries[&part.query]).effect == Effect::Repeatable;
+        let trial = who.iter().find(due).copied().filter(|_| part.sent.is_empty() && repeatable);
+        narrow(&mut who, &|l| self.leaves[l].trial_at.is_none());
         let room = |leaf: Leaf| {
             let state = &self.leaves[&leaf];
             match state.started.filter(|_| self.fail_back.is_cold(state.started, now)) {
@@ -1057,8 +1013,7 @@
         if let Some(leaf) = trial.filter(|&l| room(l) > 0.0) {
             return vec![(leaf, f64::MIN_POSITIVE)];
         }
-        let rooms = who.into_iter().map(|l| (l, room(l)));
-        rooms.filter(|(_, room)| *room > 0.0).collect()
+        who.into_iter().map(|l| (l, room(l))).filter(|(_, room)| *room > 0.0).collect()
     }
 
     /// Fading time of the carried rate: about the span of a burst.
@@ -1066,7 +1021,7 @@
 
     /// Work a second that all leaves carry for this co-ordinator.
     fn carried_now(&self, now: At) -> f64 {
-        self.carried.map_or(0.0, |(rate, at)| rate * (-(now - at).s() / Self::FADE_S).exp())
+        self.carried.0 * (-(now - self.carried.1).s() / Self::FADE_S).exp()
     }
 
     // Reviews: what no event brings up.
@@ -1074,41 +1029,29 @@
     /// Between two looks at what is overdue: a few ticks, far below any SLO time.
     const REVIEW: Span = Span::from_ms(50);
 
-    fn review_later(&mut self, port: &mut dyn Port, now: At) {
-        if !self.reviewing {
-            self.reviewing = true;
-            self.wake(port, now + Self::REVIEW, Box::new(Root::review));
-        }
-    }
-
-    fn review(&mut self, port: &mut dyn Port, now: At) {
-        self.reviewing = false;
-        self.moved = true;
-        for id in self.queries.keys().copied().collect::<Vec<_>>() {
-            self.review_query(port, now, id);
-        }
-        if !self.queries.is_empty() {
-            self.review_later(port, now);
-        }
-    }
-
     /// Where the mark for overdue calls starts: with a small part's work, a standstill of a healthy leaf fits.
     const FIRST_OVERDUE: f64 = 3.0;
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
     const WAIT_SHARE: f64 = 0.2;
 
-    fn review_query(&mut self, port: &mut dyn Port, now: At, id: Query) {
-        let open = &self.queries[&id];
+    /// Looks after one query until it ends: the best answer its parts allow when the SLO time is all but here,
+    /// or the client's time is (rule 1 hangs on this alone, whatever comes of the calls); no waiting for first
+    /// calls beyond patience; second copies of what is overdue, through the same cover.
+    fn tend(&mut self, port: &mut dyn Port, now: At, id: Query, serial: u64) {
+        let Some(open) = self.queries.get(&id).filter(|q| q.serial == serial) else { return };
+        let (end, answer_by) = (open.ends - self.tick, open.answer_by);
         let patience = (open.slo - open.arrived) * Self::WAIT_SHARE;
         let unsent = |p: &Part| self.parts[p].sent.is_empty();
-        if now - open.arrived > patience && open.parts.iter().all(unsent) {
-            return self.give_up(port, id, patience);
-        }
-        if now >= open.slo {
-            return;
+        let (any, whole) = self.answer(open);
+        if any && now >= answer_by {
+            self.merge(port, now, id, whole, now >= end);
+        } else if now >= end {
+            self.give_up(port, id, Span::ZERO);
+        } else if now - open.arrived > patience && open.parts.iter().all(unsent) {
+            self.give_up(port, id, patience);
         }
-        // Where the newest leaf call is overdue, a second copy goes through the same cover.
-        for part in open.parts.clone() {
+        let Some(open) = self.queries.get(&id) else { return };
+        for part in if now < open.slo { open.parts.clone() } else { Vec::new() } {
             let state = &self.parts[&part];
             let Some(nth) = state.sent.iter().rposition(|s| s.out) else { continue };
             let out = &self.leaves[&state.sent[nth].leaf].out[&(part, nth as u32)];
@@ -1117,6 +1060,10 @@
                 self.parts.get_mut(&part).expect("open queries hold their parts").waits = true;
             }
         }
+        self.moved = true;
+        let next = [now + Self::REVIEW, answer_by, end].into_iter().filter(|&t| t > now).min();
+        let then: Then = Box::new(move |root, port, now| root.tend(port, now, id, serial));
+        self.wake(port, next.expect("the next look is ahead"), then);
     }
 }
 
