--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -858,16 +858,19 @@
     /// first calls go only when those of parts enough for an answer can: else the work is lost.
     fn place(&mut self, port: &mut dyn Port, now: At, query: Query, parts: Vec<Part>) {
         let mut uncovered: Vec<Part> = parts.into_iter().filter(|&p| self.may_go(now, p)).collect();
-        if self.tries.may_probe && !self.scouted(port, now, &uncovered) {
+        let open = &self.queries[&query];
+        let fresh = open.parts.iter().all(|p| self.parts[p].sent.is_empty());
+        let behind = self.terms(open).slo * Self::BEHIND_SHARE;
+        // Probes have their price: none for first calls while leaves that answered came to work in time.
+        let calm = fresh && self.lag.0 < behind.s();
+        if self.tries.may_probe && !calm && !self.scouted(port, now, &uncovered) {
             return;
         }
         let open = &self.queries[&query];
         let due = if now < open.slo { open.slo } else { open.ends };
         let span = (due - now) * self.fill;
         let soon = self.terms(open).slo * Self::SOON_SHARE;
-        let behind = self.terms(open).slo * Self::BEHIND_SHARE;
         let level = self.level(now, &uncovered).max(soon);
-        let fresh = open.parts.iter().all(|p| self.parts[p].sent.is_empty());
         let mut plan = Plan::new();
         let mut stuck = 0.0;
         for _ in 0..Cover::ROUNDS {
