--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -862,7 +862,7 @@
         let fresh = open.parts.iter().all(|p| self.parts[p].sent.is_empty());
         let behind = self.terms(open).slo * Self::BEHIND_SHARE;
         // Probes have their price: none for first calls while leaves that answered came to work in time.
-        let calm = fresh && self.lag.0 < behind.s();
+        let calm = fresh && self.lag.0 < behind.s() && now - self.lag.1 < LeafState::KNOWN;
         if self.tries.may_probe && !calm && !self.scouted(port, now, &uncovered) {
             return;
         }
