--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -693,7 +693,7 @@
                 let rate = self.rate.0.unwrap_or(pace);
                 let lag = (took - rate * ahead).max(0.0);
                 let usual = drained(self.lag, now);
-                self.lag = (usual + Self::NEWEST_OF_ALL * (lag - usual), now);
+                self.lag = (self.lag.0 + Self::NEWEST_OF_ALL * (lag - self.lag.0), now);
                 let known = state.lag_now(now, rate, usual);
                 state.lag = (known + LeafState::NEWEST * (lag - known), now);
                 if state.faults < LeafState::FAULTY {
