--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -267,9 +267,7 @@
     }
 
     fn on_trouble(&mut self, now: At) {
-        if self.trial_at.is_none_or(|t| t <= now) {
-            self.trial_at = Some(now + Self::TRIAL_WAIT);
-        }
+        self.trial_at = Some(now + Self::TRIAL_WAIT);
     }
 }
 
@@ -704,9 +702,8 @@
                 self.carried = (carried + work / Self::FADE_S, now);
                 // Only what had nothing of ours before it tells a part's own work.
                 if ahead < (work + self.cover.call_cost) * 1.01 {
-                    self.trades[vertical.0 as usize]
-                        .work
-                        .see((took - self.cover.call_cost).max(took * 0.1), Mark::LOW);
+                    let own = (took - self.cover.call_cost).max(took * 0.1);
+                    self.trades[vertical.0 as usize].work.see(own, Mark::LOW);
                 }
             }
             Ending::Fault => {
@@ -720,8 +717,7 @@
                 state.on_trouble(now);
             }
             Ending::NoRoom => {
-                let known = state.lag_now(now, self.rate.0.unwrap_or(1.0), 0.0);
-                state.lag = (known.max(LeafState::FULL_LAG_S), now);
+                state.lag = (LeafState::FULL_LAG_S, now);
             }
             Ending::TooSlow | Ending::Undone | Ending::Stale => {}
         }
@@ -978,8 +974,8 @@
     }
 
     /// Holders of the part's shard that are candidates, each with its room for work (the first part always
-    /// fits). Narrowed in turn, where somebody is left: not asked already; not silent; not faulty, but for a
-    /// trial by one part. Never one waited for, or so cold that it has had its allowance.
+    /// fits). Narrowed in turn, where somebody is left: not asked already; not silent; not faulty of late. Never
+    /// one waited for, or so cold that it has had its allowance.
     fn candidates(&self, now: At, id: Part, plan: &Plan) -> Vec<(Leaf, f64)> {
         let part = &self.parts[&id];
         let mut who: Vec<Leaf> = self.cover.holders(part.shard).collect();
@@ -994,13 +990,7 @@
         let silent = |(at, out): (At, bool)| out && now - at >= Self::PROBE_WAIT;
         narrow(&mut who, &|l| !self.leaves[l].probed.is_some_and(silent));
         // Also where over half of the leaves look bad: they may be bad for this co-ordinator alone.
-        let due = |l: &&Leaf| {
-            let state = &self.leaves[*l];
-            state.out.is_empty() && !plan.contains_key(l) && state.trial_at.is_some_and(|t| t <= now)
-        };
-        let repeatable = self.terms(&self.queries[&part.query]).effect == Effect::Repeatable;
-        let trial = who.iter().find(due).copied().filter(|_| part.sent.is_empty() && repeatable);
-        narrow(&mut who, &|l| self.leaves[l].trial_at.is_none());
+        narrow(&mut who, &|l| self.leaves[l].trial_at.is_none_or(|t| t <= now));
         let room = |leaf: Leaf| {
             let state = &self.leaves[&leaf];
             match state.started.filter(|_| self.fail_back.is_cold(state.started, now)) {
@@ -1012,10 +1002,6 @@
                 }
             }
         };
-        // A trial takes precedence, so that trust comes back; the rest of the cover goes on without it.
-        if let Some(leaf) = trial.filter(|&l| room(l) > 0.0) {
-            return vec![(leaf, f64::MIN_POSITIVE)];
-        }
         who.into_iter().map(|l| (l, room(l))).filter(|(_, room)| *room > 0.0).collect()
     }
 
