--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -182,7 +182,8 @@
     /// Work that may go to the leaf now. `carried` is the work a second that a leaf carries for this
     /// co-ordinator: in use below capacity, so a careful stand-in for this co-ordinator's share of it. The
     /// slowest legal warming is assumed. The first part of a window always goes, alone.
-    fn room(&self, started: At, now: At, carried: f64, sent: &VecDeque<(At, f64)>) -> f64 {
+    fn room(&self, started: Option<At>, now: At, carried: f64, sent: &VecDeque<(At, f64)>) -> f64 {
+        let Some(started) = started.filter(|_| self.is_cold(started, now)) else { return f64::INFINITY };
         let age = ((now - started).s() / self.cold.s().max(1e-6)).clamp(0.0, 1.0);
         let share = self.cold_from + (1.0 - self.cold_from) * age;
         let before: f64 = sent.iter().filter(|(t, _)| now - *t <= self.window).map(|(_, w)| w).sum();
@@ -236,8 +237,7 @@
 }
 
 impl LeafState {
-    /// Share of faults from which a leaf is left out: two in a row, or a quarter over time; the stray error
-    /// of a good leaf stays below.
+    /// Share of faults from which a leaf is left out: two in a row; the stray error stays below.
     const FAULTY: f64 = 0.3;
     /// Weight of the newest answer in the share of faults and in the lag: five answers make a view.
     const NEWEST: f64 = 0.2;
@@ -251,7 +251,7 @@
     const KNOWN: Span = Span::from_ms(2000);
 
     /// The lag expected now: what was heard, drained, so that a leaf nobody dares ask is asked again
-    /// (ie11df8); what is out and not back shows a lag before any answer does.
+    /// (ie11df8); what is out and not back shows one before any answer does.
     fn lag_now(&self, now: At, rate: f64, usual: f64) -> f64 {
         let heard = if now - self.lag.1 < Self::KNOWN { drained(self.lag, now) } else { usual };
         self.out.values().map(|o| (now - o.at).s() - rate * o.ahead).fold(heard, f64::max)
@@ -645,8 +645,7 @@
         }
         part.sent.push(Sent { leaf, at: now, out: true, never_ran: false });
         part.waits = false;
-        let work = part.work;
-        let ends = open.ends;
+        let (work, ends) = (part.work, open.ends);
         let cold = self.fail_back.is_cold(self.leaves[&leaf].started, now);
         let state = self.leaves.get_mut(&leaf).expect("candidates are held");
         let before = if state.joining.0 == self.turn { state.joining.1 } else { 0 };
@@ -743,17 +742,15 @@
             let query = part.query;
             return self.check_hope(port, now, query);
         }
-        part.done = true;
-        part.waits = false;
+        (part.done, part.waits) = (true, false);
         let (query, weight) = (part.query, part.weight);
         self.withdraw(port, id);
         let open = self.queries.get_mut(&query).expect("unfinished parts have open queries");
         open.in_weight += weight;
         open.in_parts += 1;
-        let late = now >= open.answer_by;
-        let (any, whole) = self.answer(&self.queries[&query]);
-        let all = self.queries[&query].parts.iter().all(|p| self.parts[p].done);
-        if whole || any && (late || all) {
+        let open = &self.queries[&query];
+        let (any, whole) = self.answer(open);
+        if whole || any && (now >= open.answer_by || open.parts.iter().all(|p| self.parts[p].done)) {
             self.merge(port, now, query, whole, false);
         }
     }
@@ -772,8 +769,7 @@
 
     /// A report is good for so long: leaves make theirs anew about as often.
     const FRESH: Span = Span::from_ms(300);
-    /// A probe out for longer is held to be unanswered: several times the way there and back with a new
-    /// connection, little of any SLO time.
+    /// A probe out for longer is held to be unanswered: several times the way there and back.
     const PROBE_WAIT: Span = Span::from_ms(30);
 
     fn holders(&self, parts: &[Part]) -> BTreeSet<Leaf> {
@@ -832,8 +828,8 @@
         let mut order: Vec<(u64, Query)> = self.queries.iter().map(|(&id, q)| (q.serial, id)).collect();
         order.sort();
         for (_, query) in order {
-            let waits: Vec<Part> =
-                self.queries[&query].parts.iter().copied().filter(|p| self.parts[p].waits).collect();
+            let ours = self.queries[&query].parts.clone();
+            let waits: Vec<Part> = ours.into_iter().filter(|p| self.parts[p].waits).collect();
             if !waits.is_empty() {
                 self.place(port, now, query, waits);
             }
@@ -883,7 +879,12 @@
             who.retain(|(l, _)| ready(*l) <= least + behind);
             for (leaf, room) in who {
                 let mut bundle = self.bundle(leaf, room, first, &uncovered);
-                if self.cut(now, leaf, &plan, &mut bundle, level, span) {
+                let takes = |b: &[Part]| self.expected(now, leaf, &plan, self.work(b));
+                // A query is as slow as its slowest bundle; a leaf late even for one part is left out.
+                while bundle.len() > 1 && takes(&bundle) > span.min(level) {
+                    bundle.pop();
+                }
+                if takes(&bundle) <= span {
                     covers.push((leaf, bundle));
                 }
             }
@@ -921,17 +922,8 @@
         parts.iter().map(|p| self.parts[p].work).sum()
     }
 
-    /// A bundle is cut to what its leaf should answer by the level: a query is as slow as its slowest bundle.
-    /// False where not even one part is answered in time.
-    fn cut(&self, now: At, leaf: Leaf, plan: &Plan, bundle: &mut Vec<Part>, level: Span, span: Span) -> bool {
-        let takes = |b: &[Part]| self.expected(now, leaf, plan, self.work(b));
-        while bundle.len() > 1 && takes(bundle) > span.min(level) {
-            bundle.pop();
-        }
-        takes(bundle) <= span
-    }
-
-    /// When all holders of the parts would have answered if the work could be spread evenly over them.
+    /// When all holders of the parts would have answered if the work could be spread evenly over them: bundles
+    /// are cut to it.
     fn level(&self, now: At, parts: &[Part]) -> Span {
         let usable = self.holders(parts).into_iter().filter(|l| self.leaves[l].trial_at.is_none());
         let mut ready: Vec<f64> = usable.map(|l| self.expected(now, l, &Plan::new(), 0.0).s()).collect();
@@ -993,14 +985,9 @@
         narrow(&mut who, &|l| self.leaves[l].trial_at.is_none_or(|t| t <= now));
         let room = |leaf: Leaf| {
             let state = &self.leaves[&leaf];
-            match state.started.filter(|_| self.fail_back.is_cold(state.started, now)) {
-                None => f64::INFINITY,
-                Some(_) if plan.contains_key(&leaf) => 0.0,
-                Some(t) => {
-                    let a_leaf = self.carried_now(now) / self.listed.max(1) as f64;
-                    self.fail_back.room(t, now, a_leaf, &state.sent_cold)
-                }
-            }
+            let a_leaf = self.carried_now(now) / self.listed.max(1) as f64;
+            let room = self.fail_back.room(state.started, now, a_leaf, &state.sent_cold);
+            if room < f64::INFINITY && plan.contains_key(&leaf) { 0.0 } else { room }
         };
         who.into_iter().map(|l| (l, room(l))).filter(|(_, room)| *room > 0.0).collect()
     }
@@ -1013,9 +1000,9 @@
         self.carried.0 * (-(now - self.carried.1).s() / Self::FADE_S).exp()
     }
 
-    // Reviews: what no event brings up.
+    // What no event brings up.
 
-    /// Between two looks at what is overdue: a few ticks, far below any SLO time.
+    /// Between two looks at a query: a few ticks, far below any SLO time.
     const REVIEW: Span = Span::from_ms(50);
 
     /// Where the mark for overdue calls starts: with a small part's work, a standstill of a healthy leaf fits.
