--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -1008,7 +1008,7 @@
     /// Where the mark for overdue calls starts: with a small part's work, a standstill of a healthy leaf fits.
     const FIRST_OVERDUE: f64 = 3.0;
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
-    const WAIT_SHARE: f64 = 0.2;
+    const WAIT_SHARE: f64 = 0.1;
 
     /// Looks after one query until it ends: the best answer its parts allow when the SLO time is all but here,
     /// or the client's time is (rule 1 hangs on this alone, whatever comes of the calls); no waiting for first
