--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -467,8 +467,9 @@
         let size = a_part.map_or(1.0, |h| ((h.ln() - trade.hint.unwrap_or(h.ln())) * Self::HINT_TRUST).exp());
         let terms = &trade.terms;
         let stretch = Span::from_s(terms.slo_stretch * work.unwrap_or(0.0));
-        let slo = now + (trade.counts() + stretch).min(terms.hard_limit);
         let ends = now + left;
+        // Clients that come with little time left count until then: all shares of the SLO time are of that.
+        let slo = (now + (trade.counts() + stretch).min(terms.hard_limit)).min(ends);
         let end = ends - self.tick;
         let answer_by = (slo - self.tick * 3.0).min(end);
         let serial = self.mark();
@@ -852,7 +853,7 @@
         let mut uncovered: Vec<Part> = parts.into_iter().filter(|&p| self.may_go(now, p)).collect();
         let open = &self.queries[&query];
         let fresh = open.parts.iter().all(|p| self.parts[p].sent.is_empty());
-        let behind = self.terms(open).slo * Self::BEHIND_SHARE;
+        let behind = (open.slo - open.arrived) * Self::BEHIND_SHARE;
         // Probes have their price: none for first calls while leaves that answered came to work in time.
         let calm = fresh && self.lag.0 < behind.s() && now - self.lag.1 < LeafState::KNOWN;
         if self.tries.may_probe && !calm && !self.scouted(port, now, &uncovered) {
@@ -861,7 +862,7 @@
         let open = &self.queries[&query];
         let due = if now < open.slo { open.slo } else { open.ends };
         let span = (due - now) * self.fill;
-        let soon = self.terms(open).slo * Self::SOON_SHARE;
+        let soon = (open.slo - open.arrived) * Self::SOON_SHARE;
         let level = self.level(now, &uncovered).max(soon);
         let mut plan = Plan::new();
         let mut stuck = 0.0;
