--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -1008,6 +1008,9 @@
 
     /// Where the mark for overdue calls starts: with a small part's work, a standstill of a healthy leaf fits.
     const FIRST_OVERDUE: f64 = 3.0;
+    /// Out for this share of the SLO time a call is overdue whatever others took: where many calls are never
+    /// answered the mark runs away (id3caa8), and a copy later than this comes too late.
+    const LATEST_SHARE: f64 = 0.3;
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
     const WAIT_SHARE: f64 = 0.1;
 
@@ -1018,6 +1021,7 @@
         let Some(open) = self.queries.get(&id).filter(|q| q.serial == serial) else { return };
         let (end, answer_by) = (open.ends - self.tick, open.answer_by);
         let patience = (open.slo - open.arrived) * Self::WAIT_SHARE;
+        let latest = (open.slo - open.arrived) * Self::LATEST_SHARE;
         let unsent = |p: &Part| self.parts[p].sent.is_empty();
         let (any, whole) = self.answer(open);
         if any && now >= answer_by {
@@ -1032,7 +1036,7 @@
             let state = &self.parts[&part];
             let Some(nth) = state.sent.iter().rposition(|s| s.out) else { continue };
             let out = &self.leaves[&state.sent[nth].leaf].out[&(part, nth as u32)];
-            let late = (now - out.at).s() > out.ahead * self.overdue.0.unwrap_or(1.0);
+            let late = now - out.at > Span::from_s(out.ahead * self.overdue.0.unwrap_or(1.0)).min(latest);
             if late && !state.waits && self.may_go(now, part) {
                 self.parts.get_mut(&part).expect("open queries hold their parts").waits = true;
             }
