--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -1008,8 +1008,9 @@
 
     /// Where the mark for overdue calls starts: with a small part's work, a standstill of a healthy leaf fits.
     const FIRST_OVERDUE: f64 = 3.0;
-    /// Out for this share of the SLO time a call is overdue whatever others took: where many calls are never
-    /// answered the mark runs away (id3caa8), and a copy later than this comes too late.
+    /// With so many of a query's parts in, a call out for this share of the SLO time is overdue whatever others
+    /// took: the rest hangs on few, and where many calls are never answered the mark runs away (id3caa8).
+    const MOST_IN: f64 = 0.75;
     const LATEST_SHARE: f64 = 0.3;
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
     const WAIT_SHARE: f64 = 0.1;
@@ -1021,7 +1022,8 @@
         let Some(open) = self.queries.get(&id).filter(|q| q.serial == serial) else { return };
         let (end, answer_by) = (open.ends - self.tick, open.answer_by);
         let patience = (open.slo - open.arrived) * Self::WAIT_SHARE;
-        let latest = (open.slo - open.arrived) * Self::LATEST_SHARE;
+        let few = open.in_parts as f64 >= open.parts.len() as f64 * Self::MOST_IN;
+        let latest = (open.slo - open.arrived) * if few { Self::LATEST_SHARE } else { 1.0 };
         let unsent = |p: &Part| self.parts[p].sent.is_empty();
         let (any, whole) = self.answer(open);
         if any && now >= answer_by {
