--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -1010,8 +1010,8 @@
     const FIRST_OVERDUE: f64 = 3.0;
     /// With so many of a query's parts in, a call out for this share of the SLO time is overdue whatever others
     /// took: the rest hangs on few, and where many calls are never answered the mark runs away (id3caa8).
-    const MOST_IN: f64 = 0.75;
-    const LATEST_SHARE: f64 = 0.3;
+    const MOST_IN: f64 = 0.9;
+    const LATEST_SHARE: f64 = 0.35;
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
     const WAIT_SHARE: f64 = 0.1;
 
