--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -104,8 +104,7 @@
 }
 
 impl Cover {
-    /// Most rounds of one query in one turn (the design's k): twice what the longest queries seen need, so
-    /// it only stops a cover that makes no headway.
+    /// Most rounds of one query in a turn (the design's k): more than 200 parts need where two go together.
     const ROUNDS: usize = 128;
 
     pub fn new(cells: u32, span: u32, call_size: usize, call_cost: Span) -> Cover {
@@ -143,12 +142,8 @@
 
     fn left(&mut self, now: At) -> f64 {
         // An arrival on the window's edge is taken as out, a further call on it as in.
-        while self.taken.front().is_some_and(|&t| now - t >= self.span) {
-            self.taken.pop_front();
-        }
-        while self.further.front().is_some_and(|&t| now - t > self.span) {
-            self.further.pop_front();
-        }
+        self.taken.retain(|&t| now - t < self.span);
+        self.further.retain(|&t| now - t <= self.span);
         if self.span == Span::ZERO {
             return f64::INFINITY;
         }
@@ -265,17 +260,12 @@
     fn work_out(&self, call_cost: f64) -> f64 {
         self.out.values().map(|o| o.work).sum::<f64>() + call_cost * self.calls().len() as f64
     }
-
-    fn on_trouble(&mut self, now: At) {
-        self.trial_at = Some(now + Self::TRIAL_WAIT);
-    }
 }
 
 struct Sent {
     leaf: Leaf,
     at: At,
     out: bool,
-    /// Proved never to have run.
     never_ran: bool,
 }
 
@@ -440,8 +430,7 @@
 
     // Queries and parts.
 
-    /// How far a hint's distance from the usual is believed, in logarithms: hints of like queries scatter
-    /// threefold, their times by half.
+    /// How far a hint's distance from the usual is believed: hints scatter threefold, times by half.
     const HINT_TRUST: f64 = 0.2;
     /// Weight of the newest hint in the usual one: some twenty queries make it.
     const HINT_STEP: f64 = 0.05;
@@ -470,8 +459,7 @@
         let ends = now + left;
         // Clients that come with little time left count until then: all shares of the SLO time are of that.
         let slo = (now + (trade.counts() + stretch).min(terms.hard_limit)).min(ends);
-        let end = ends - self.tick;
-        let answer_by = (slo - self.tick * 3.0).min(end);
+        let answer_by = (slo - self.tick * 3.0).min(ends - self.tick);
         let serial = self.mark();
         let open =
             Open { serial, vertical: v, slo, answer_by, ends, arrived: now, a_part, size, ..Open::default() };
@@ -709,12 +697,12 @@
             Ending::Fault => {
                 state.faults += LeafState::NEWEST * (1.0 - state.faults);
                 if state.faults >= LeafState::FAULTY {
-                    state.on_trouble(now);
+                    state.trial_at = Some(now + LeafState::TRIAL_WAIT);
                 }
             }
             Ending::NoRoute | Ending::Cut => {
                 state.faults = state.faults.max(2.0 * LeafState::FAULTY);
-                state.on_trouble(now);
+                state.trial_at = Some(now + LeafState::TRIAL_WAIT);
             }
             Ending::NoRoom => {
                 state.lag = (LeafState::FULL_LAG_S, now);
@@ -801,7 +789,7 @@
         let Some(state) = self.leaves.get_mut(&leaf) else { return };
         match ending {
             Ending::TooSlow => {}
-            Ending::NoRoute | Ending::Cut => state.on_trouble(now),
+            Ending::NoRoute | Ending::Cut => state.trial_at = Some(now + LeafState::TRIAL_WAIT),
             _ => state.probed = state.probed.map(|(at, _)| (at, false)),
         }
         self.moved = true;
@@ -810,12 +798,11 @@
     /// What a leaf reports to hold: parts waiting, or in hand.
     pub fn load_report(&mut self, now: At, leaf: Leaf, waiting: Option<f64>, in_hand: Option<f64>) {
         let (Some(state), Some(held)) = (self.leaves.get_mut(&leaf), in_hand.or(waiting)) else { return };
-        if self.tries.may_probe {
-            let usual: f64 = self.trades.iter().map(Trade::usual_work).sum();
-            let a_part = usual / self.trades.len().max(1) as f64 * self.rate.0.unwrap_or(1.0);
-            let others = (held - state.out.len() as f64).max(0.0);
-            state.lag = (others * a_part, now);
-        }
+        let usual: f64 = self.trades.iter().map(Trade::usual_work).sum();
+        let a_part = usual / self.trades.len().max(1) as f64 * self.rate.0.unwrap_or(1.0);
+        let others = (held - state.out.len() as f64).max(0.0);
+        // Reports that come with answers are older than the answer itself: only a probe's sets the lag.
+        state.lag = if self.tries.may_probe { (others * a_part, now) } else { state.lag };
     }
 
     // The cover.
@@ -1001,8 +988,6 @@
         self.carried.0 * (-(now - self.carried.1).s() / Self::FADE_S).exp()
     }
 
-    // What no event brings up.
-
     /// Between two looks at a query: a few ticks, far below any SLO time.
     const REVIEW: Span = Span::from_ms(50);
 
