--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -842,14 +842,14 @@
         let fresh = open.parts.iter().all(|p| self.parts[p].sent.is_empty());
         let behind = (open.slo - open.arrived) * Self::BEHIND_SHARE;
         // Probes have their price: none for first calls while leaves that answered came to work in time.
-        let calm = fresh && self.lag.0 < behind.s() && now - self.lag.1 < LeafState::KNOWN;
+        let soon = (open.slo - open.arrived) * Self::SOON_SHARE;
+        let calm = fresh && self.lag.0 < soon.s() && now - self.lag.1 < LeafState::KNOWN;
         if self.tries.may_probe && !calm && !self.scouted(port, now, &uncovered) {
             return;
         }
         let open = &self.queries[&query];
         let due = if now < open.slo { open.slo } else { open.ends };
         let span = (due - now) * self.fill;
-        let soon = (open.slo - open.arrived) * Self::SOON_SHARE;
         let level = self.level(now, &uncovered).max(soon);
         let mut plan = Plan::new();
         let mut stuck = 0.0;
