--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -80,8 +80,8 @@
     /// What a part takes where nothing is in its way: low enough that waiting hardly enters, high enough that
     /// a warm key does not set it.
     const LOW: f64 = 0.1;
-    /// What one answer in so many outlasts is overdue.
-    const HIGH: f64 = 0.97;
+    /// What one answer in seventy outlasts is overdue: with a thirtieth, quiet days paid for copies.
+    const HIGH: f64 = 0.985;
     /// A step as a share of the mark: in a jam, where no answer is below, hundreds must come to double a low.
     const STEP: f64 = 0.03;
 
