--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -134,7 +134,6 @@
 }
 
 impl Budget {
-    /// With no window stated there is no budget.
     pub fn new(share: f64, free: f64, span: Option<Span>) -> Budget {
         let span = span.unwrap_or(Span::ZERO);
         Budget { share, free, span, taken: VecDeque::new(), further: VecDeque::new() }
@@ -187,7 +186,6 @@
     }
 }
 
-/// How often and how a part may go.
 #[derive(Default)]
 pub struct Tries {
     pub limit: u32,
@@ -241,8 +239,8 @@
     const FULL_LAG_S: f64 = 2.0;
     /// A faulty leaf is tried again after this: short against a day's troubles, long against a part.
     const TRIAL_WAIT: Span = Span::from_ms(1000);
-    /// What was heard of one leaf counts for so long, then what was heard of all: at a grown size a leaf is met
-    /// once in half a minute, and nobody knows it.
+    /// What was heard of one leaf counts for so long, then what was heard of all: at a grown size a leaf is
+    /// met once in half a minute.
     const KNOWN: Span = Span::from_ms(2000);
 
     /// The lag expected now: what was heard, drained, so that a leaf nobody dares ask is asked again
@@ -784,7 +782,6 @@
         all
     }
 
-    /// The end of a probe.
     pub fn probed(&mut self, now: At, leaf: Leaf, ending: Ending) {
         let Some(state) = self.leaves.get_mut(&leaf) else { return };
         match ending {
@@ -795,7 +792,6 @@
         self.moved = true;
     }
 
-    /// What a leaf reports to hold: parts waiting, or in hand.
     pub fn load_report(&mut self, now: At, leaf: Leaf, waiting: Option<f64>, in_hand: Option<f64>) {
         let (Some(state), Some(held)) = (self.leaves.get_mut(&leaf), in_hand.or(waiting)) else { return };
         let usual: f64 = self.trades.iter().map(Trade::usual_work).sum();
@@ -910,8 +906,7 @@
         parts.iter().map(|p| self.parts[p].work).sum()
     }
 
-    /// When all holders of the parts would have answered if the work could be spread evenly over them: bundles
-    /// are cut to it.
+    /// When all holders of the parts would have answered if the work could be spread evenly over them.
     fn level(&self, now: At, parts: &[Part]) -> Span {
         let usable = self.holders(parts).into_iter().filter(|l| self.leaves[l].trial_at.is_none());
         let mut ready: Vec<f64> = usable.map(|l| self.expected(now, l, &Plan::new(), 0.0).s()).collect();
@@ -954,8 +949,8 @@
     }
 
     /// Holders of the part's shard that are candidates, each with its room for work (the first part always
-    /// fits). Narrowed in turn, where somebody is left: not asked already; not silent; not faulty of late. Never
-    /// one waited for, or so cold that it has had its allowance.
+    /// fits). Narrowed in turn, where somebody is left: not asked already; not silent; not faulty of late.
+    /// Never one waited for, or so cold that it has had its allowance.
     fn candidates(&self, now: At, id: Part, plan: &Plan) -> Vec<(Leaf, f64)> {
         let part = &self.parts[&id];
         let mut who: Vec<Leaf> = self.cover.holders(part.shard).collect();
@@ -983,7 +978,6 @@
     /// Fading time of the carried rate: about the span of a burst.
     const FADE_S: f64 = 8.0;
 
-    /// Work a second that all leaves carry for this co-ordinator.
     fn carried_now(&self, now: At) -> f64 {
         self.carried.0 * (-(now - self.carried.1).s() / Self::FADE_S).exp()
     }
@@ -991,18 +985,20 @@
     /// Between two looks at a query: a few ticks, far below any SLO time.
     const REVIEW: Span = Span::from_ms(50);
 
-    /// Where the mark for overdue calls starts: with a small part's work, a standstill of a healthy leaf fits.
+    /// Where the mark for overdue calls starts: a small part's work and a leaf's standstill fit below.
     const FIRST_OVERDUE: f64 = 3.0;
-    /// With so many of a query's parts in, a call out for this share of the SLO time is overdue whatever others
-    /// took: the rest hangs on few, and where many calls are never answered the mark runs away (id3caa8).
+    /// With so many of a query's parts in, a call out for this share of the SLO time is overdue whatever
+    /// others took: where many calls are never answered the mark runs away (id3caa8).
     const MOST_IN: f64 = 0.9;
     const LATEST_SHARE: f64 = 0.35;
+    /// Part of a healthy leaf's standstill, on top of that: quiet days paid for copies without it.
+    const GRACE: Span = Span::from_ms(100);
     /// Of an SLO time, the share up to which a query may wait for its first calls before it is turned away.
     const WAIT_SHARE: f64 = 0.1;
 
-    /// Looks after one query until it ends: the best answer its parts allow when the SLO time is all but here,
-    /// or the client's time is (rule 1 hangs on this alone, whatever comes of the calls); no waiting for first
-    /// calls beyond patience; second copies of what is overdue, through the same cover.
+    /// Looks after one query until it ends: the best answer its parts allow when the SLO time or the client's
+    /// is all but here (rule 1 hangs on this alone, whatever comes of the calls); no waiting for first calls
+    /// beyond patience; second copies of what is overdue, through the same cover.
     fn tend(&mut self, port: &mut dyn Port, now: At, id: Query, serial: u64) {
         let Some(open) = self.queries.get(&id).filter(|q| q.serial == serial) else { return };
         let (end, answer_by) = (open.ends - self.tick, open.answer_by);
@@ -1023,7 +1019,8 @@
             let state = &self.parts[&part];
             let Some(nth) = state.sent.iter().rposition(|s| s.out) else { continue };
             let out = &self.leaves[&state.sent[nth].leaf].out[&(part, nth as u32)];
-            let late = now - out.at > Span::from_s(out.ahead * self.overdue.0.unwrap_or(1.0)).min(latest);
+            let late = now - out.at
+                > (Span::from_s(out.ahead * self.overdue.0.unwrap_or(1.0)) + Self::GRACE).min(latest);
             if late && !state.waits && self.may_go(now, part) {
                 self.parts.get_mut(&part).expect("open queries hold their parts").waits = true;
             }
