--- a/crates/pipitcrank-simhost/tests/wire.rs
+++ b/crates/pipitcrank-simhost/tests/wire.rs
@@ -83,6 +83,11 @@
         (start() + "MARK t_s=6\nFINISHED i=co_0 job=p over=1 result=melted trial=0\n", "line 9", "'result'"),
         (start() + "MARK t_s=6\nFINISHED i=co_0 job=p over=1 result=pass\n", "line 9", "'trial'"),
         (start() + "MARK t_s=6\nSURPRISE i=co_0\n", "line 9", "SURPRISE"),
+        (
+            start() + "MARK t_s=6\nHEALTH i=co_0 replica=10.0.0.1:5001 result=pass feedback=backlog:x\n",
+            "line 9",
+            "'feedback'",
+        ),
         (start() + "MARK t_s=6\n" + &ASK.replace("class=view", "class=none"), "line 9", "'class'"),
         (start() + "MARK t_s=6\n" + ASK + ASK, "line 12", "'job'"),
         (start() + "MARK t_s=6\nDISCOVERY i=co_0 scope=Partial epoch=2 ref=5\n", "line 9", "'ref'"),
