--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -2,9 +2,9 @@
 //!
 //! A caller makes one `Root` per co-ordinator from what it is told at start, names the verticals in order
 //! with `vertical`, and hands in each event as it comes: `list_begin`/`leaf`/`list_end` for the list of
-//! leaves, `query` and `part` for what is asked, `ended` for each leaf call, `gone`, `woken`. After the
-//! events of one moment it calls `turn` once. All that the module wants done goes out through `port::Port`;
-//! the ids are small indices (`ids.rs`) that the caller may use again once they are let go of.
+//! leaves, `query` and `part` for what is asked, `ended` for each leaf call, `probed`, `load_report`, `gone`,
+//! `woken`. After the events of one moment it calls `turn` once. All it wants done goes out through
+//! `port::Port`; ids are small indices (`ids.rs`) that the caller may use again once they are let go of.
 
 #![allow(clippy::too_many_arguments)] // a decoded field goes straight into a call
 
