--- a/crates/pipitcrank/tests/cases.rs
+++ b/crates/pipitcrank/tests/cases.rs
@@ -86,15 +86,20 @@
     assert!(whole > 50 && split > 50, "both near-ties are taken: {whole} and {split}");
 }
 
-#[test]
-fn at_most_k_rounds_a_turn_and_the_rest_is_placed_anew() {
-    let mut tape = Tape::default();
-    let mut root = helper::root_on(160, 1, 1, 2, true, false);
+/// A root over so many leaves, each the only holder of its shards.
+fn lone_holders(count: u32) -> (Root, Tape) {
+    let (mut root, mut tape) = (helper::root_on(count, 1, 1, 2, true, false), Tape::default());
     root.list_begin(true);
-    for n in 0..160 {
+    for n in 0..count {
         root.leaf(Leaf(n), n, true, None);
     }
     root.list_end(&mut tape);
+    (root, tape)
+}
+
+#[test]
+fn at_most_k_rounds_a_turn_and_the_rest_is_placed_anew() {
+    let (mut root, mut tape) = lone_holders(160);
     let shards: Vec<u32> = (0..160).collect();
     ask(&mut root, &mut tape, 0, 0, 0, &shards);
     let first = turned(&mut root, 0).calls();
@@ -315,13 +320,7 @@
 #[test]
 fn a_leaf_not_heard_of_is_held_to_lag_as_all_did() {
     // At the grown size a co-ordinator meets a leaf once in half a minute; in i4a20e0 all of them were late.
-    let mut root = helper::root_on(40, 1, 1, 2, true, false);
-    let mut tape = Tape::default();
-    root.list_begin(true);
-    for n in 0..40 {
-        root.leaf(Leaf(n), n, true, None);
-    }
-    root.list_end(&mut tape);
+    let (mut root, mut tape) = lone_holders(40);
     let shards: Vec<u32> = (0..39).collect();
     ask(&mut root, &mut tape, 0, 0, 0, &shards);
     turned(&mut root, 0);
