--- /dev/null
+++ b/crates/pipitcrank-node/src/ends.rs
@@ -0,0 +1,73 @@
+//! How things end on the network: every way in which a connection can end is one value of one type, and what
+//! that means for a leaf call is said here and nowhere else.
+
+use pipitcrank::ids::Ending;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The other side would not have it.
+    Refused,
+    /// Not up within the time told for it.
+    NeverUp,
+    /// None was opened: our own share of sockets is used up.
+    NoSocket,
+    /// The other side closed it in order.
+    Closed,
+    /// It broke.
+    Reset,
+    /// The other side sent what the protocol does not know.
+    BadBytes,
+    /// The other side could not use what we sent.
+    Complaint,
+    /// Nothing came for longer than the other side may be silent.
+    Silent,
+    /// We closed it: idle for nearly as long as the other side keeps it.
+    Idle,
+    /// We closed it: the other side is not needed any more.
+    LetGo,
+}
+
+impl ConnectionEnd {
+    pub fn name(self) -> &'static str {
+        match self {
+            ConnectionEnd::Refused => "refused",
+            ConnectionEnd::NeverUp => "never_up",
+            ConnectionEnd::NoSocket => "no_socket",
+            ConnectionEnd::Closed => "closed",
+            ConnectionEnd::Reset => "reset",
+            ConnectionEnd::BadBytes => "bad_bytes",
+            ConnectionEnd::Complaint => "complaint",
+            ConnectionEnd::Silent => "silent",
+            ConnectionEnd::Idle => "idle",
+            ConnectionEnd::LetGo => "let_go",
+        }
+    }
+
+    /// What it means for a leaf call on it. Until its frame is written whole a call can't have run.
+    pub fn ending(self, written: bool) -> Ending {
+        if written { Ending::Cut } else { Ending::NoRoute }
+    }
+}
+
+/// The leaf's own words for how a part ended.
+pub fn ending_of(word: &str) -> Option<Ending> {
+    match word {
+        "ok" => Some(Ending::Pass),
+        "err" => Some(Ending::Fault),
+        "busy" => Some(Ending::NoRoom),
+        _ => None,
+    }
+}
+
+pub fn ending_name(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Pass => "pass",
+        Ending::Fault => "fault",
+        Ending::NoRoom => "no_room",
+        Ending::TooSlow => "too_slow",
+        Ending::NoRoute => "no_route",
+        Ending::Cut => "cut",
+        Ending::Undone => "undone",
+        Ending::Stale => "stale",
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -0,0 +1,474 @@
+//! Where the client side and the leaf side meet: queries come in with what to do with their answer, calls go out,
+//! what becomes of them comes back. It holds the decision module and no socket; it is driven by hand in tests.
+//!
+//! Whatever happens is put into the inbox as it comes. `turn` hands all of it to the module, then what is due by
+//! the clock, lets the module place what waits, and passes on what it wants done. Nothing is decided here.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use pipitcrank::decide::Root;
+use pipitcrank::ids::{Ending, Leaf, Part, Query, Vertical};
+use pipitcrank::names::Names;
+use pipitcrank::port::Port;
+use pipitcrank::time::{At, Span};
+
+use crate::counters::Counters;
+use crate::ends::ending_name;
+use crate::frames::{CallPart, Report};
+
+/// A query as a client asked it.
+pub struct Asked {
+    pub id: String,
+    pub vertical: Vertical,
+    pub ends: At,
+    pub parts: Vec<AskedPart>,
+    pub text: Arc<str>,
+}
+
+pub struct AskedPart {
+    pub shard: u32,
+    pub weight: f64,
+    /// The client's guess at the work, in seconds.
+    pub work: Option<f64>,
+}
+
+/// The one final answer to a query.
+#[derive(Debug, PartialEq)]
+pub enum Final {
+    Merged {
+        whole: bool,
+        hits: Vec<(u32, String)>,
+    },
+    Rejected {
+        stay_away: Span,
+    },
+    Aborted,
+    /// It repeats the id of one that is held.
+    Repeated,
+}
+
+/// What a query leaves behind for its final answer.
+pub type Then = Box<dyn FnOnce(Final)>;
+
+/// One entry of discovery's list.
+pub struct Listed {
+    pub uid: String,
+    pub address: Option<SocketAddr>,
+    pub cell: u32,
+    pub up: bool,
+    pub started: Option<At>,
+}
+
+/// One part's leaf call, by its number among the part's calls.
+pub type CallNo = (Part, u32);
+
+/// What the exchange wants done on the leaf side.
+pub trait LeafSide {
+    /// The leaf is reached at that address from now on.
+    fn meet(&mut self, leaf: Leaf, address: SocketAddr);
+    /// The leaf will not be named again.
+    fn let_go(&mut self, leaf: Leaf);
+    /// One call that carries these parts. They go through `Exchange::release` before the first byte is written.
+    fn call(&mut self, leaf: Leaf, parts: Vec<CallNo>);
+    /// Nobody waits for the part any more.
+    fn give_up(&mut self, leaf: Leaf, call: CallNo);
+    fn probe(&mut self, leaf: Leaf);
+}
+
+enum Happened {
+    Asked(u64, Asked, Then),
+    Gone(u64),
+    Ended(Leaf, CallNo, Ending, Option<String>, Option<Report>),
+    Probed(Leaf, Ending, Option<Report>),
+    List(At, bool, Vec<Listed>),
+}
+
+struct HeldQuery {
+    ticket: u64,
+    then: Option<Then>,
+    /// In the order asked.
+    parts: Vec<u32>,
+}
+
+struct HeldPart {
+    id: Rc<str>,
+    query: u32,
+    shard: u32,
+    text: Arc<str>,
+    value: Option<String>,
+    calls: u32,
+}
+
+struct HeldLeaf {
+    address: Option<SocketAddr>,
+    /// When this co-ordinator was told that it drains or is gone, until it is listed as up again.
+    off: Option<At>,
+}
+
+struct Out {
+    leaf: Leaf,
+    until: At,
+}
+
+/// What the module asked for, until the turn is over.
+enum Wish {
+    Call(Leaf, CallNo),
+    GiveUp(Leaf, CallNo),
+    Probe(Leaf),
+    Meet(Leaf, SocketAddr),
+    LetGo(Leaf),
+}
+
+struct Desk {
+    queries: Names,
+    parts: Names,
+    leaves: Names,
+    /// By index; each ends when the module lets go of it.
+    held_queries: BTreeMap<u32, HeldQuery>,
+    held_parts: BTreeMap<u32, HeldPart>,
+    held_leaves: BTreeMap<u32, HeldLeaf>,
+    /// Queries by the front's ticket; an entry ends with its query.
+    tickets: BTreeMap<u64, u32>,
+    /// Leaf calls out, and when waiting for them ends; emptied by their ends.
+    out: BTreeMap<CallNo, Out>,
+    untils: BTreeSet<(At, CallNo)>,
+    /// Alarms; emptied as they ring.
+    alarms: BTreeSet<(At, u64)>,
+    /// Emptied at each turn's end.
+    wishes: Vec<Wish>,
+    counters: Counters,
+}
+
+impl Desk {
+    /// Ends a call for the outside; false if it has ended before.
+    fn close(&mut self, call: CallNo) -> Option<Leaf> {
+        let Out { leaf, until } = self.out.remove(&call)?;
+        self.untils.remove(&(until, call));
+        Some(leaf)
+    }
+
+    fn finish(&mut self, query: Query, last: Final, word: &'static str) {
+        self.counters.add("queries", word);
+        let held = self.held_queries.get_mut(&query.0);
+        if let Some(then) = held.and_then(|held| held.then.take()) {
+            then(last);
+        }
+    }
+}
+
+impl Port for Desk {
+    fn leaf_call(&mut self, part: Part, leaf: Leaf, until: At) {
+        let held = self.held_parts.get_mut(&part.0).expect("called parts are held");
+        let call = (part, held.calls);
+        held.calls += 1;
+        self.out.insert(call, Out { leaf, until });
+        self.untils.insert((until, call));
+        self.wishes.push(Wish::Call(leaf, call));
+    }
+
+    fn abandon(&mut self, part: Part, nth: u32) {
+        if let Some(leaf) = self.out.get(&(part, nth)).map(|out| out.leaf) {
+            self.wishes.push(Wish::GiveUp(leaf, (part, nth)));
+        }
+    }
+
+    fn merge(&mut self, query: Query, whole: bool) {
+        let parts = self.held_queries.get(&query.0).map(|q| &q.parts[..]).unwrap_or_default();
+        let hits = parts.iter().filter_map(|p| {
+            let part = self.held_parts.get_mut(p)?;
+            Some((part.shard, part.value.take()?))
+        });
+        let hits = hits.collect();
+        self.finish(query, Final::Merged { whole, hits }, if whole { "merged" } else { "merged_in_part" });
+    }
+
+    fn reject(&mut self, query: Query, stay_away: Span) {
+        self.finish(query, Final::Rejected { stay_away }, "rejected");
+    }
+
+    fn abort(&mut self, query: Query) {
+        self.finish(query, Final::Aborted, "aborted");
+    }
+
+    fn wake_me(&mut self, at: At, label: u64) {
+        self.alarms.insert((at, label));
+    }
+
+    fn probe(&mut self, leaf: Leaf) {
+        self.wishes.push(Wish::Probe(leaf));
+    }
+
+    fn watch(&mut self) {} // Discovery is always watched.
+
+    fn note(&mut self, text: &str) {
+        log::info!("{text}");
+    }
+
+    fn let_go_query(&mut self, query: Query) {
+        self.queries.leave(query.0);
+        if let Some(held) = self.held_queries.remove(&query.0) {
+            self.tickets.remove(&held.ticket);
+        }
+    }
+
+    fn let_go_part(&mut self, part: Part) {
+        self.parts.leave(part.0);
+        self.held_parts.remove(&part.0);
+    }
+
+    fn let_go_leaf(&mut self, leaf: Leaf) {
+        self.leaves.leave(leaf.0);
+        self.held_leaves.remove(&leaf.0);
+        self.wishes.push(Wish::LetGo(leaf));
+    }
+}
+
+pub struct Exchange {
+    root: Root,
+    desk: Desk,
+    /// Emptied at each turn.
+    inbox: Vec<Happened>,
+    most_open: usize,
+    call_size: usize,
+    drain_grace: Span,
+}
+
+impl Exchange {
+    pub fn new(
+        root: Root,
+        most_open: usize,
+        call_size: usize,
+        drain_grace: Span,
+        counters: Counters,
+    ) -> Exchange {
+        let desk = Desk {
+            queries: Names::default(),
+            parts: Names::default(),
+            leaves: Names::default(),
+            held_queries: BTreeMap::new(),
+            held_parts: BTreeMap::new(),
+            held_leaves: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            out: BTreeMap::new(),
+            untils: BTreeSet::new(),
+            alarms: BTreeSet::new(),
+            wishes: Vec::new(),
+            counters,
+        };
+        let call_size = call_size.max(1);
+        Exchange { root, desk, inbox: Vec::new(), most_open, call_size, drain_grace }
+    }
+
+    // What happens outside.
+
+    /// A query came in; the ticket, which is never used again, stands for it until its final answer.
+    pub fn asked(&mut self, ticket: u64, asked: Asked, then: Then) {
+        self.inbox.push(Happened::Asked(ticket, asked, then));
+    }
+
+    pub fn client_gone(&mut self, ticket: u64) {
+        self.inbox.push(Happened::Gone(ticket));
+    }
+
+    /// A leaf call ended; only its first end counts.
+    pub fn ended(&mut self, call: CallNo, ending: Ending, value: Option<String>, report: Option<Report>) {
+        if let Some(leaf) = self.desk.close(call) {
+            self.inbox.push(Happened::Ended(leaf, call, ending, value, report));
+        }
+    }
+
+    pub fn probed(&mut self, leaf: Leaf, ending: Ending, report: Option<Report>) {
+        self.inbox.push(Happened::Probed(leaf, ending, report));
+    }
+
+    /// News of the list of leaves; a whole list names all there are.
+    pub fn list(&mut self, now: At, whole: bool, rows: Vec<Listed>) {
+        self.inbox.push(Happened::List(now, whole, rows));
+    }
+
+    // What the outside asks.
+
+    /// Whether a query taken now could be served: some leaf is listed as up.
+    pub fn able(&self) -> bool {
+        self.desk.held_leaves.values().any(|l| l.off.is_none())
+    }
+
+    /// Whether nothing is held that a client waits for.
+    pub fn quiet(&self) -> bool {
+        self.inbox.is_empty() && self.desk.held_queries.is_empty()
+    }
+
+    pub fn idle(&self) -> bool {
+        self.inbox.is_empty()
+    }
+
+    pub fn is_out(&self, call: CallNo) -> bool {
+        self.desk.out.contains_key(&call)
+    }
+
+    /// When the next turn is due if nothing happens before.
+    pub fn next_turn(&self) -> Option<At> {
+        let until = self.desk.untils.first().map(|u| u.0);
+        self.desk.alarms.first().map(|a| a.0).into_iter().chain(until).min()
+    }
+
+    /// The last look just before a call's first byte is written: what of it may still go, and how. Guards against
+    /// frames held up on the way to the socket while their query ended, their time ran out, or their leaf drained:
+    /// those count as never run.
+    pub fn release(&mut self, now: At, leaf: Leaf, parts: &mut Vec<CallNo>) -> Vec<CallPart> {
+        let held = self.desk.held_leaves.get(&leaf.0);
+        let drained = held.is_none_or(|l| l.off.is_some_and(|at| now - at >= self.drain_grace));
+        let mut going = Vec::new();
+        parts.retain(|&call| {
+            let Some(Out { until, .. }) = self.desk.out.get(&call) else { return false };
+            let part = &self.desk.held_parts[&call.0.0];
+            let open = self.desk.held_queries.contains_key(&part.query);
+            if drained || !open || now >= *until {
+                self.ended(call, Ending::Stale, None, None);
+                return false;
+            }
+            let wait = *until - now;
+            going.push(CallPart { id: part.id.clone(), shard: part.shard, wait, text: part.text.clone() });
+            true
+        });
+        going
+    }
+
+    // Turns.
+
+    pub fn turn(&mut self, now: At, leaf_side: &mut dyn LeafSide) {
+        for happened in std::mem::take(&mut self.inbox) {
+            self.hand_in(now, happened);
+        }
+        while let Some((_, label)) = self.desk.alarms.first().copied().filter(|a| a.0 <= now) {
+            self.desk.alarms.pop_first();
+            self.root.woken(&mut self.desk, now, label);
+        }
+        while let Some((_, call)) = self.desk.untils.first().copied().filter(|u| u.0 <= now) {
+            if let Some(leaf) = self.desk.close(call) {
+                self.desk.wishes.push(Wish::GiveUp(leaf, call));
+                self.end_call(now, call, Ending::TooSlow, None);
+            }
+        }
+        self.root.turn(&mut self.desk, now);
+        self.carry_out(leaf_side);
+    }
+
+    fn hand_in(&mut self, now: At, happened: Happened) {
+        match happened {
+            Happened::Asked(ticket, asked, then) => self.take(now, ticket, asked, then),
+            Happened::Gone(ticket) => {
+                if let Some(&query) = self.desk.tickets.get(&ticket) {
+                    self.desk.counters.add("queries", "client_gone");
+                    self.root.gone(&mut self.desk, now, Query(query));
+                }
+            }
+            Happened::Ended(leaf, call, ending, value, report) => {
+                self.report(now, leaf, report);
+                self.end_call(now, call, ending, value);
+            }
+            Happened::Probed(leaf, ending, report) => {
+                self.desk.counters.add("probes", ending_name(ending));
+                self.report(now, leaf, report);
+                self.root.probed(now, leaf, ending);
+            }
+            Happened::List(at, whole, rows) => self.take_list(at, whole, rows),
+        }
+    }
+
+    fn take(&mut self, now: At, ticket: u64, asked: Asked, then: Then) {
+        let Asked { id, vertical, ends, parts, text } = asked;
+        let ids: Vec<Rc<str>> = parts.iter().map(|p| format!("{id}.{}", p.shard).into()).collect();
+        let desk = &mut self.desk;
+        if desk.queries.find(&id).is_some() || ids.iter().any(|p| desk.parts.find(p).is_some()) {
+            desk.counters.add("queries", "repeated");
+            return then(Final::Repeated);
+        }
+        // What is held over the number told never reaches the module.
+        let held = desk.held_queries.values().map(|q| 1 + q.parts.len()).sum::<usize>();
+        if held + 1 + parts.len() > self.most_open {
+            desk.counters.add("queries", "turned_away_over_most_open");
+            return then(Final::Rejected { stay_away: Span::ZERO });
+        }
+        desk.counters.add("queries", "taken");
+        let query = Query(desk.queries.enter(&id));
+        let indices: Vec<u32> = ids.iter().map(|p| desk.parts.enter(p)).collect();
+        desk.tickets.insert(ticket, query.0);
+        desk.held_queries.insert(query.0, HeldQuery { ticket, then: Some(then), parts: indices.clone() });
+        let works: Option<Vec<f64>> = parts.iter().map(|p| p.work).collect();
+        let work = works.map(|w| w.iter().sum());
+        for ((&index, id), part) in indices.iter().zip(ids).zip(&parts) {
+            let held =
+                HeldPart { id, query: query.0, shard: part.shard, text: text.clone(), value: None, calls: 0 };
+            desk.held_parts.insert(index, held);
+        }
+        self.root.query(&mut self.desk, now, query, vertical, ends - now, work, parts.len() as f64);
+        for (index, part) in indices.into_iter().zip(parts) {
+            self.root.part(&mut self.desk, now, Part(index), query, part.shard, part.weight, part.work);
+        }
+    }
+
+    fn end_call(&mut self, now: At, call: CallNo, ending: Ending, value: Option<String>) {
+        self.desk.counters.add("leaf_calls", ending_name(ending));
+        let Some(part) = self.desk.held_parts.get_mut(&call.0.0) else { return };
+        if ending == Ending::Pass && part.value.is_none() {
+            part.value = value;
+        }
+        self.root.ended(&mut self.desk, now, call.0, call.1, ending);
+    }
+
+    fn report(&mut self, now: At, leaf: Leaf, report: Option<Report>) {
+        if let Some(Report { waiting, in_hand }) = report {
+            self.root.load_report(now, leaf, waiting, in_hand);
+        }
+    }
+
+    fn take_list(&mut self, at: At, whole: bool, rows: Vec<Listed>) {
+        self.desk.counters.add("discovery", if whole { "whole_list" } else { "changes" });
+        self.root.list_begin(whole);
+        if whole {
+            self.desk.held_leaves.values_mut().for_each(|l| l.off = l.off.or(Some(at)));
+        }
+        for Listed { uid, address, cell, up, started } in rows {
+            let leaf = Leaf(self.desk.leaves.enter(&uid));
+            let held =
+                self.desk.held_leaves.entry(leaf.0).or_insert(HeldLeaf { address: None, off: Some(at) });
+            held.off = if up { None } else { held.off.or(Some(at)) };
+            if let Some(address) = address.filter(|a| held.address != Some(*a)) {
+                held.address = Some(address);
+                self.desk.wishes.push(Wish::Meet(leaf, address));
+            }
+            self.root.leaf(leaf, cell, up, started);
+        }
+        self.root.list_end(&mut self.desk);
+    }
+
+    /// Passes on what the module asked for: the parts for one leaf travel together, up to the call size told.
+    fn carry_out(&mut self, leaf_side: &mut dyn LeafSide) {
+        let wishes = std::mem::take(&mut self.desk.wishes);
+        let mut bundles: Vec<(Leaf, Vec<CallNo>)> = Vec::new();
+        for wish in wishes {
+            match wish {
+                Wish::Call(leaf, call) => match bundles.iter_mut().find(|(l, _)| *l == leaf) {
+                    Some((_, bundle)) => bundle.push(call),
+                    None => bundles.push((leaf, vec![call])),
+                },
+                Wish::GiveUp(leaf, call) => {
+                    leaf_side.give_up(leaf, call);
+                    self.ended(call, Ending::Undone, None, None);
+                }
+                Wish::Probe(leaf) => leaf_side.probe(leaf),
+                Wish::Meet(leaf, address) => leaf_side.meet(leaf, address),
+                Wish::LetGo(leaf) => leaf_side.let_go(leaf),
+            }
+        }
+        for (leaf, bundle) in bundles {
+            for parts in bundle.chunks(self.call_size) {
+                leaf_side.call(leaf, parts.to_vec());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-node/src/frames.rs
@@ -0,0 +1,135 @@
+//! The frames that co-ordinators and leaves exchange: four bytes of length (most significant first), a letter,
+//! and the rest. Decoded once into a small value, encoded once.
+
+use std::fmt;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use pipitcrank::ids::Ending;
+use pipitcrank::time::Span;
+
+use crate::ends::ending_of;
+
+/// Longest frame taken from a leaf: as much as any message body of the protocol may hold.
+const MOST: usize = 64 * 1024;
+
+/// One part of a call, as it goes out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallPart {
+    pub id: Rc<str>,
+    pub shard: u32,
+    pub wait: Span,
+    pub text: Arc<str>,
+}
+
+/// A load report: what the decisions read of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub waiting: Option<f64>,
+    pub in_hand: Option<f64>,
+}
+
+/// What a leaf sends.
+#[derive(Debug, PartialEq)]
+pub enum FromLeaf {
+    Answer { id: String, ending: Ending, report: Option<Report>, value: String },
+    Alive(Ending),
+    Load(Ending, Option<Report>),
+    Complaint(String),
+}
+
+#[derive(Debug, PartialEq)]
+pub struct BadFrame(&'static str);
+
+impl fmt::Display for BadFrame {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+fn frame(letter: u8, rest: &[u8]) -> Bytes {
+    let mut out = BytesMut::with_capacity(5 + rest.len());
+    out.put_u32(1 + rest.len() as u32);
+    out.put_u8(letter);
+    out.put_slice(rest);
+    out.freeze()
+}
+
+/// One call with its parts.
+pub fn call(parts: &[CallPart]) -> Bytes {
+    let mut rest = Vec::new();
+    for part in parts {
+        let head = format!("{} {} d={} {}\n", part.id, part.shard, part.wait.us() / 1000, part.text.len());
+        rest.extend_from_slice(head.as_bytes());
+        rest.extend_from_slice(part.text.as_bytes());
+    }
+    frame(b'Q', &rest)
+}
+
+pub fn give_up(id: &str) -> Bytes {
+    frame(b'X', id.as_bytes())
+}
+
+pub fn load_probe() -> Bytes {
+    frame(b'L', b"")
+}
+
+/// Takes the first whole frame from the buffer, if there is one.
+pub fn take(buffer: &mut BytesMut) -> Result<Option<FromLeaf>, BadFrame> {
+    let Some(head) = buffer.first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*head) as usize;
+    if length == 0 || length > MOST {
+        return Err(BadFrame("its length is none or too much"));
+    }
+    if buffer.len() < 4 + length {
+        return Ok(None);
+    }
+    buffer.advance(4);
+    let letter = buffer.get_u8();
+    let rest = buffer.split_to(length - 1);
+    let rest = std::str::from_utf8(&rest).map_err(|_| BadFrame("it is not UTF-8"))?;
+    match letter {
+        b'A' => answer(rest).map(Some),
+        b'P' => match ending_of(rest) {
+            Some(ending @ (Ending::Pass | Ending::Fault)) => Ok(Some(FromLeaf::Alive(ending))),
+            _ => Err(BadFrame("a probe's answer is neither ok nor err")),
+        },
+        b'L' if rest == "err" => Ok(Some(FromLeaf::Load(Ending::Fault, None))),
+        b'L' => Ok(Some(FromLeaf::Load(Ending::Pass, report(rest)?))),
+        b'E' => Ok(Some(FromLeaf::Complaint(rest.to_string()))),
+        _ => Err(BadFrame("its letter is not known")),
+    }
+}
+
+fn answer(rest: &str) -> Result<FromLeaf, BadFrame> {
+    let (line, value) = rest.split_once('\n').ok_or(BadFrame("an answer has no line"))?;
+    let words: Vec<&str> = line.split(' ').collect();
+    let [id, word, score, load] = words[..] else {
+        return Err(BadFrame("an answer's line has not four words"));
+    };
+    let ending = ending_of(word).ok_or(BadFrame("an answer ends in no known way"))?;
+    if id.is_empty() || score.is_empty() {
+        return Err(BadFrame("an answer lacks its id or score"));
+    }
+    Ok(FromLeaf::Answer { id: id.to_string(), ending, report: report(load)?, value: value.to_string() })
+}
+
+/// `name=value` pairs set apart by commas, or `-`. Names not known are left.
+fn report(text: &str) -> Result<Option<Report>, BadFrame> {
+    if text == "-" || text.is_empty() {
+        return Ok(None);
+    }
+    let mut found = Report::default();
+    for pair in text.split(',') {
+        let (name, value) = pair.split_once('=').ok_or(BadFrame("a load report is not made of pairs"))?;
+        let place = match name {
+            "queue" => &mut found.waiting,
+            "inflight" => &mut found.in_hand,
+            _ => continue,
+        };
+        let value = value.parse().ok().filter(|v: &f64| v.is_finite());
+        *place = Some(value.ok_or(BadFrame("a load report has no number"))?);
+    }
+    Ok(Some(found))
+}
--- /dev/null
+++ b/crates/pipitcrank-node/src/front.rs
@@ -0,0 +1,223 @@
+//! The front: HTTP requests of clients are decoded once into a query for the exchange, and its final answer is
+//! encoded once. It knows nothing of leaves.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use axum::Router;
+use axum::body::{Body, Bytes, to_bytes};
+use axum::extract::{Request, State};
+use axum::http::header::{ALLOW, CONNECTION, RETRY_AFTER};
+use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use pipitcrank::ids::Vertical;
+use pipitcrank::time::{At, Span};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::exchange::{Asked, AskedPart, Final};
+
+/// Largest body taken, as the protocol says.
+const MOST_BODY: usize = 64 * 1024;
+/// Longest id taken: it goes out with each part.
+const LONGEST_ID: usize = 256;
+
+/// What the front has for the exchange.
+pub enum Knock {
+    Ask(u64, Asked, oneshot::Sender<Final>),
+    Gone(u64),
+    /// Is it able to serve?
+    Able(oneshot::Sender<bool>),
+}
+
+#[derive(Clone)]
+pub struct Door {
+    pub clock: Clock,
+    pub counters: Counters,
+    pub verticals: Arc<[String]>,
+    pub shards: u32,
+    pub knocks: UnboundedSender<Knock>,
+    pub closing: Arc<AtomicBool>,
+    pub tickets: Arc<AtomicU64>,
+}
+
+/// What a client asks.
+#[derive(Deserialize)]
+struct Question {
+    shards: Vec<Piece>,
+    q: String,
+}
+
+#[derive(Deserialize)]
+struct Piece {
+    shard: u32,
+    weight: f64,
+    /// Microseconds.
+    cost: Option<f64>,
+}
+
+#[derive(Serialize)]
+struct Answer<'a> {
+    complete: bool,
+    hits: Vec<Hit<'a>>,
+}
+
+#[derive(Serialize)]
+struct Hit<'a> {
+    shard: u32,
+    doc: &'a str,
+}
+
+pub fn router(door: Door) -> Router {
+    Router::new()
+        .route("/up", get(up))
+        .route("/counters", get(counters))
+        .fallback(query)
+        .layer(axum::middleware::map_response_with_state(door.clone(), last_answer))
+        .with_state(door)
+}
+
+/// Once this process is to end, each connection ends with the answer it carries.
+async fn last_answer(State(door): State<Door>, mut response: Response) -> Response {
+    if door.closing.load(Ordering::Relaxed) {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn up(State(door): State<Door>) -> Response {
+    let (tell, told) = oneshot::channel();
+    let asked = door.knocks.send(Knock::Able(tell)).is_ok();
+    let able = asked && told.await.unwrap_or(false) && !door.closing.load(Ordering::Relaxed);
+    if able { "up\n".into_response() } else { StatusCode::SERVICE_UNAVAILABLE.into_response() }
+}
+
+async fn counters(State(door): State<Door>) -> String {
+    door.counters.show()
+}
+
+/// Says to the exchange that the client is gone, unless the answer came first.
+struct Waiting {
+    ticket: u64,
+    knocks: UnboundedSender<Knock>,
+    answered: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.answered {
+            let _ = self.knocks.send(Knock::Gone(self.ticket));
+        }
+    }
+}
+
+async fn query(State(door): State<Door>, request: Request) -> Response {
+    let (parts, body) = request.into_parts();
+    let word = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
+    let Some(vertical) = door.verticals.iter().position(|v| v == word) else {
+        return bad(&door, "unknown_path", StatusCode::NOT_FOUND, "no such vertical");
+    };
+    if parts.method != Method::POST {
+        let mut refused = bad(&door, "method", StatusCode::METHOD_NOT_ALLOWED, "queries are posted");
+        refused.headers_mut().insert(ALLOW, HeaderValue::from_static("POST"));
+        return refused;
+    }
+    let asked = match read(&door, Vertical(vertical as u16), &parts.headers, body).await {
+        Ok(asked) => asked,
+        Err((status, what)) => {
+            let kind = if status == StatusCode::PAYLOAD_TOO_LARGE { "too_large" } else { "malformed" };
+            return bad(&door, kind, status, what);
+        }
+    };
+    let ticket = door.tickets.fetch_add(1, Ordering::Relaxed);
+    let (answer, answered) = oneshot::channel();
+    if door.knocks.send(Knock::Ask(ticket, asked, answer)).is_err() {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    }
+    let mut waiting = Waiting { ticket, knocks: door.knocks.clone(), answered: false };
+    let last = answered.await;
+    waiting.answered = true;
+    match last {
+        Ok(last) => encode(last),
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
+fn bad(door: &Door, kind: &'static str, status: StatusCode, what: &'static str) -> Response {
+    door.counters.add("bad_requests", kind);
+    (status, what).into_response()
+}
+
+type Wrong = (StatusCode, &'static str);
+
+/// One request, read whole.
+async fn read(door: &Door, vertical: Vertical, headers: &HeaderMap, body: Body) -> Result<Asked, Wrong> {
+    let received = door.clock.now();
+    let wrong = |what: &'static str| (StatusCode::BAD_REQUEST, what);
+    let header = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
+    let id = header("Req-Id").ok_or(wrong("Req-Id is missing"))?;
+    if id.is_empty() || id.len() > LONGEST_ID || !id.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err(wrong("Req-Id is no id"));
+    }
+    let left: Option<u32> = header("Req-Deadline-Ms").and_then(|v| v.trim().parse().ok());
+    let left = Span::from_ms(left.ok_or(wrong("Req-Deadline-Ms is not a number of milliseconds"))?.into());
+    let body = to_bytes(body, MOST_BODY).await.map_err(|e| too_large_or_broken(&e))?;
+    decode(&body, id, vertical, received + left, door.shards).map_err(wrong)
+}
+
+fn too_large_or_broken(error: &axum::Error) -> Wrong {
+    let mut cause: Option<&dyn std::error::Error> = Some(error);
+    while let Some(e) = cause {
+        if e.is::<http_body_util::LengthLimitError>() {
+            return (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+        }
+        cause = e.source();
+    }
+    (StatusCode::BAD_REQUEST, "the body did not come whole")
+}
+
+fn decode(body: &Bytes, id: &str, vertical: Vertical, ends: At, shards: u32) -> Result<Asked, &'static str> {
+    let Question { shards: pieces, q } =
+        serde_json::from_slice(body).map_err(|_| "the body is not the JSON expected")?;
+    if pieces.is_empty() {
+        return Err("it asks for no shard");
+    }
+    let mut seen: Vec<u32> = pieces.iter().map(|p| p.shard).collect();
+    seen.sort_unstable();
+    if seen.windows(2).any(|w| w[0] == w[1]) || seen.last().is_some_and(|&last| last >= shards) {
+        return Err("it asks for a shard twice, or for one that there is not");
+    }
+    if pieces.iter().any(|p| p.weight < 0.0 || p.cost.is_some_and(|c| c < 0.0)) {
+        return Err("a weight or cost is below 0");
+    }
+    let parts = pieces.into_iter().map(|p| AskedPart {
+        shard: p.shard,
+        weight: p.weight,
+        work: p.cost.map(|us| us / 1e6),
+    });
+    Ok(Asked { id: id.to_string(), vertical, ends, parts: parts.collect(), text: q.into() })
+}
+
+fn encode(last: Final) -> Response {
+    match last {
+        Final::Merged { whole, hits } => {
+            let hits = hits.iter().map(|(shard, doc)| Hit { shard: *shard, doc }).collect();
+            axum::Json(Answer { complete: whole, hits }).into_response()
+        }
+        Final::Rejected { stay_away } => {
+            let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
+            if stay_away > Span::ZERO
+                && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", stay_away.s()))
+            {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+            response
+        }
+        Final::Aborted => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+        Final::Repeated => (StatusCode::CONFLICT, "a query with this Req-Id is held").into_response(),
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-node/src/leaves.rs
@@ -0,0 +1,200 @@
+//! The leaf side: which connection to a leaf carries what. Connections are used again while they have streams
+//! free; one more is opened only when none has.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pipitcrank::ids::{Ending, Leaf};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+
+use crate::ends::ConnectionEnd;
+use crate::exchange::{CallNo, LeafSide};
+use crate::hall::Hall;
+use crate::wire;
+
+/// What a connection is given to do, in order.
+pub enum Job {
+    Call(Vec<CallNo>),
+    GiveUp(Rc<str>),
+    Probe,
+}
+
+/// A part on a connection, from when it is queued for it until its call has ended.
+pub struct Carried {
+    pub call: CallNo,
+    /// Its id on the wire, once its frame has been begun.
+    pub id: Option<Rc<str>>,
+    /// Whether its frame was written whole.
+    pub written: bool,
+}
+
+/// What the leaf side and the connection's own task both know of it.
+pub struct Wire {
+    pub leaf: Leaf,
+    pub jobs: UnboundedSender<Job>,
+    /// Within the streams told.
+    pub carried: RefCell<Vec<Carried>>,
+    /// Probes unanswered.
+    pub probes: Cell<u32>,
+    /// A frame could not be written at once: the other side does not read.
+    pub stalled: Cell<bool>,
+    /// The leaf is not needed any more: it closes when nothing is out on it.
+    pub let_go: Cell<bool>,
+}
+
+struct Line {
+    address: SocketAddr,
+    /// A connection leaves when it ends.
+    wires: Vec<Rc<Wire>>,
+}
+
+pub struct Leaves {
+    hall: Rc<Hall>,
+    this: std::rc::Weak<RefCell<Leaves>>,
+    streams: usize,
+    dial_limit: Duration,
+    idle_limit: Duration,
+    /// One per leaf met; ends when the exchange lets go of it.
+    lines: BTreeMap<Leaf, Line>,
+}
+
+impl Leaves {
+    pub fn new(
+        hall: Rc<Hall>,
+        streams: usize,
+        dial_limit: Duration,
+        idle_limit: Duration,
+    ) -> Rc<RefCell<Leaves>> {
+        Rc::new_cyclic(|this| {
+            let this = this.clone();
+            RefCell::new(Leaves { hall, this, streams, dial_limit, idle_limit, lines: BTreeMap::new() })
+        })
+    }
+
+    /// A connection with room for so many more parts, opened if need be. None that does not take what is written
+    /// to it: a silent one must not hold up what another could carry.
+    fn wire(&mut self, leaf: Leaf, parts: usize) -> Result<Rc<Wire>, ConnectionEnd> {
+        let line = self.lines.get_mut(&leaf).ok_or(ConnectionEnd::LetGo)?;
+        let room = |w: &&Rc<Wire>| !w.stalled.get() && w.carried.borrow().len() + parts <= self.streams;
+        if let Some(wire) = line.wires.iter().find(room) {
+            return Ok(wire.clone());
+        }
+        let place = self.hall.sockets.place().ok_or(ConnectionEnd::NoSocket)?;
+        let (jobs, queue) = unbounded_channel();
+        let wire = Rc::new(Wire {
+            leaf,
+            jobs,
+            carried: RefCell::default(),
+            probes: Cell::default(),
+            stalled: Cell::default(),
+            let_go: Cell::default(),
+        });
+        line.wires.push(wire.clone());
+        let (hall, this, address) = (self.hall.clone(), self.this.clone(), line.address);
+        let (dial_limit, idle_limit, ours) = (self.dial_limit, self.idle_limit, wire.clone());
+        tokio::task::spawn_local(async move {
+            let end = wire::run(&hall, &ours, queue, address, dial_limit, idle_limit).await;
+            drop(place);
+            if let Some(leaves) = this.upgrade() {
+                leaves.borrow_mut().ended(&ours, end);
+            }
+        });
+        Ok(wire)
+    }
+
+    /// A connection has ended: so have all calls on it, but for those that it had not begun when it was closed by
+    /// ourselves. Those go out on another.
+    fn ended(&mut self, wire: &Rc<Wire>, end: ConnectionEnd) {
+        log::debug!("connection to leaf {} ended: {}", wire.leaf.0, end.name());
+        self.hall.counters.add("leaf_connections", end.name());
+        if let Some(line) = self.lines.get_mut(&wire.leaf) {
+            line.wires.retain(|w| !Rc::ptr_eq(w, wire));
+        }
+        let ours = matches!(end, ConnectionEnd::Idle | ConnectionEnd::LetGo);
+        let mut again = Vec::new();
+        for carried in wire.carried.take() {
+            if ours && carried.id.is_none() {
+                again.push(carried.call);
+            } else {
+                self.hall.tell(|e| e.ended(carried.call, end.ending(carried.written), None, None));
+            }
+        }
+        if wire.probes.get() > 0 {
+            self.hall.tell(|e| e.probed(wire.leaf, end.ending(false), None));
+        }
+        // One by one: how they were bundled is not known any more.
+        for call in again {
+            self.call(wire.leaf, vec![call]);
+        }
+    }
+}
+
+impl LeafSide for Leaves {
+    fn meet(&mut self, leaf: Leaf, address: SocketAddr) {
+        let line = self.lines.entry(leaf).or_insert(Line { address, wires: Vec::new() });
+        if line.address != address {
+            line.address = address;
+            retire(std::mem::take(&mut line.wires));
+        }
+    }
+
+    fn let_go(&mut self, leaf: Leaf) {
+        if let Some(line) = self.lines.remove(&leaf) {
+            retire(line.wires);
+        }
+    }
+
+    fn call(&mut self, leaf: Leaf, parts: Vec<CallNo>) {
+        match self.wire(leaf, parts.len()) {
+            Ok(wire) => {
+                let carried = parts.iter().map(|&call| Carried { call, id: None, written: false });
+                wire.carried.borrow_mut().extend(carried);
+                // The task takes all jobs until it ends, and then ends what is carried.
+                let _ = wire.jobs.send(Job::Call(parts));
+            }
+            Err(end) => {
+                self.hall.counters.add("leaf_connections", end.name());
+                let hall = self.hall.clone();
+                // Not at once: the exchange is in its turn.
+                tokio::task::spawn_local(async move {
+                    for call in parts {
+                        hall.tell(|e| e.ended(call, end.ending(false), None, None));
+                    }
+                });
+            }
+        }
+    }
+
+    fn give_up(&mut self, leaf: Leaf, call: CallNo) {
+        let Some(line) = self.lines.get(&leaf) else { return };
+        for wire in &line.wires {
+            let mut carried = wire.carried.borrow_mut();
+            let Some(nth) = carried.iter().position(|c| c.call == call) else { continue };
+            if let Some(id) = carried.swap_remove(nth).id {
+                let _ = wire.jobs.send(Job::GiveUp(id));
+            }
+            return;
+        }
+    }
+
+    fn probe(&mut self, leaf: Leaf) {
+        if let Ok(wire) = self.wire(leaf, 0) {
+            wire.probes.set(wire.probes.get() + 1);
+            let _ = wire.jobs.send(Job::Probe);
+        } else {
+            let hall = self.hall.clone();
+            tokio::task::spawn_local(async move { hall.tell(|e| e.probed(leaf, Ending::NoRoute, None)) });
+        }
+    }
+}
+
+fn retire(wires: Vec<Rc<Wire>>) {
+    for wire in wires {
+        wire.let_go.set(true);
+        // Wakes the task, which then sees it; an empty call sends nothing.
+        let _ = wire.jobs.send(Job::Call(Vec::new()));
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-node/src/lib.rs
@@ -0,0 +1,15 @@
+//! What the co-ordinator on sockets is made of, one job a file.
+
+pub mod charter;
+pub mod clock;
+pub mod counters;
+pub mod discovery;
+pub mod ends;
+pub mod exchange;
+pub mod frames;
+pub mod front;
+pub mod gate;
+pub mod hall;
+pub mod leaves;
+pub mod logger;
+pub mod wire;
--- /dev/null
+++ b/crates/pipitcrank-node/src/main.rs
@@ -0,0 +1,119 @@
+//! The co-ordinator on sockets: starts what it is made of, joins it, and ends in order.
+
+use std::error::Error;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+
+use log::LevelFilter;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::watch;
+
+use pipitcrank_node::charter::Charter;
+use pipitcrank_node::clock::Clock;
+use pipitcrank_node::counters::Counters;
+use pipitcrank_node::exchange::Exchange;
+use pipitcrank_node::front::{Door, Knock};
+use pipitcrank_node::hall::{Hall, Sockets};
+use pipitcrank_node::leaves::Leaves;
+use pipitcrank_node::logger::Logger;
+
+fn read_charter() -> Result<Charter, String> {
+    let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+    Charter::read(&text, |name| std::env::var(name).ok()).map_err(|faulty| faulty.to_string())
+}
+
+fn main() {
+    let clock = Clock::start();
+    let logger = Logger::start(clock, LevelFilter::Info);
+    let ended = read_charter().and_then(|charter| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| e.to_string())?;
+        let local = tokio::task::LocalSet::new();
+        local.block_on(&runtime, serve(charter, clock)).map_err(|e| e.to_string())
+    });
+    if let Err(wrong) = &ended {
+        log::error!("{wrong}");
+    }
+    logger.finish();
+    // Nothing is waited for: all that was taken has been answered.
+    std::process::exit(if ended.is_ok() { 0 } else { 2 });
+}
+
+async fn serve(charter: Charter, clock: Clock) -> Result<(), Box<dyn Error>> {
+    let counters = Counters::default();
+    let mut exchange = Exchange::new(
+        charter.root,
+        charter.most_open,
+        charter.call_size,
+        charter.drain_grace,
+        counters.clone(),
+    );
+    let rev = charter.known.rev;
+    let (_, known) = charter.known.rows(&clock).map_err(|wrong| format!("/known: {wrong}"))?;
+    exchange.list(clock.now(), true, known);
+    let hall = Rc::new(Hall::new(clock, counters.clone(), Sockets::new(charter.sockets_each), exchange));
+    let leaves = Leaves::new(hall.clone(), charter.streams, charter.dial_limit, charter.idle_limit);
+
+    let listener = TcpListener::bind(charter.listen).await.map_err(|e| format!("/listen: {e}"))?;
+    let (knocks, knocked) = unbounded_channel();
+    let closing = Arc::new(AtomicBool::new(false));
+    let router = pipitcrank_node::front::router(Door {
+        clock,
+        counters: counters.clone(),
+        verticals: charter.verticals.into(),
+        shards: charter.shards,
+        knocks,
+        closing: closing.clone(),
+        tickets: Arc::new(AtomicU64::new(0)),
+    });
+    let (call_end, end_called) = watch::channel(false);
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::task::spawn_local(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        call_end.send_replace(true);
+        // Kept: a closed channel would read as a second call.
+        std::future::pending::<()>().await;
+    });
+    tokio::task::spawn_local(pipitcrank_node::discovery::watch(
+        hall.clone(),
+        charter.discovery,
+        rev,
+        charter.dial_limit,
+    ));
+    tokio::task::spawn_local(hear(hall.clone(), knocked));
+    log::info!("{} serves at {}", charter.name, charter.listen);
+    let clients = Sockets::new(charter.sockets_each);
+    tokio::select! {
+        () = hall.take_turns(charter.tick, &leaves) => {}
+        () = pipitcrank_node::gate::keep(hall.clone(), listener, router, clients, closing, end_called) => {}
+    }
+    log::info!("counters at exit:\n{}", counters.show());
+    Ok(())
+}
+
+/// Hands what the front has to the exchange.
+async fn hear(hall: Rc<Hall>, mut knocked: UnboundedReceiver<Knock>) {
+    while let Some(knock) = knocked.recv().await {
+        match knock {
+            Knock::Ask(ticket, asked, answer) => hall.tell(|e| {
+                let then = Box::new(move |last| {
+                    // Nobody listens where the client left in this very moment.
+                    let _ = answer.send(last);
+                });
+                e.asked(ticket, asked, then);
+            }),
+            Knock::Gone(ticket) => hall.tell(|e| e.client_gone(ticket)),
+            Knock::Able(answer) => {
+                let _ = answer.send(hall.ask(Exchange::able));
+            }
+        }
+    }
+}
--- a/crates/pipitcrank-simhost/src/door.rs
+++ b/crates/pipitcrank-simhost/src/door.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::io::{self, Write};
 
-use pipitcrank::chance::Chance;
-use pipitcrank::decide::{Budget, Cover, FailBack, Root, Terms, Tries};
-use pipitcrank::ids::{Effect, Ending, Leaf, Part, Query, Vertical};
+use pipitcrank::decide::Root;
+use pipitcrank::ids::{Ending, Leaf, Part, Query, Vertical};
+use pipitcrank::names::Names;
 use pipitcrank::port::Port;
 use pipitcrank::time::{At, Span};
+use pipitcrank::told::{Faulty, Told};
 use serde_json::Value;
 
 use crate::line::{Line, Wrong};
@@ -39,43 +40,6 @@
     }
 }
 
-/// Names and their indices. An entry ends when the module lets go of it; its index is then used again.
-#[derive(Default)]
-struct Names {
-    index: BTreeMap<String, u32>,
-    names: Vec<String>,
-    free: Vec<u32>,
-}
-
-impl Names {
-    fn find(&self, name: &str) -> Option<u32> {
-        self.index.get(name).copied()
-    }
-
-    fn enter(&mut self, name: &str) -> u32 {
-        if let Some(known) = self.find(name) {
-            return known;
-        }
-        let id = self.free.pop().unwrap_or(self.names.len() as u32);
-        if id as usize == self.names.len() {
-            self.names.push(String::new());
-        }
-        self.names[id as usize] = name.to_string();
-        self.index.insert(name.to_string(), id);
-        id
-    }
-
-    fn leave(&mut self, id: u32) {
-        if self.index.remove(&self.names[id as usize]).is_some() {
-            self.free.push(id);
-        }
-    }
-
-    fn name(&self, id: u32) -> &str {
-        &self.names[id as usize]
-    }
-}
-
 struct Door {
     instance: String,
     queries: Names,
@@ -168,78 +132,9 @@
         let seed = line.number("init_seed")?;
         let told: Value = serde_json::from_str(line.field("conf")?)
             .map_err(|e| line.wrong("conf", &format!("is not the JSON expected: {e}")))?;
-        let wrong = |at: &str, what: &str| line.wrong("conf", &format!("{what} {at}"));
-        let number =
-            |at: &str| told.pointer(at).and_then(Value::as_f64).ok_or_else(|| wrong(at, "has no number at"));
-        let count = |at: &str| {
-            let n = told.pointer(at).and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok());
-            n.ok_or_else(|| wrong(at, "has no count at"))
-        };
-        let flag = |at: &str| {
-            told.pointer(at).and_then(Value::as_bool).ok_or_else(|| wrong(at, "has no true or false at"))
-        };
-        let span = |at: &str| number(at).map(Span::from_s);
-        let optional = |at: &str| told.pointer(at).and_then(Value::as_f64);
-
-        let cells = count("/domain/sets")?;
-        if cells == 0 {
-            return Err(wrong("/domain/sets", "names no cells at"));
-        }
-        let cover = Cover::new(
-            cells,
-            count("/domain/span")?,
-            count("/domain/parts_a_call")? as usize,
-            span("/domain/call_cost_s")?,
-        );
-        let budget = Budget::new(
-            optional("/rules/repeat_ratio").unwrap_or(0.0),
-            optional("/rules/extra_free").unwrap_or(0.0),
-            optional("/rules/budget_span_s").map(Span::from_s),
-        );
-        let fail_back = FailBack {
-            cold_from: number("/rules/cold_from")?,
-            cold: span("/rules/cold_s")?,
-            factor: number("/rules/overload_factor")?,
-            window: span("/rules/fall_s")?,
-        };
-        let tries = Tries {
-            limit: count("/allowed/try_limit")?,
-            may_duplicate: flag("/allowed/may_duplicate")?,
-            may_abandon: flag("/allowed/cancel")?,
-            may_probe: flag("/allowed/probing")?,
-            longest_stay_away: flag("/allowed/retry_after")?
-                .then(|| span("/allowed/max_retry_after_s"))
-                .transpose()?,
-        };
-        let asks_list = told.pointer("/registry_mode").and_then(Value::as_str) == Some("ask");
-        let tick = span("/tick_s")?;
-        let mut root = Root::new(Chance::new(seed), cover, budget, fail_back, tries, asks_list, tick);
-
-        let classes = told.pointer("/classes").and_then(Value::as_array);
-        let mut verticals = Vec::new();
-        for n in 0..classes.ok_or_else(|| wrong("/classes", "has no list at"))?.len() {
-            let of = |key: &str| format!("/classes/{n}/{key}");
-            let domain = |key: &str| format!("/domain/{key}/{n}");
-            let text = |at: &str| {
-                told.pointer(at).and_then(Value::as_str).ok_or_else(|| wrong(at, "has no text at"))
-            };
-            verticals.push(text(&of("name"))?.to_string());
-            root.vertical(Terms {
-                effect: match text(&of("idempotency"))? {
-                    "safe" => Effect::Repeatable,
-                    "keyed" => Effect::Deduplicated,
-                    "unsafe" => Effect::SideEffecting,
-                    _ => return Err(wrong(&of("idempotency"), "has none of safe, keyed, unsafe at")),
-                },
-                dedup_window: Span::from_s(optional(&of("dedup_window_s")).unwrap_or(0.0)),
-                slo: span(&of("aim_s"))?,
-                slo_stretch: optional(&of("aim_stretch")).unwrap_or(0.0),
-                hard_limit: span(&of("hard_limit_s"))?,
-                whole_from: number(&domain("complete_from"))?,
-                floor: number(&domain("floor_by_class"))?,
-                second_step: number(&domain("follow_up"))? > 0.0,
-            });
-        }
+        let faulty = |f: Faulty| line.wrong("conf", &f.to_string());
+        let told = Told(&told);
+        let (root, verticals) = (told.root(seed).map_err(faulty)?, told.verticals().map_err(faulty)?);
         let door = Door {
             instance: name.to_string(),
             queries: Names::default(),
--- a/crates/pipitcrank/src/lib.rs
+++ b/crates/pipitcrank/src/lib.rs
@@ -3,5 +3,7 @@
 pub mod chance;
 pub mod decide;
 pub mod ids;
+pub mod names;
 pub mod port;
 pub mod time;
+pub mod told;
--- a/crates/pipitcrank/src/time.rs
+++ b/crates/pipitcrank/src/time.rs
@@ -13,16 +13,28 @@
         At((s * 1e6).round() as i64)
     }
 
+    pub const fn from_us(us: i64) -> At {
+        At(us)
+    }
+
     pub fn s(self) -> f64 {
         self.0 as f64 / 1e6
     }
+
+    pub const fn us(self) -> i64 {
+        self.0
+    }
 }
 
 impl Span {
     pub const ZERO: Span = Span(0);
 
     pub const fn from_ms(ms: i64) -> Span {
-        Span(ms * 1000)
+        Span(ms.saturating_mul(1000))
+    }
+
+    pub const fn us(self) -> i64 {
+        self.0
     }
 
     pub fn from_s(s: f64) -> Span {
