A query is turned away at the door only once the told number is open; tests on sockets

Checked: a probe that logged each rejection. Ruled out with it: the module's patience, the budget, the leaves (idle).

At fault: the check in Exchange::take counted the query that asks; the settings say that further queries are turned away with that many open.

Could harm where the one long query more than the number passes memory: a part is some hundred bytes.

Tests: the exchange by hand and on generated events, frames, lists and the start, the whole program against stand-ins.

--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -387,9 +387,10 @@
             desk.counters.add("queries", "repeated");
             return then(Final::Repeated);
         }
-        // What is held over the number told never reaches the module.
+        // With the number told open, further queries never reach the module. Guards against turning away a long
+        // query while there is still room for a short one: the number may be passed by the last one taken.
         let held = desk.held_queries.values().map(|q| 1 + q.parts.len()).sum::<usize>();
-        if held + 1 + parts.len() > self.most_open {
+        if held >= self.most_open {
             desk.counters.add("queries", "turned_away_over_most_open");
             return then(Final::Rejected { stay_away: Span::ZERO });
         }
--- /dev/null
+++ b/crates/pipitcrank-node/tests/protocol.rs
@@ -0,0 +1,207 @@
+//! Frames, lists and what is told at start: decoded as the protocol says, and refused by name where they are not.
+
+use bytes::BytesMut;
+use pipitcrank::ids::Ending;
+use pipitcrank::time::Span;
+use pipitcrank_node::charter::Charter;
+use pipitcrank_node::clock::Clock;
+use pipitcrank_node::discovery::News;
+use pipitcrank_node::ends::ConnectionEnd;
+use pipitcrank_node::frames::{self, CallPart, FromLeaf, Report};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{Value, json};
+
+fn framed(rest: &[u8]) -> Vec<u8> {
+    [&(rest.len() as u32).to_be_bytes()[..], rest].concat()
+}
+
+fn take(bytes: &[u8]) -> Result<Option<FromLeaf>, String> {
+    frames::take(&mut BytesMut::from(bytes)).map_err(|bad| bad.to_string())
+}
+
+#[test]
+fn a_call_is_a_line_and_the_text_for_each_part() {
+    let part = |shard| CallPart {
+        id: format!("9b1f.{shard}").into(),
+        shard,
+        wait: Span::from_s(0.2407),
+        text: "c41e77d0".into(),
+    };
+    let bytes = frames::call(&[part(3), part(9)]);
+    assert_eq!(&bytes[..], framed(b"Q9b1f.3 3 d=240 8\nc41e77d09b1f.9 9 d=240 8\nc41e77d0"));
+    assert_eq!(&frames::give_up("9b1f.3")[..], framed(b"X9b1f.3"));
+    assert_eq!(&frames::load_probe()[..], framed(b"L"));
+}
+
+#[test]
+fn frames_of_a_leaf_are_taken_one_by_one_as_they_come_whole() {
+    let answer = framed(b"A9b1f.3 ok 1840277719 inflight=7,util=0.61\n5be2a07c\n19");
+    let load = framed(b"Lqueue=2.5");
+    let mut buffer = BytesMut::new();
+    for byte in &answer[..answer.len() - 1] {
+        buffer.extend_from_slice(&[*byte]);
+        assert_eq!(frames::take(&mut buffer), Ok(None));
+    }
+    buffer.extend_from_slice(&answer[answer.len() - 1..]);
+    buffer.extend_from_slice(&load);
+    let report = Some(Report { waiting: None, in_hand: Some(7.0) });
+    let wanted =
+        FromLeaf::Answer { id: "9b1f.3".into(), ending: Ending::Pass, report, value: "5be2a07c\n19".into() };
+    assert_eq!(frames::take(&mut buffer), Ok(Some(wanted)));
+    let report = Some(Report { waiting: Some(2.5), in_hand: None });
+    assert_eq!(frames::take(&mut buffer), Ok(Some(FromLeaf::Load(Ending::Pass, report))));
+    assert_eq!(take(&framed(b"L-")), Ok(Some(FromLeaf::Load(Ending::Pass, None))));
+    assert_eq!(take(&framed(b"Lerr")), Ok(Some(FromLeaf::Load(Ending::Fault, None))));
+    assert_eq!(take(&framed(b"Pok")), Ok(Some(FromLeaf::Alive(Ending::Pass))));
+    assert_eq!(take(&framed(b"Eno such shard")), Ok(Some(FromLeaf::Complaint("no such shard".into()))));
+    for (word, ending) in [("err", Ending::Fault), ("busy", Ending::NoRoom)] {
+        let wanted = FromLeaf::Answer { id: "q.1".into(), ending, report: None, value: String::new() };
+        assert_eq!(take(&framed(format!("Aq.1 {word} 0 -\n").as_bytes())), Ok(Some(wanted)));
+    }
+}
+
+#[test]
+fn frames_that_the_protocol_does_not_know_are_refused() {
+    let cases: [&[u8]; 9] = [
+        &[0, 0, 0, 0, b'A'],
+        &[255, 255, 255, 255, b'A'],
+        &framed(b"Zhello"),
+        &framed(b"Aq.1 ok 0 -"),
+        &framed(b"Aq.1 ok 0\n"),
+        &framed(b"Aq.1 melted 0 -\n"),
+        &framed(b"Lqueue=many"),
+        &framed(b"Pbusy"),
+        &framed(b"A\xff\xfe ok 0 -\n"),
+    ];
+    for bytes in cases {
+        assert!(take(bytes).is_err(), "{bytes:?}");
+    }
+}
+
+#[test]
+fn a_connection_that_ends_before_the_frame_was_whole_proves_that_it_never_ran() {
+    for end in
+        [ConnectionEnd::Closed, ConnectionEnd::Reset, ConnectionEnd::BadBytes, ConnectionEnd::Complaint]
+    {
+        assert_eq!((end.ending(false), end.ending(true)), (Ending::NoRoute, Ending::Cut), "{}", end.name());
+    }
+    assert_eq!(ConnectionEnd::NeverUp.ending(false), Ending::NoRoute);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(3), failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_bytes_bring_the_decoder_down(bytes in proptest::collection::vec(any::<u8>(), 0..200), letter in 0..6usize) {
+        let mut buffer = BytesMut::from(&bytes[..]);
+        while let Ok(Some(_)) = frames::take(&mut buffer) {}
+        let mut known = vec![b"APLEQX"[letter]];
+        known.extend(&bytes);
+        let mut buffer = BytesMut::from(&framed(&known)[..]);
+        let left = match frames::take(&mut buffer) {
+            Ok(found) => found.is_none(),
+            Err(_) => false,
+        };
+        prop_assert!(!left, "a whole frame is taken or refused");
+    }
+}
+
+fn rows(text: &str) -> Result<(bool, usize, usize), String> {
+    let news: News = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let (whole, rows) = news.rows(&Clock::start())?;
+    Ok((whole, rows.len(), rows.iter().filter(|r| r.up).count()))
+}
+
+#[test]
+fn lists_are_read_and_bad_ones_refused() {
+    let row = |uid: &str, rest: &str| format!(r#"{{"uid":"{uid}","az":"a","capacity_hint":1.0,{rest}}}"#);
+    let list =
+        |all: bool, rows: &[String]| format!(r#"{{"rev":4,"all":{all},"targets":[{}]}}"#, rows.join(","));
+    let up = row("a", r#""endpoint":"127.0.0.1:81","pod_group":3,"state":"active","boot_ms":0"#);
+    let leaving =
+        row("b", r#""endpoint":"127.0.0.1:82","pod_group":0,"state":"leaving","boot_ms":1700000000000"#);
+    let left = row("c", r#""state":"left""#);
+    assert_eq!(rows(&list(true, &[up.clone(), leaving, left])), Ok((true, 3, 1)));
+    assert_eq!(rows(&list(false, &[])), Ok((false, 0, 0)));
+    let bad = [
+        list(true, &[row("a", r#""endpoint":"nowhere","pod_group":3,"state":"active""#)]),
+        list(true, &[row("a", r#""endpoint":"127.0.0.1:81","state":"active""#)]),
+        list(true, &[row("a", r#""endpoint":"127.0.0.1:81","pod_group":3,"state":"asleep""#)]),
+        list(true, &[row("a", r#""endpoint":"127.0.0.1:81","pod_group":-3,"state":"active""#)]),
+        list(true, &[up]).replace("targets", "target"),
+    ];
+    for text in bad {
+        assert!(rows(&text).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn times_of_the_wall_clock_are_placed_on_ours() {
+    let clock = Clock::start();
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as i64;
+    let an_hour_ago = clock.at_unix_ms(unix - 3_600_000);
+    let apart = (clock.now() - an_hour_ago).s();
+    assert!((3590.0..3700.0).contains(&apart), "{apart}");
+    assert!(clock.at_unix_ms(i64::MAX) > clock.now() && clock.at_unix_ms(i64::MIN) < clock.now());
+}
+
+fn told() -> Value {
+    json!({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"8c1f30d27a5be964",
+        "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"rev":41,"all":true,"targets":[]},
+        "settings":{
+            "allowed":{"cancel":true,"probing":true,"may_duplicate":true,"retry_after":true,"max_retry_after_s":2.0,
+                "try_limit":4,"conn_idle_s":15.0,"dial_timeout_s":0.25,"max_open":147,"streams_per_conn":32},
+            "classes":[{"aim_s":2.5,"hard_limit_s":6.0,"idempotency":"safe","name":"view"}],
+            "domain":{"call_cost_s":0.05,"complete_from":[1.0],"floor_by_class":[1.0],"follow_up":[0],
+                "parts_a_call":4,"sets":3,"shards":12,"span":2},
+            "rules":{"cold_from":0.27,"cold_s":18.0,"drain_grace_s":2.0,"fall_s":1.5,"overload_factor":4.0},
+            "tick_s":0.005}})
+}
+
+#[test]
+fn what_is_told_at_start_is_read_and_variables_go_before_the_file() {
+    let charter = Charter::read(&told().to_string(), |_| None).unwrap();
+    assert_eq!((&*charter.name, charter.most_open, charter.streams), ("n1", 147, 32));
+    assert!(charter.idle_limit < std::time::Duration::from_secs(15), "closed before the leaf would");
+    assert!(2 * charter.sockets_each < 1024);
+    let named = |name: &str| (name == "NODE_NAME").then(|| "other".to_string());
+    assert_eq!(Charter::read(&told().to_string(), named).unwrap().name, "other");
+}
+
+#[test]
+fn a_faulty_key_is_named() {
+    let cases = [
+        ("/listen", json!("here")),
+        ("/seed", json!("xyz")),
+        ("/discovery", json!(3)),
+        ("/known", json!({"rev": "x"})),
+        ("/limits/sockets", json!(8)),
+        ("/settings/allowed/conn_idle_s", json!("long")),
+        ("/settings/allowed/dial_timeout_s", json!(-1.0)),
+        ("/settings/allowed/max_open", Value::Null),
+        ("/settings/allowed/streams_per_conn", json!(2)),
+        ("/settings/allowed/try_limit", json!(-4)),
+        ("/settings/classes/0/idempotency", json!("maybe")),
+        ("/settings/domain/follow_up/0", json!(3)),
+        ("/settings/domain/sets", json!(0)),
+        ("/settings/domain/shards", json!(1.5)),
+        ("/settings/rules/drain_grace_s", json!([])),
+        ("/settings/rules/budget_span_s", json!("x")),
+        ("/settings/tick_s", Value::Null),
+    ];
+    for (key, value) in cases {
+        let mut all = told();
+        match all.pointer_mut(key) {
+            Some(place) => *place = value,
+            None => all["settings"]["rules"]["budget_span_s"] = value,
+        }
+        let wrong =
+            Charter::read(&all.to_string(), |_| None).err().map(|f| f.to_string()).unwrap_or_default();
+        assert!(wrong.starts_with(&format!("{key} ")), "{key}: '{wrong}'");
+    }
+    let wrong = Charter::read("{", |_| None).err().map(|f| f.to_string()).unwrap_or_default();
+    assert!(wrong.starts_with("NODE_CONFIG "), "{wrong}");
+}
--- /dev/null
+++ b/crates/pipitcrank-node/tests/sockets.rs
@@ -0,0 +1,429 @@
+//! The whole program against stand-ins for clients, leaves and discovery, on loopback. Nothing hangs on how long
+//! anything takes: what has to happen is waited for, up to a limit far beyond it.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(start.elapsed() < LIMIT, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// What a leaf stand-in does with a call, given its parts (id, shard).
+type Manner = fn(&mut TcpStream, &[(String, u32)], &Receiver<()>);
+
+fn send(to: &mut TcpStream, rest: &str) {
+    let _ = to.write_all(&[&(rest.len() as u32).to_be_bytes()[..], rest.as_bytes()].concat());
+}
+
+fn answers(to: &mut TcpStream, parts: &[(String, u32)], _: &Receiver<()>) {
+    for (id, shard) in parts {
+        send(to, &format!("A{id} ok 7 -\nd{shard}"));
+    }
+}
+
+fn closes(to: &mut TcpStream, _: &[(String, u32)], _: &Receiver<()>) {
+    let _ = to.shutdown(std::net::Shutdown::Both);
+}
+
+fn babbles(to: &mut TcpStream, _: &[(String, u32)], _: &Receiver<()>) {
+    send(to, "?what");
+}
+
+fn held(to: &mut TcpStream, parts: &[(String, u32)], go: &Receiver<()>) {
+    let _ = go.recv_timeout(LIMIT);
+    answers(to, parts, go);
+}
+
+struct Leaf {
+    address: SocketAddr,
+    /// Frames as they came.
+    heard: Receiver<String>,
+    go: Sender<()>,
+}
+
+impl Leaf {
+    /// One connection after another; a second at the same time waits in the queue.
+    fn start(manner: Manner) -> Leaf {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let ((hears, heard), (go, gone)) = (channel(), channel());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let mut head = [0; 4];
+                while stream.read_exact(&mut head).is_ok() {
+                    let mut rest = vec![0; u32::from_be_bytes(head) as usize];
+                    if stream.read_exact(&mut rest).is_err() {
+                        break;
+                    }
+                    let frame = String::from_utf8(rest).unwrap();
+                    let _ = hears.send(frame.clone());
+                    if frame == "L" {
+                        send(&mut stream, "Lqueue=0");
+                    } else if let Some(call) = frame.strip_prefix('Q') {
+                        manner(&mut stream, &parts(call), &gone);
+                    }
+                }
+            }
+        });
+        Leaf { address, heard, go }
+    }
+
+    fn hear(&self, letter: char) -> String {
+        wait_for("a frame", || self.heard.try_recv().ok().filter(|f| f.starts_with(letter)))
+    }
+}
+
+fn parts(mut call: &str) -> Vec<(String, u32)> {
+    let mut found = Vec::new();
+    while let Some((line, rest)) = call.split_once('\n') {
+        let words: Vec<&str> = line.split(' ').collect();
+        let [id, shard, list, length] = words[..] else { panic!("a part's line is '{line}'") };
+        assert!(list.starts_with("d="), "{list}");
+        let (text, after) = rest.split_at(length.parse().unwrap());
+        assert_eq!(text, "c41e", "the query's text unchanged");
+        found.push((id.to_string(), shard.parse().unwrap()));
+        call = after;
+    }
+    assert_eq!(call, "");
+    found
+}
+
+/// A stand-in for discovery: each watch is told, with its index, and fed lines until its sender is dropped.
+struct Discovery {
+    address: SocketAddr,
+    watches: Receiver<(String, Sender<String>)>,
+}
+
+impl Discovery {
+    fn start() -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (tell, watches) = channel();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let mut line = String::new();
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                reader.read_line(&mut line).unwrap();
+                let (lines, fed) = channel::<String>();
+                let _ = tell.send((line, lines));
+                thread::spawn(move || {
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    loop {
+                        let line = match fed.recv_timeout(Duration::from_secs(1)) {
+                            Ok(line) => line,
+                            Err(std::sync::mpsc::RecvTimeoutError::Timeout) => String::new(),
+                            Err(_) => break,
+                        };
+                        if write!(stream, "{:x}\r\n{line}\n\r\n", line.len() + 1).is_err() {
+                            break;
+                        }
+                    }
+                });
+            }
+        });
+        Discovery { address, watches }
+    }
+
+    fn watch(&self) -> (String, Sender<String>) {
+        self.watches.recv_timeout(LIMIT).expect("a watch")
+    }
+}
+
+fn list(rev: u32, all: bool, leaves: &[(u32, SocketAddr, &str)]) -> Value {
+    let targets: Vec<Value> = leaves
+        .iter()
+        .map(|(cell, endpoint, state)| {
+            json!({"uid": format!("s-{cell}"), "endpoint": endpoint.to_string(), "az": "a", "pod_group": cell,
+                "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+        })
+        .collect();
+    json!({"rev": rev, "all": all, "targets": targets})
+}
+
+struct Node {
+    child: Child,
+    address: SocketAddr,
+    charter: PathBuf,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.charter);
+    }
+}
+
+fn settings() -> Value {
+    json!({"allowed":{"cancel":true,"probing":true,"may_duplicate":true,"retry_after":true,"max_retry_after_s":2.0,
+            "try_limit":4,"conn_idle_s":60.0,"dial_timeout_s":5.0,"max_open":100,"streams_per_conn":8},
+        "classes":[{"aim_s":25.0,"hard_limit_s":30.0,"idempotency":"safe","name":"view"}],
+        "domain":{"call_cost_s":0.05,"complete_from":[1.0],"floor_by_class":[1.0],"follow_up":[0],
+            "parts_a_call":4,"sets":2,"shards":8,"span":2},
+        "rules":{"cold_from":0.27,"cold_s":18.0,"drain_grace_s":2.0,"fall_s":1.5,"overload_factor":4.0},
+        "tick_s":0.005})
+}
+
+impl Node {
+    /// `n` gives each test an address of its own.
+    fn start(n: u8, discovery: &Discovery, known: Value) -> Node {
+        let free = TcpListener::bind(SocketAddr::from(([127, 77, 1, n], 0))).unwrap();
+        let address = free.local_addr().unwrap();
+        drop(free);
+        let charter = std::env::temp_dir().join(format!("pipitcrank-{}-{n}.json", std::process::id()));
+        let told = json!({"name":"n1","listen":address.to_string(),"discovery":discovery.address.to_string(),
+            "seed":"5","limits":{"sockets":256,"memory_mb":64,"cores":1.0},"known":known,"settings":settings()});
+        std::fs::write(&charter, told.to_string()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_pipitcrank-node"))
+            .env("NODE_CONFIG", &charter)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        Node { child, address, charter }
+    }
+
+    fn up(&self) {
+        wait_for("/up", || self.try_get("/up").filter(|a| a.starts_with("HTTP/1.1 200")));
+    }
+
+    fn try_get(&self, path: &str) -> Option<String> {
+        let mut stream = TcpStream::connect(self.address).ok()?;
+        write!(stream, "GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        Some(answer)
+    }
+
+    fn send(&self, request: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        stream
+    }
+
+    fn counted(&self, line: &str) {
+        wait_for(line, || self.try_get("/counters").filter(|c| c.lines().any(|l| l == line)));
+    }
+}
+
+fn post(id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /view HTTP/1.1\r\nHost: x\r\nReq-Id: {id}\r\nReq-Deadline-Ms: 25000\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+const ASK: &str = r#"{"shards":[{"shard":0,"weight":0.5,"cost":9000},{"shard":1,"weight":0.5}],"q":"c41e"}"#;
+
+/// Status and whole body of one answer, and whether the connection ends with it.
+fn answer(stream: TcpStream) -> (u16, String, bool) {
+    let mut reader = BufReader::new(stream);
+    let (mut status, mut length, mut close) = (0, 0, false);
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).expect("an answer");
+        let lower = line.trim().to_lowercase();
+        if let Some(rest) = lower.strip_prefix("http/1.1 ") {
+            status = rest[..3].parse().unwrap();
+        } else if let Some(n) = lower.strip_prefix("content-length: ") {
+            length = n.parse().unwrap();
+        } else if lower.is_empty() {
+            break;
+        }
+        close |= lower == "connection: close";
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).unwrap();
+    (status, String::from_utf8(body).unwrap(), close)
+}
+
+fn hits(body: &str) -> (bool, Vec<(u64, String)>) {
+    let body: Value = serde_json::from_str(body).unwrap();
+    let hits = body["hits"].as_array().unwrap().iter();
+    let hits = hits.map(|h| (h["shard"].as_u64().unwrap(), h["doc"].as_str().unwrap().to_string()));
+    (body["complete"].as_bool().unwrap(), hits.collect())
+}
+
+fn whole() -> (bool, Vec<(u64, String)>) {
+    (true, vec![(0, "d0".into()), (1, "d1".into())])
+}
+
+#[test]
+fn queries_are_served_and_bad_input_is_told_apart() {
+    let (a, b) = (Leaf::start(answers), Leaf::start(answers));
+    let discovery = Discovery::start();
+    let node = Node::start(1, &discovery, list(1, true, &[]));
+    let (watch, feed) = discovery.watch();
+    assert_eq!(watch, "GET /discovery/hosts?stream=1&index=1 HTTP/1.1\r\n");
+    let before = wait_for("the listener", || node.try_get("/up"));
+    assert!(before.starts_with("HTTP/1.1 503"), "no leaf is known: {before}");
+    feed.send(list(2, true, &[(0, a.address, "active"), (1, b.address, "active")]).to_string()).unwrap();
+    node.up();
+    let (status, body, close) = answer(node.send(&post("q1", ASK)));
+    assert_eq!((status, hits(&body), close), (200, whole(), false));
+    assert_eq!(answer(node.send(&post("q2", ASK).replace("/view", "/view/more?x=1"))).0, 200);
+    assert_eq!(answer(node.send(&post("q3", ASK).replace("/view", "/sell"))).0, 404);
+    assert_eq!(answer(node.send("GET /view HTTP/1.1\r\nHost: x\r\n\r\n")).0, 405);
+    assert_eq!(answer(node.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")).0, 404);
+    let malformed = [
+        post("q4", "{"),
+        post("q4", &ASK.replace("\"shard\":1", "\"shard\":0")),
+        post("q4", &ASK.replace("\"shard\":1", "\"shard\":8")),
+        post("q4", &ASK.replace("\"shard\":1", "\"shard\":-1")),
+        post("q4", &ASK.replace("0.5", "-0.5")),
+        post("q4", r#"{"shards":[],"q":"c41e"}"#),
+        post("q 4", ASK),
+        post("q4", ASK).replace("Req-Id", "Req-It"),
+        post("q4", ASK).replace("25000", "soon"),
+        "nonsense\r\n\r\n".to_string(),
+    ];
+    for request in &malformed {
+        assert_eq!(answer(node.send(request)).0, 400, "{request}");
+    }
+    assert_eq!(answer(node.send(&post("q5", &format!("{ASK}{}", " ".repeat(70_000))))).0, 413);
+    node.counted("queries merged 2");
+    node.counted("bad_requests malformed 9");
+    node.counted("bad_requests too_large 1");
+    assert_eq!(answer(node.send(&post("q4", ASK))).0, 200, "still serving");
+}
+
+#[test]
+fn parts_lost_with_their_connection_are_asked_of_the_other_holder() {
+    for (n, manner, counted) in [
+        (2, closes as Manner, "leaf_connections closed 1"),
+        (3, babbles as Manner, "leaf_connections bad_bytes 1"),
+    ] {
+        let (bad, good) = (Leaf::start(manner), Leaf::start(answers));
+        let discovery = Discovery::start();
+        let known = list(1, true, &[(0, bad.address, "active"), (1, good.address, "active")]);
+        let node = Node::start(n, &discovery, known);
+        node.up();
+        // Chance decides who is asked first: until the bad one was, each query is served by the good one.
+        wait_for(counted, || {
+            let (status, body, _) = answer(node.send(&post("q", ASK)));
+            assert_eq!((status, hits(&body)), (200, whole()));
+            node.try_get("/counters").filter(|c| c.lines().any(|l| l == counted))
+        });
+        // What was out on it may have run.
+        assert!(node.try_get("/counters").unwrap().contains("leaf_calls cut "));
+    }
+}
+
+#[test]
+fn parts_for_a_leaf_that_cannot_be_reached_never_ran() {
+    let good = Leaf::start(answers);
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let discovery = Discovery::start();
+    let known = list(1, true, &[(0, nobody, "active"), (1, good.address, "active")]);
+    let node = Node::start(4, &discovery, known);
+    node.up();
+    wait_for("a refused connection", || {
+        let (status, body, _) = answer(node.send(&post("q", ASK)));
+        assert_eq!((status, hits(&body)), (200, whole()));
+        node.try_get("/counters").filter(|c| c.contains("leaf_connections refused"))
+    });
+    assert!(!node.try_get("/counters").unwrap().contains("leaf_calls cut"));
+}
+
+#[test]
+fn a_client_that_closes_frees_its_leaf_calls() {
+    let (a, b) = (Leaf::start(held), Leaf::start(held));
+    let discovery = Discovery::start();
+    let known = list(1, true, &[(0, a.address, "active"), (1, b.address, "active")]);
+    let node = Node::start(5, &discovery, known);
+    node.up();
+    let client = node.send(&post("q", ASK));
+    let asked = wait_for("a call", || {
+        [&a, &b].into_iter().find(|l| l.heard.try_recv().is_ok_and(|f| f.starts_with('Q')))
+    });
+    drop(client);
+    node.counted("queries client_gone 1");
+    node.counted("leaf_calls undone 2");
+    asked.go.send(()).unwrap();
+    assert!(asked.hear('X').starts_with("Xq."));
+    node.counted("frames late_answers 2");
+}
+
+#[test]
+fn the_list_is_kept_through_ends_of_the_watch() {
+    let (a, b) = (Leaf::start(answers), Leaf::start(answers));
+    let discovery = Discovery::start();
+    let node = Node::start(6, &discovery, list(7, true, &[(0, a.address, "active")]));
+    let (_, feed) = discovery.watch();
+    feed.send(String::new()).unwrap();
+    feed.send(list(8, false, &[(1, b.address, "active")]).to_string()).unwrap();
+    node.counted("discovery changes 1");
+    drop(feed);
+    let (again, feed) = discovery.watch();
+    assert!(again.contains("index=8 "), "{again}");
+    feed.send(list(9, false, &[(0, a.address, "leaving")]).to_string() + "\nwhat?").unwrap();
+    let (again, _feed) = discovery.watch();
+    assert!(again.contains("index=9 "), "{again}");
+    node.counted("discovery bad_bytes 1");
+    node.up();
+    for n in 0..8 {
+        assert_eq!(answer(node.send(&post(&format!("q{n}"), ASK))).0, 200);
+    }
+    assert!(a.heard.try_iter().all(|f| !f.starts_with('Q')), "a leaf that leaves gets nothing new");
+}
+
+#[test]
+fn after_sigterm_what_was_taken_and_what_still_comes_is_answered() {
+    let (a, b) = (Leaf::start(held), Leaf::start(held));
+    let discovery = Discovery::start();
+    let known = list(1, true, &[(0, a.address, "active"), (1, b.address, "active")]);
+    let mut node = Node::start(7, &discovery, known);
+    node.up();
+    let taken = node.send(&post("q", ASK));
+    wait_for("a call", || {
+        [&a, &b].into_iter().find(|l| l.heard.try_recv().is_ok_and(|f| f.starts_with('Q')))
+    });
+    let kill = Command::new("kill").arg("-TERM").arg(node.child.id().to_string()).status().unwrap();
+    assert!(kill.success());
+    wait_for("the end called", || node.try_get("/up").filter(|a| a.starts_with("HTTP/1.1 503")));
+    let late = node.send(&post("late", ASK));
+    for leaf in [&a, &b] {
+        (0..8).for_each(|_| leaf.go.send(()).unwrap());
+    }
+    for client in [taken, late] {
+        let (status, body, close) = answer(client);
+        assert_eq!((status, hits(&body), close), (200, whole(), true));
+    }
+    let status = wait_for("the exit", || node.child.try_wait().unwrap());
+    assert_eq!(status.code(), Some(0));
+    let mut log = String::new();
+    node.child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+    assert!(log.contains("queries merged 2\n"), "counters at exit: {log}");
+}
+
+#[test]
+fn a_faulty_charter_ends_it_with_the_key() {
+    let path = std::env::temp_dir().join(format!("pipitcrank-{}-bad.json", std::process::id()));
+    let start = |text: &str| {
+        std::fs::write(&path, text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_pipitcrank-node"));
+        let done = command.env("NODE_CONFIG", &path).output().unwrap();
+        (done.status.code(), String::from_utf8(done.stderr).unwrap())
+    };
+    let (code, log) = start(r#"{"listen":"127.0.0.1:0","settings":{},"seed":7}"#);
+    assert!(code == Some(2) && log.contains("/seed has no text"), "{code:?} {log}");
+    let (code, log) = start("not json");
+    assert!(code == Some(2) && log.contains("NODE_CONFIG"), "{code:?} {log}");
+    let _ = std::fs::remove_file(&path);
+}
