--- a/crates/pipitcrank-node/src/leaves.rs
+++ b/crates/pipitcrank-node/src/leaves.rs
@@ -96,39 +96,37 @@
         let (hall, this, address) = (self.hall.clone(), self.this.clone(), line.address);
         let (dial_limit, idle_limit, ours) = (self.dial_limit, self.idle_limit, wire.clone());
         tokio::task::spawn_local(async move {
-            let end = wire::run(&hall, &ours, queue, address, dial_limit, idle_limit).await;
+            let (end, left) = wire::run(&hall, &ours, queue, address, dial_limit, idle_limit).await;
             drop(place);
             if let Some(leaves) = this.upgrade() {
-                leaves.borrow_mut().ended(&ours, end);
+                leaves.borrow_mut().ended(&ours, end, left);
             }
         });
         Ok(wire)
     }
 
-    /// A connection has ended: so have all calls on it, but for those that it had not begun when it was closed by
-    /// ourselves. Those go out on another.
-    fn ended(&mut self, wire: &Rc<Wire>, end: ConnectionEnd) {
+    /// A connection has ended: so have all calls on it. But those `left`, not begun when it was closed by
+    /// ourselves, go out on another.
+    fn ended(&mut self, wire: &Rc<Wire>, end: ConnectionEnd, left: Vec<Vec<CallNo>>) {
         log::debug!("connection to leaf {} ended: {}", wire.leaf.0, end.name());
         self.hall.counters.add("leaf_connections", end.name());
         if let Some(line) = self.lines.get_mut(&wire.leaf) {
             line.wires.retain(|w| !Rc::ptr_eq(w, wire));
         }
-        let ours = matches!(end, ConnectionEnd::Idle | ConnectionEnd::LetGo);
-        let mut again = Vec::new();
-        for carried in wire.carried.take() {
-            if ours && carried.id.is_none() {
-                again.push(carried.call);
-            } else {
-                self.hall.tell(|e| e.ended(carried.call, end.ending(carried.written), None, None));
+        let mut carried = wire.carried.take();
+        if matches!(end, ConnectionEnd::Idle | ConnectionEnd::LetGo) {
+            for mut parts in left {
+                parts.retain(|call| carried.iter().any(|c| c.call == *call));
+                carried.retain(|c| !parts.contains(&c.call));
+                self.call(wire.leaf, parts);
             }
         }
+        for Carried { call, written, .. } in carried {
+            self.hall.tell(|e| e.ended(call, end.ending(written), None, None));
+        }
         if wire.probes.get() > 0 {
             self.hall.tell(|e| e.probed(wire.leaf, end.ending(false), None));
         }
-        // One by one: how they were bundled is not known any more.
-        for call in again {
-            self.call(wire.leaf, vec![call]);
-        }
     }
 }
 
--- a/crates/pipitcrank-node/src/main.rs
+++ b/crates/pipitcrank-node/src/main.rs
@@ -14,26 +14,21 @@
 use pipitcrank_node::charter::Charter;
 use pipitcrank_node::clock::Clock;
 use pipitcrank_node::counters::Counters;
+use pipitcrank_node::discovery;
 use pipitcrank_node::exchange::Exchange;
-use pipitcrank_node::front::{Door, Knock};
+use pipitcrank_node::front::{self, Door, Knock};
+use pipitcrank_node::gate;
 use pipitcrank_node::hall::{Hall, Sockets};
 use pipitcrank_node::leaves::Leaves;
 use pipitcrank_node::logger::Logger;
 
-fn read_charter() -> Result<Charter, String> {
-    let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
-    Charter::read(&text, |name| std::env::var(name).ok()).map_err(|faulty| faulty.to_string())
-}
-
 fn main() {
     let clock = Clock::start();
     let logger = Logger::start(clock, LevelFilter::Info);
-    let ended = read_charter().and_then(|charter| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| e.to_string())?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ended = runtime.map_err(Into::into).and_then(|runtime| {
         let local = tokio::task::LocalSet::new();
-        local.block_on(&runtime, serve(charter, clock)).map_err(|e| e.to_string())
+        local.block_on(&runtime, serve(clock))
     });
     if let Err(wrong) = &ended {
         log::error!("{wrong}");
@@ -43,33 +38,34 @@
     std::process::exit(if ended.is_ok() { 0 } else { 2 });
 }
 
-async fn serve(charter: Charter, clock: Clock) -> Result<(), Box<dyn Error>> {
+async fn serve(clock: Clock) -> Result<(), Box<dyn Error>> {
+    let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+    let charter = Charter::read(&text, |name| std::env::var(name).ok())?;
+
     let counters = Counters::default();
-    let mut exchange = Exchange::new(
-        charter.root,
-        charter.most_open,
-        charter.call_size,
-        charter.drain_grace,
-        counters.clone(),
-    );
-    let rev = charter.known.rev;
-    let (_, known) = charter.known.rows(&clock).map_err(|wrong| format!("/known: {wrong}"))?;
+    let mut exchange = charter.exchange(counters.clone())?;
+    let (rev, known) = charter.known(&clock)?;
     exchange.list(clock.now(), true, known);
-    let hall = Rc::new(Hall::new(clock, counters.clone(), Sockets::new(charter.sockets_each), exchange));
-    let leaves = Leaves::new(hall.clone(), charter.streams, charter.dial_limit, charter.idle_limit);
-
-    let listener = TcpListener::bind(charter.listen).await.map_err(|e| format!("/listen: {e}"))?;
+    let (for_leaves, for_clients) =
+        (Sockets::new(charter.sockets_each()?), Sockets::new(charter.sockets_each()?));
+    let hall = Rc::new(Hall::new(clock, counters.clone(), for_leaves, exchange));
+    let leaves = Leaves::new(hall.clone(), charter.streams()?, charter.dial_limit()?, charter.idle_limit()?);
     let (knocks, knocked) = unbounded_channel();
     let closing = Arc::new(AtomicBool::new(false));
-    let router = pipitcrank_node::front::router(Door {
+    let router = front::router(Door {
         clock,
         counters: counters.clone(),
-        verticals: charter.verticals.into(),
-        shards: charter.shards,
+        verticals: charter.verticals()?.into(),
+        shards: charter.shards()?,
         knocks,
         closing: closing.clone(),
         tickets: Arc::new(AtomicU64::new(0)),
     });
+    let watch = discovery::watch(hall.clone(), charter.discovery()?, rev, charter.dial_limit()?);
+    let (tick, name, listen) = (charter.tick()?, charter.name()?, charter.listen()?);
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("/listen: {e}"))?;
+
     let (call_end, end_called) = watch::channel(false);
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
@@ -82,18 +78,12 @@
         // Kept: a closed channel would read as a second call.
         std::future::pending::<()>().await;
     });
-    tokio::task::spawn_local(pipitcrank_node::discovery::watch(
-        hall.clone(),
-        charter.discovery,
-        rev,
-        charter.dial_limit,
-    ));
+    tokio::task::spawn_local(watch);
     tokio::task::spawn_local(hear(hall.clone(), knocked));
-    log::info!("{} serves at {}", charter.name, charter.listen);
-    let clients = Sockets::new(charter.sockets_each);
+    log::info!("{name} serves at {listen}");
     tokio::select! {
-        () = hall.take_turns(charter.tick, &leaves) => {}
-        () = pipitcrank_node::gate::keep(hall.clone(), listener, router, clients, closing, end_called) => {}
+        () = hall.take_turns(tick, &leaves) => {}
+        () = gate::keep(hall.clone(), listener, router, for_clients, closing, end_called) => {}
     }
     log::info!("counters at exit:\n{}", counters.show());
     Ok(())
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -28,6 +28,7 @@
     Rest(Bytes, Vec<CallNo>),
 }
 
+/// How the connection ended, and the calls that were still to be begun on it.
 pub async fn run(
     hall: &Rc<Hall>,
     wire: &Wire,
@@ -35,14 +36,17 @@
     address: SocketAddr,
     dial_limit: Duration,
     idle_limit: Duration,
-) -> ConnectionEnd {
-    match open(address, dial_limit).await {
+) -> (ConnectionEnd, Vec<Vec<CallNo>>) {
+    let end = match open(address, dial_limit).await {
         Ok(stream) => {
             hall.counters.add("leaf_connections", "opened");
             serve(hall, wire, &mut jobs, stream, idle_limit).await
         }
         Err(end) => end,
-    }
+    };
+    let left = std::iter::from_fn(|| jobs.try_recv().ok());
+    let left = left.filter_map(|job| if let Job::Call(parts) = job { Some(parts) } else { None });
+    (end, left.collect())
 }
 
 async fn open(address: SocketAddr, limit: Duration) -> Result<TcpStream, ConnectionEnd> {
@@ -71,9 +75,8 @@
     let mut writing = Writing::Nothing;
     let mut used = Instant::now();
     loop {
-        let free = wire.carried.borrow().is_empty() && wire.probes.get() == 0;
         let nothing = matches!(writing, Writing::Nothing);
-        if wire.let_go.get() && free && nothing && jobs.is_empty() {
+        if wire.let_go.get() && wire.carried.borrow().is_empty() && nothing && jobs.is_empty() {
             return ConnectionEnd::LetGo;
         }
         tokio::select! {
@@ -121,9 +124,10 @@
     }
 }
 
-/// Nothing begun on it is out: parts that wait for their first byte don't count, they can go on another.
+/// Nothing begun on it is out: parts that wait for their first byte don't count, they can go on another. Nor do
+/// probes: one that was not answered for so long will not be, and would keep a silent connection for ever.
 fn idle(wire: &Wire) -> bool {
-    wire.probes.get() == 0 && wire.carried.borrow().iter().all(|c| c.id.is_none())
+    wire.carried.borrow().iter().all(|c| c.id.is_none())
 }
 
 /// One step of writing.
--- a/crates/pipitcrank-node/tests/exchange.rs
+++ b/crates/pipitcrank-node/tests/exchange.rs
@@ -72,7 +72,7 @@
     fn set() -> Stage {
         let told = serde_json::from_str(TOLD).unwrap();
         let counters = Counters::default();
-        let root = Told(&told).root(7).unwrap();
+        let root = Told::new(&told).root(7).unwrap();
         let mut exchange = Exchange::new(root, MOST_OPEN, 4, GRACE, counters.clone());
         exchange.list(at(0), true, (0..3).map(|n| listed(n, true)).collect());
         let mut stage =
--- /dev/null
+++ b/crates/pipitcrank-node/tests/leaves.rs
@@ -0,0 +1,232 @@
+//! The leaf side against a stand-in for a leaf, in one process: which connections it opens, uses again and closes.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pipitcrank::ids::{Leaf, Vertical};
+use pipitcrank::time::Span;
+use pipitcrank::told::Told;
+use pipitcrank_node::clock::Clock;
+use pipitcrank_node::counters::Counters;
+use pipitcrank_node::exchange::{Asked, AskedPart, Exchange, Final, LeafSide, Listed};
+use pipitcrank_node::hall::{Hall, Sockets};
+use pipitcrank_node::leaves::Leaves;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::oneshot;
+
+const TOLD: &str = r#"{"allowed":{"cancel":true,"probing":false,"may_duplicate":true,"retry_after":false,"try_limit":1},
+  "classes":[{"aim_s":50.0,"hard_limit_s":60.0,"idempotency":"safe","name":"view"}],
+  "domain":{"call_cost_s":0.01,"complete_from":[1.0],"floor_by_class":[1.0],"follow_up":[0],"parts_a_call":4,"sets":1,
+  "shards":12,"span":1},"rules":{"cold_from":0.3,"cold_s":9.0,"fall_s":1.5,"overload_factor":4.0},"tick_s":0.001}"#;
+const LONG: Duration = Duration::from_secs(60);
+const TICK: Span = Span::from_ms(1);
+
+/// One leaf that holds everything; its connections are handed out as they come.
+struct Stage {
+    hall: Rc<Hall>,
+    leaves: Rc<RefCell<Leaves>>,
+    accepted: UnboundedReceiver<TcpStream>,
+    asked: u64,
+}
+
+impl Stage {
+    async fn set(streams: usize, sockets: usize, idle: Duration) -> Stage {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (hand_out, accepted) = unbounded_channel();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let _ = hand_out.send(stream);
+            }
+        });
+        Stage::facing(address, accepted, streams, sockets, idle)
+    }
+
+    fn facing(
+        address: SocketAddr,
+        accepted: UnboundedReceiver<TcpStream>,
+        streams: usize,
+        sockets: usize,
+        idle: Duration,
+    ) -> Stage {
+        let clock = Clock::start();
+        let counters = Counters::default();
+        let root = Told::new(&serde_json::from_str(TOLD).unwrap()).root(1).unwrap();
+        let mut exchange = Exchange::new(root, 1000, 4, Span::from_ms(500), counters.clone());
+        let row = Listed { uid: "leaf".into(), address: Some(address), cell: 0, up: true, started: None };
+        exchange.list(clock.now(), true, vec![row]);
+        let hall = Rc::new(Hall::new(clock, counters, Sockets::new(sockets), exchange));
+        let leaves = Leaves::new(hall.clone(), streams, LONG, idle);
+        let (turns, side) = (hall.clone(), leaves.clone());
+        tokio::task::spawn_local(async move { turns.take_turns(TICK, &side).await });
+        Stage { hall, leaves, accepted, asked: 0 }
+    }
+
+    fn ask(&mut self, parts: u32, text: Arc<str>) -> oneshot::Receiver<Final> {
+        self.asked += 1;
+        let (tell, told) = oneshot::channel();
+        let ends = self.hall.clock.now() + Span::from_ms(59_000);
+        let weight = 1.0 / f64::from(parts);
+        let parts = (0..parts).map(|shard| AskedPart { shard, weight, work: None }).collect();
+        let asked = Asked { id: format!("q{}", self.asked), vertical: Vertical(0), ends, parts, text };
+        let then = Box::new(move |last| {
+            let _ = tell.send(last);
+        });
+        self.hall.tell(|e| e.asked(self.asked, asked, then));
+        told
+    }
+
+    async fn count(&self, what: &'static str, which: &'static str, wanted: u64) {
+        while self.hall.counters.get(what, which) < wanted {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(self.hall.counters.get(what, which), wanted, "{what} {which}");
+    }
+}
+
+async fn frame(stream: &mut TcpStream) -> String {
+    let length = stream.read_u32().await.expect("a frame");
+    let mut rest = vec![0; length as usize];
+    stream.read_exact(&mut rest).await.unwrap();
+    String::from_utf8(rest).unwrap()
+}
+
+async fn answer(stream: &mut TcpStream, id: &str) {
+    let rest = format!("A{id} ok 1 -\nvalue");
+    stream.write_u32(rest.len() as u32).await.unwrap();
+    stream.write_all(rest.as_bytes()).await.unwrap();
+}
+
+fn play(scene: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let limited = async { tokio::time::timeout(LONG, scene).await.expect("the scene ends") };
+    tokio::task::LocalSet::new().block_on(&runtime, limited);
+}
+
+#[test]
+fn connections_are_used_again_and_carry_no_more_than_their_streams() {
+    play(async {
+        let mut stage = Stage::set(2, 9, LONG).await;
+        let mut told = Vec::new();
+        for n in 0..3 {
+            told.push(stage.ask(1, "t".into()));
+            stage.count("frames", "calls_sent", n + 1).await;
+        }
+        let mut wires = [stage.accepted.recv().await.unwrap(), stage.accepted.recv().await.unwrap()];
+        for (nth, id) in [(0, "q1.0"), (0, "q2.0"), (1, "q3.0")] {
+            assert!(frame(&mut wires[nth]).await.starts_with(&format!("Q{id} 0 d=")));
+            answer(&mut wires[nth], id).await;
+        }
+        for last in told {
+            assert!(matches!(last.await.unwrap(), Final::Merged { whole: true, .. }));
+        }
+        let again = stage.ask(1, "t".into());
+        assert!(frame(&mut wires[0]).await.starts_with("Qq4.0 "), "the first one again");
+        answer(&mut wires[0], "q4.0").await;
+        again.await.unwrap();
+        assert_eq!(stage.hall.counters.get("leaf_connections", "opened"), 2);
+    });
+}
+
+#[test]
+fn a_connection_is_closed_idle_before_the_leaf_would_and_what_comes_next_opens_another() {
+    play(async {
+        let mut stage = Stage::set(8, 9, Duration::from_millis(30)).await;
+        for n in 1..4 {
+            let told = stage.ask(1, "t".into());
+            let mut stream = stage.accepted.recv().await.unwrap();
+            frame(&mut stream).await;
+            // Idle is when nothing is out: however long this takes, the connection stays.
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            answer(&mut stream, &format!("q{n}.0")).await;
+            assert!(matches!(told.await.unwrap(), Final::Merged { whole: true, .. }));
+            assert_eq!(stream.read(&mut [0]).await.unwrap(), 0, "closed in order");
+            stage.count("leaf_connections", "idle", n).await;
+        }
+        assert_eq!(stage.hall.counters.get("leaf_calls", "cut"), 0);
+    });
+}
+
+#[test]
+fn a_connection_that_does_not_read_holds_up_no_other_and_its_rest_is_never_run() {
+    play(async {
+        let mut stage = Stage::set(64, 9, LONG).await;
+        // More than any socket's buffers hold.
+        let huge: Arc<str> = "x".repeat(16 << 20).into();
+        let stuck = stage.ask(1, huge);
+        let first = stage.accepted.recv().await.unwrap();
+        // Read a little: the frame has been begun.
+        first.readable().await.unwrap();
+        let told = stage.ask(1, "t".into());
+        let mut second = stage.accepted.recv().await.unwrap();
+        assert!(frame(&mut second).await.starts_with("Qq2.0 "));
+        answer(&mut second, "q2.0").await;
+        assert!(matches!(told.await.unwrap(), Final::Merged { whole: true, .. }));
+        drop(first);
+        assert!(matches!(stuck.await.unwrap(), Final::Rejected { .. }), "its one call never ran");
+        stage.count("leaf_calls", "no_route", 1).await;
+    });
+}
+
+#[test]
+fn a_connection_lost_after_the_frame_was_whole_may_have_run_its_parts() {
+    play(async {
+        let mut stage = Stage::set(8, 9, LONG).await;
+        let told = stage.ask(3, "t".into());
+        let mut stream = stage.accepted.recv().await.unwrap();
+        frame(&mut stream).await;
+        answer(&mut stream, "q1.1").await;
+        stage.count("leaf_calls", "pass", 1).await;
+        drop(stream);
+        told.await.unwrap();
+        stage.count("leaf_calls", "cut", 2).await;
+    });
+}
+
+#[test]
+fn sockets_beyond_the_limit_are_not_opened() {
+    play(async {
+        let mut stage = Stage::set(1, 1, LONG).await;
+        let first = stage.ask(1, "t".into());
+        let mut stream = stage.accepted.recv().await.unwrap();
+        frame(&mut stream).await;
+        let told = stage.ask(1, "t".into());
+        assert!(matches!(told.await.unwrap(), Final::Rejected { .. }));
+        stage.count("leaf_connections", "no_socket", 1).await;
+        answer(&mut stream, "q1.0").await;
+        assert!(matches!(first.await.unwrap(), Final::Merged { whole: true, .. }));
+    });
+}
+
+#[test]
+fn a_leaf_that_refuses_connections_ran_nothing() {
+    play(async {
+        let nobody = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let (_, accepted) = unbounded_channel::<TcpStream>();
+        let mut stage = Stage::facing(nobody, accepted, 8, 9, LONG);
+        assert!(matches!(stage.ask(2, "t".into()).await.unwrap(), Final::Rejected { .. }));
+        stage.count("leaf_calls", "no_route", 2).await;
+    });
+}
+
+#[test]
+fn a_leaf_let_go_has_its_connections_closed_even_while_a_probe_is_unanswered() {
+    play(async {
+        let mut stage = Stage::set(8, 9, LONG).await;
+        let told = stage.ask(1, "t".into());
+        let mut stream = stage.accepted.recv().await.unwrap();
+        frame(&mut stream).await;
+        answer(&mut stream, "q1.0").await;
+        told.await.unwrap();
+        stage.leaves.borrow_mut().probe(Leaf(0));
+        assert_eq!(frame(&mut stream).await, "L");
+        stage.hall.tell(|e| e.list(stage.hall.clock.now(), true, Vec::new()));
+        assert_eq!(stream.read(&mut [0]).await.unwrap(), 0);
+        stage.count("leaf_connections", "let_go", 1).await;
+    });
+}
--- a/crates/pipitcrank-node/tests/protocol.rs
+++ b/crates/pipitcrank-node/tests/protocol.rs
@@ -3,8 +3,10 @@
 use bytes::BytesMut;
 use pipitcrank::ids::Ending;
 use pipitcrank::time::Span;
+use pipitcrank::told::Faulty;
 use pipitcrank_node::charter::Charter;
 use pipitcrank_node::clock::Clock;
+use pipitcrank_node::counters::Counters;
 use pipitcrank_node::discovery::News;
 use pipitcrank_node::ends::ConnectionEnd;
 use pipitcrank_node::frames::{self, CallPart, FromLeaf, Report};
@@ -161,14 +163,29 @@
             "tick_s":0.005}})
 }
 
+/// Everything that the program reads at start.
+fn read_all(text: &str) -> Result<(), Faulty> {
+    let charter = Charter::read(text, |_| None)?;
+    charter.exchange(Counters::default())?;
+    charter.known(&Clock::start())?;
+    charter.name().and(charter.discovery()).and(charter.listen().map(drop))?;
+    charter.verticals().and(charter.shards()).and(charter.tick())?;
+    charter.sockets_each().and(charter.streams())?;
+    charter.dial_limit().and(charter.idle_limit()).map(drop)
+}
+
 #[test]
 fn what_is_told_at_start_is_read_and_variables_go_before_the_file() {
     let charter = Charter::read(&told().to_string(), |_| None).unwrap();
-    assert_eq!((&*charter.name, charter.most_open, charter.streams), ("n1", 147, 32));
-    assert!(charter.idle_limit < std::time::Duration::from_secs(15), "closed before the leaf would");
-    assert!(2 * charter.sockets_each < 1024);
+    assert_eq!((charter.name(), charter.streams(), charter.shards()), (Ok("n1".into()), Ok(32), Ok(12)));
+    assert!(
+        charter.idle_limit().unwrap() < std::time::Duration::from_secs(15),
+        "closed before the leaf would"
+    );
+    assert!(2 * charter.sockets_each().unwrap() < 1024);
     let named = |name: &str| (name == "NODE_NAME").then(|| "other".to_string());
-    assert_eq!(Charter::read(&told().to_string(), named).unwrap().name, "other");
+    assert_eq!(Charter::read(&told().to_string(), named).unwrap().name(), Ok("other".into()));
+    assert_eq!(read_all(&told().to_string()), Ok(()));
 }
 
 #[test]
@@ -198,10 +215,9 @@
             Some(place) => *place = value,
             None => all["settings"]["rules"]["budget_span_s"] = value,
         }
-        let wrong =
-            Charter::read(&all.to_string(), |_| None).err().map(|f| f.to_string()).unwrap_or_default();
+        let wrong = read_all(&all.to_string()).unwrap_err().to_string();
         assert!(wrong.starts_with(&format!("{key} ")), "{key}: '{wrong}'");
     }
-    let wrong = Charter::read("{", |_| None).err().map(|f| f.to_string()).unwrap_or_default();
+    let wrong = read_all("{").unwrap_err().to_string();
     assert!(wrong.starts_with("NODE_CONFIG "), "{wrong}");
 }
--- a/crates/pipitcrank-node/tests/sockets.rs
+++ b/crates/pipitcrank-node/tests/sockets.rs
@@ -423,7 +423,7 @@
         (done.status.code(), String::from_utf8(done.stderr).unwrap())
     };
     let (code, log) = start(r#"{"listen":"127.0.0.1:0","settings":{},"seed":7}"#);
-    assert!(code == Some(2) && log.contains("/seed has no text"), "{code:?} {log}");
+    assert!(code == Some(2) && log.contains("/settings/classes has no list"), "{code:?} {log}");
     let (code, log) = start("not json");
     assert!(code == Some(2) && log.contains("NODE_CONFIG"), "{code:?} {log}");
     let _ = std::fs::remove_file(&path);
--- a/crates/pipitcrank-simhost/src/door.rs
+++ b/crates/pipitcrank-simhost/src/door.rs
@@ -133,7 +133,7 @@
         let told: Value = serde_json::from_str(line.field("conf")?)
             .map_err(|e| line.wrong("conf", &format!("is not the JSON expected: {e}")))?;
         let faulty = |f: Faulty| line.wrong("conf", &f.to_string());
-        let told = Told(&told);
+        let told = Told::new(&told);
         let (root, verticals) = (told.root(seed).map_err(faulty)?, told.verticals().map_err(faulty)?);
         let door = Door {
             instance: name.to_string(),
--- a/crates/pipitcrank/src/told.rs
+++ b/crates/pipitcrank/src/told.rs
@@ -17,22 +17,36 @@
     pub what: String,
 }
 
+impl std::error::Error for Faulty {}
+
 impl fmt::Display for Faulty {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(f, "{} {}", self.key, self.what)
     }
 }
 
-/// Looks values up by their keys.
-pub struct Told<'a>(pub &'a Value);
+/// Looks values up by their keys. All keys named in faults begin with where it stands itself.
+pub struct Told<'a> {
+    all: &'a Value,
+    place: &'static str,
+}
 
 impl<'a> Told<'a> {
+    pub fn new(all: &'a Value) -> Told<'a> {
+        Told { all, place: "" }
+    }
+
+    /// What stands under that key.
+    pub fn under(&self, place: &'static str) -> Result<Told<'a>, Faulty> {
+        Ok(Told { all: self.get(place, Some, "is missing")?, place })
+    }
+
     pub fn faulty(&self, key: &str, what: &str) -> Faulty {
-        Faulty { key: key.to_string(), what: what.to_string() }
+        Faulty { key: format!("{}{key}", self.place), what: what.to_string() }
     }
 
     fn get<T>(&self, key: &str, read: impl Fn(&'a Value) -> Option<T>, what: &str) -> Result<T, Faulty> {
-        self.0.pointer(key).and_then(read).ok_or_else(|| self.faulty(key, what))
+        self.all.pointer(key).and_then(read).ok_or_else(|| self.faulty(key, what))
     }
 
     pub fn number(&self, key: &str) -> Result<f64, Faulty> {
@@ -61,7 +75,7 @@
 
     /// Absent or null stands for the default; anything else has to be a number.
     pub fn number_or(&self, key: &str, absent: f64) -> Result<f64, Faulty> {
-        if self.0.pointer(key).is_none_or(Value::is_null) { Ok(absent) } else { self.number(key) }
+        if self.all.pointer(key).is_none_or(Value::is_null) { Ok(absent) } else { self.number(key) }
     }
 
     pub fn list(&self, key: &str) -> Result<&'a Vec<Value>, Faulty> {
@@ -108,7 +122,7 @@
                 .then(|| self.span("/allowed/max_retry_after_s"))
                 .transpose()?,
         };
-        let asks_list = self.0.pointer("/registry_mode").and_then(Value::as_str) == Some("ask");
+        let asks_list = self.all.pointer("/registry_mode").and_then(Value::as_str) == Some("ask");
         let tick = self.span("/tick_s")?;
         let mut root = Root::new(Chance::new(seed), cover, budget, fail_back, tries, asks_list, tick);
         for n in 0..self.verticals()?.len() {
