Load reports are read under the names that the settings use

Checked: the raw text. Leaves send backlog=4.364, the name in report.fields; the protocol's example has names of another kind (inflight, util). At fault: report() in frames.rs knew those of the example alone. Probes were paid for and told only who is silent.

--- a/crates/pipitcrank-node/src/frames.rs
+++ b/crates/pipitcrank-node/src/frames.rs
@@ -115,7 +115,8 @@
     Ok(FromLeaf::Answer { id: id.to_string(), ending, report: report(load)?, value: value.to_string() })
 }
 
-/// `name=value` pairs set apart by commas, or `-`. Names not known are left.
+/// `name=value` pairs set apart by commas, or `-`. Names not known are left. The protocol's example has the first
+/// name of each, leaves use the second, that of the settings: read under one alone, reports told nothing.
 fn report(text: &str) -> Result<Option<Report>, BadFrame> {
     if text == "-" || text.is_empty() {
         return Ok(None);
@@ -124,8 +125,8 @@
     for pair in text.split(',') {
         let (name, value) = pair.split_once('=').ok_or(BadFrame("a load report is not made of pairs"))?;
         let place = match name {
-            "queue" => &mut found.waiting,
-            "inflight" => &mut found.in_hand,
+            "queue" | "backlog" => &mut found.waiting,
+            "inflight" | "outstanding" => &mut found.in_hand,
             _ => continue,
         };
         let value = value.parse().ok().filter(|v: &f64| v.is_finite());
--- a/crates/pipitcrank-node/tests/protocol.rs
+++ b/crates/pipitcrank-node/tests/protocol.rs
@@ -53,6 +53,9 @@
     assert_eq!(frames::take(&mut buffer), Ok(Some(wanted)));
     let report = Some(Report { waiting: Some(2.5), in_hand: None });
     assert_eq!(frames::take(&mut buffer), Ok(Some(FromLeaf::Load(Ending::Pass, report))));
+    let report = Some(Report { waiting: Some(4.364), in_hand: Some(5.0) });
+    let wanted = FromLeaf::Load(Ending::Pass, report);
+    assert_eq!(take(&framed(b"Lbacklog=4.364,eps=0,outstanding=5")), Ok(Some(wanted)));
     assert_eq!(take(&framed(b"L-")), Ok(Some(FromLeaf::Load(Ending::Pass, None))));
     assert_eq!(take(&framed(b"Lerr")), Ok(Some(FromLeaf::Load(Ending::Fault, None))));
     assert_eq!(take(&framed(b"Pok")), Ok(Some(FromLeaf::Alive(Ending::Pass))));
