--- a/crates/pipitcrank-node/src/leaves.rs
+++ b/crates/pipitcrank-node/src/leaves.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use pipitcrank::ids::{Ending, Leaf};
-use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
 use crate::ends::ConnectionEnd;
@@ -42,10 +41,6 @@
     pub probes: Cell<u32>,
     /// A frame could not be written at once: the other side does not read.
     pub stalled: Cell<bool>,
-    /// A probe was not answered in the time that a new connection would need, nor has anything come since.
-    pub silent: Cell<bool>,
-    /// Called when it has to end as silent.
-    pub hang_up: Notify,
     /// The leaf is not needed any more: it closes when nothing is out on it.
     pub let_go: Cell<bool>,
 }
@@ -80,12 +75,10 @@
     }
 
     /// A connection with room for so many more parts, opened if need be. None that does not take what is written
-    /// to it, and no silent one: they must not hold up what another could carry.
+    /// to it: a silent one must not hold up what another could carry.
     fn wire(&mut self, leaf: Leaf, parts: usize) -> Result<Rc<Wire>, ConnectionEnd> {
         let line = self.lines.get_mut(&leaf).ok_or(ConnectionEnd::LetGo)?;
-        let room = |w: &&Rc<Wire>| {
-            !w.stalled.get() && !w.silent.get() && w.carried.borrow().len() + parts <= self.streams
-        };
+        let room = |w: &&Rc<Wire>| !w.stalled.get() && w.carried.borrow().len() + parts <= self.streams;
         if let Some(wire) = line.wires.iter().find(room) {
             return Ok(wire.clone());
         }
@@ -97,21 +90,13 @@
             carried: RefCell::default(),
             probes: Cell::default(),
             stalled: Cell::default(),
-            silent: Cell::default(),
-            hang_up: Notify::new(),
             let_go: Cell::default(),
         });
         line.wires.push(wire.clone());
         let (hall, this, address) = (self.hall.clone(), self.this.clone(), line.address);
         let (dial_limit, idle_limit, ours) = (self.dial_limit, self.idle_limit, wire.clone());
         tokio::task::spawn_local(async move {
-            let doubt = || {
-                if let Some(leaves) = this.upgrade() {
-                    // A leaf that can be reached is reached by another connection.
-                    let _ = leaves.borrow_mut().wire(leaf, 0);
-                }
-            };
-            let (end, left) = wire::run(&hall, &ours, queue, address, dial_limit, idle_limit, &doubt).await;
+            let (end, left) = wire::run(&hall, &ours, queue, address, dial_limit, idle_limit).await;
             drop(place);
             if let Some(leaves) = this.upgrade() {
                 leaves.borrow_mut().ended(&ours, end, left);
@@ -127,11 +112,6 @@
         self.hall.counters.add("leaf_connections", end.name());
         if let Some(line) = self.lines.get_mut(&wire.leaf) {
             line.wires.retain(|w| !Rc::ptr_eq(w, wire));
-            // Guards against waiting on connections to a machine that has vanished, which stay open: with no way to
-            // it by a new one either, what is out on silent ones is lost.
-            if matches!(end, ConnectionEnd::NeverUp | ConnectionEnd::Refused) {
-                line.wires.iter().filter(|w| w.silent.get()).for_each(|w| w.hang_up.notify_one());
-            }
         }
         let mut carried = wire.carried.take();
         if matches!(end, ConnectionEnd::Idle | ConnectionEnd::LetGo) {
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -36,12 +36,11 @@
     address: SocketAddr,
     dial_limit: Duration,
     idle_limit: Duration,
-    doubt: &dyn Fn(),
 ) -> (ConnectionEnd, Vec<Vec<CallNo>>) {
     let end = match open(address, dial_limit).await {
         Ok(stream) => {
             hall.counters.add("leaf_connections", "opened");
-            serve(hall, wire, &mut jobs, stream, dial_limit, idle_limit, doubt).await
+            serve(hall, wire, &mut jobs, stream, idle_limit).await
         }
         Err(end) => end,
     };
@@ -69,16 +68,12 @@
     wire: &Wire,
     jobs: &mut UnboundedReceiver<Job>,
     stream: TcpStream,
-    silence_limit: Duration,
     idle_limit: Duration,
-    doubt: &dyn Fn(),
 ) -> ConnectionEnd {
     let (mut from, to) = stream.into_split();
     let mut buffer = BytesMut::with_capacity(4096);
     let mut writing = Writing::Nothing;
     let mut used = Instant::now();
-    // Since when a probe has been out with nothing heard.
-    let mut unheard: Option<Instant> = None;
     loop {
         let nothing = matches!(writing, Writing::Nothing);
         if wire.let_go.get() && wire.carried.borrow().is_empty() && nothing && jobs.is_empty() {
@@ -91,14 +86,11 @@
             () = tokio::time::sleep_until(used + idle_limit), if nothing && idle(wire) => {
                 return ConnectionEnd::Idle;
             }
-            () = wire.hang_up.notified() => return ConnectionEnd::Silent,
             read = from.read_buf(&mut buffer) => match read {
                 Ok(0) => return ConnectionEnd::Closed,
                 Err(_) => return ConnectionEnd::Reset,
                 Ok(_) => {
                     used = Instant::now();
-                    unheard = None;
-                    wire.silent.set(false);
                     loop {
                         match frames::take(&mut buffer) {
                             Ok(None) => break,
@@ -113,18 +105,10 @@
                     }
                 }
             },
-            () = tokio::time::sleep_until(unheard.unwrap_or(used) + silence_limit),
-                if unheard.is_some() && !wire.silent.get() => {
-                wire.silent.set(true);
-                doubt();
-            }
             ready = to.writable(), if !nothing => {
                 if ready.is_err() {
                     return ConnectionEnd::Reset;
                 }
-                if matches!(writing, Writing::Next(Job::Probe)) {
-                    unheard.get_or_insert_with(Instant::now);
-                }
                 writing = match write(hall, wire, &to, writing) {
                     Ok(writing) => writing,
                     Err(_) => return ConnectionEnd::Reset,
