--- a/crates/pipitcrank-node/src/front.rs
+++ b/crates/pipitcrank-node/src/front.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, duration};
 use crate::counters::Counters;
 use crate::exchange::{Asked, AskedPart, Final};
 
@@ -165,7 +165,10 @@
     }
     let left: Option<u32> = header("Req-Deadline-Ms").and_then(|v| v.trim().parse().ok());
     let left = Span::from_ms(left.ok_or(wrong("Req-Deadline-Ms is not a number of milliseconds"))?.into());
-    let body = to_bytes(body, MOST_BODY).await.map_err(|e| too_large_or_broken(&e))?;
+    // Guards against places held by clients whose body never comes: past its own time nobody waits for an answer.
+    let body = tokio::time::timeout(duration(left), to_bytes(body, MOST_BODY)).await;
+    let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))?;
+    let body = body.map_err(|e| too_large_or_broken(&e))?;
     decode(&body, id, vertical, received + left, door.shards).map_err(wrong)
 }
 
--- a/crates/pipitcrank-node/src/gate.rs
+++ b/crates/pipitcrank-node/src/gate.rs
@@ -19,6 +19,9 @@
 
 /// A client that keeps a connection without a whole request head for longer gives its place to others.
 const HEAD_LIMIT: Duration = Duration::from_secs(60);
+/// Longest request head taken: with all places for clients in use, heads and bodies stay under a quarter of the
+/// memory told.
+const LONGEST_HEAD: usize = 16 * 1024;
 /// After SIGTERM new connections come for up to 0.4 s; we stay at least so long, as the platform asks.
 const STAY: Duration = Duration::from_millis(700);
 /// How long nothing must have come before we hold ourselves to be quiet, and how often we look.
@@ -84,6 +87,7 @@
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_LIMIT)
+        .max_buf_size(LONGEST_HEAD)
         .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
     let mut serving = std::pin::pin!(serving);
     let mut leaving = false;
--- a/crates/pipitcrank-node/tests/exchange.rs
+++ b/crates/pipitcrank-node/tests/exchange.rs
@@ -10,6 +10,7 @@
 use pipitcrank::told::Told;
 use pipitcrank_node::counters::Counters;
 use pipitcrank_node::exchange::{Asked, AskedPart, CallNo, Exchange, Final, LeafSide, Listed};
+use pipitcrank_node::frames::Report;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -34,6 +35,7 @@
     calls: Vec<(Leaf, Vec<CallNo>)>,
     given_up: Vec<CallNo>,
     met: BTreeMap<Leaf, SocketAddr>,
+    probed: Vec<Leaf>,
 }
 
 impl LeafSide for Ledger {
@@ -49,7 +51,9 @@
     fn give_up(&mut self, _leaf: Leaf, call: CallNo) {
         self.given_up.push(call);
     }
-    fn probe(&mut self, _leaf: Leaf) {}
+    fn probe(&mut self, leaf: Leaf) {
+        self.probed.push(leaf);
+    }
 }
 
 fn listed(n: u32, up: bool) -> Listed {
@@ -70,7 +74,11 @@
 impl Stage {
     /// Three leaves in a ring of three cells, each shard held by two.
     fn set() -> Stage {
-        let told = serde_json::from_str(TOLD).unwrap();
+        Stage::told(TOLD)
+    }
+
+    fn told(told: &str) -> Stage {
+        let told = serde_json::from_str(told).unwrap();
         let counters = Counters::default();
         let root = Told::new(&told).root(7).unwrap();
         let mut exchange = Exchange::new(root, MOST_OPEN, 4, GRACE, counters.clone());
@@ -282,6 +290,33 @@
     assert_eq!(stage.final_of("q").as_ref(), Some(&aborted));
 }
 
+#[test]
+fn what_leaves_report_to_probes_reaches_the_decisions() {
+    for busy in [false, true] {
+        let mut stage = Stage::told(&TOLD.replace("\"probing\":false", "\"probing\":true"));
+        // Long after anything was heard of the leaves.
+        stage.ask("q", 0, 0..1, 9000);
+        stage.turn(5010);
+        let holders = std::mem::take(&mut stage.ledger.probed);
+        assert_eq!(
+            (holders.len(), stage.ledger.calls.len()),
+            (2, 0),
+            "holders are probed before anything is sent"
+        );
+        let chosen =
+            |n: usize| Report { waiting: Some(if busy && n == 1 { 40.0 } else { 0.0 }), in_hand: None };
+        for (n, leaf) in holders.iter().enumerate() {
+            stage.exchange.probed(*leaf, Ending::Pass, Some(chosen(n)));
+        }
+        stage.turn(5015);
+        assert_eq!(stage.ledger.calls.len(), 1);
+        assert!(
+            !busy || stage.ledger.calls[0].0 == holders[0],
+            "the one with forty parts waiting is left out"
+        );
+    }
+}
+
 #[test]
 fn only_the_first_end_of_a_call_counts() {
     let mut stage = Stage::set();
--- a/crates/pipitcrank-node/tests/sockets.rs
+++ b/crates/pipitcrank-node/tests/sockets.rs
@@ -297,8 +297,13 @@
         assert_eq!(answer(node.send(request)).0, 400, "{request}");
     }
     assert_eq!(answer(node.send(&post("q5", &format!("{ASK}{}", " ".repeat(70_000))))).0, 413);
+    let never_whole =
+        post("q6", ASK).replace("25000", "100").replace("Content-Length: ", "Content-Length: 1");
+    assert_eq!(answer(node.send(&never_whole)).0, 408);
+    let long_head = post("q7", ASK).replace("Host: x", &format!("Host: x\r\nMore: {}", "x".repeat(40_000)));
+    assert_eq!(answer(node.send(&long_head)).0, 431);
     node.counted("queries merged 2");
-    node.counted("bad_requests malformed 9");
+    node.counted("bad_requests malformed 10");
     node.counted("bad_requests too_large 1");
     assert_eq!(answer(node.send(&post("q4", ASK))).0, 200, "still serving");
 }
