--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -122,6 +122,7 @@
     LetGo(Leaf),
 }
 
+#[derive(Default)]
 struct Desk {
     queries: Names,
     parts: Names,
@@ -143,7 +144,7 @@
 }
 
 impl Desk {
-    /// Ends a call for the outside; false if it has ended before.
+    /// Ends a call for the outside, and says at which leaf it was out; none if it has ended before.
     fn close(&mut self, call: CallNo) -> Option<Leaf> {
         let Out { leaf, until } = self.out.remove(&call)?;
         self.untils.remove(&(until, call));
@@ -244,20 +245,7 @@
         drain_grace: Span,
         counters: Counters,
     ) -> Exchange {
-        let desk = Desk {
-            queries: Names::default(),
-            parts: Names::default(),
-            leaves: Names::default(),
-            held_queries: BTreeMap::new(),
-            held_parts: BTreeMap::new(),
-            held_leaves: BTreeMap::new(),
-            tickets: BTreeMap::new(),
-            out: BTreeMap::new(),
-            untils: BTreeSet::new(),
-            alarms: BTreeSet::new(),
-            wishes: Vec::new(),
-            counters,
-        };
+        let desk = Desk { counters, ..Desk::default() };
         let call_size = call_size.max(1);
         Exchange { root, desk, inbox: Vec::new(), most_open, call_size, drain_grace }
     }
