Idle and silent clients give way, SIGHUP moves the watch, framing is checked on raw heads

Checked: memory flat at 2.4 MB and under a second of processor time a node, so neither is what keeps clients out.

Now: visits.rs knows what each client's connection is at; when under an eighth of the places is free the longest quiet give way (idle 2 s, silent 100 ms, half a request 1 s), never one with an open request; a request has to be whole 2.5 s after connecting. tap.rs reads heads beside hyper, which of a request with both Content-Length and Transfer-Encoding shows one only and serves it: refused now. What a refused client still writes is read off so that no reset takes its answer. reload.rs heeds SIGHUP; discovery asks a new address for the whole list, as versions may begin anew there. Clients get two thirds of the places instead of half.

--- a/crates/pipitcrank-node/src/charter.rs
+++ b/crates/pipitcrank-node/src/charter.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use axum::http::uri::Authority;
 use pipitcrank::time::Span;
 use pipitcrank::told::{Faulty, Told};
 use serde::Deserialize;
@@ -56,7 +57,24 @@
     }
 
     pub fn discovery(&self) -> Result<String, Faulty> {
-        self.word("/discovery", "NODE_DISCOVERY")
+        let address = self.word("/discovery", "NODE_DISCOVERY")?;
+        let sound = address.parse::<Authority>().is_ok_and(|a| a.port_u16().is_some());
+        let wrong = || self.told().faulty("/discovery", &format!("is '{address}', no address and port"));
+        if sound { Ok(address) } else { Err(wrong()) }
+    }
+
+    /// Whether all of it could be started with.
+    pub fn check(&self, clock: &Clock) -> Result<(), Faulty> {
+        self.name()?;
+        self.listen()?;
+        self.discovery()?;
+        self.known(clock)?;
+        self.sockets()?;
+        self.exchange(Counters::default())?;
+        self.shards()?;
+        self.tick()?;
+        self.streams()?;
+        self.idle_limit().map(drop)
     }
 
     /// The list of leaves as last held, and its version.
@@ -67,10 +85,14 @@
         Ok((known.rev, known.rows(clock).map_err(wrong)?.1))
     }
 
-    /// Sockets for clients at most, and as many for leaves.
-    pub fn sockets_each(&self) -> Result<usize, Faulty> {
+    /// Sockets for leaves and for clients, at most. Leaves get a third: a few connections to each leaf carry all
+    /// that is out, while clients that ask once and stay, or say nothing, come on top of those that wait.
+    pub fn sockets(&self) -> Result<(usize, usize), Faulty> {
         match self.told().count("/limits/sockets")? {
-            most if most >= 2 * OWN_SOCKETS => Ok((most - OWN_SOCKETS) as usize / 2),
+            most if most >= 2 * OWN_SOCKETS => {
+                let (all, leaves) = (most - OWN_SOCKETS, (most - OWN_SOCKETS) / 3);
+                Ok((leaves as usize, (all - leaves) as usize))
+            }
             few => {
                 Err(self.told().faulty("/limits/sockets", &format!("is {few}, under {}", 2 * OWN_SOCKETS)))
             }
--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -1,15 +1,18 @@
 //! Discovery: the list of leaves as first known, and the watch that keeps it.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
+use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::ends::ConnectionEnd;
@@ -68,62 +71,106 @@
     }
 }
 
-/// Watches for ever; `rev` is the version of the list as first known. Between two tries it waits for `pause`.
-pub async fn watch(hall: Rc<Hall>, address: String, mut rev: u64, pause: Duration) {
+type Asker = Client<HttpConnector, Empty<Bytes>>;
+
+/// Watches for ever, wherever discovery is at the moment; `rev` is the version of the list as first known. Between
+/// two tries it waits for `pause`.
+pub async fn watch(hall: Rc<Hall>, mut address: watch::Receiver<String>, rev: u64, pause: Duration) {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(pause));
-    let client: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new()).build(connector);
+    let client: Asker = Client::builder(TokioExecutor::new()).build(connector);
+    let mut rev = Some(rev);
     loop {
-        let end = one_watch(&hall, &client, &address, &mut rev).await;
-        log::warn!("the watch of discovery ended: {}", end.name());
-        hall.counters.add("discovery", end.name());
-        tokio::time::sleep(pause).await;
+        let at = address.borrow_and_update().clone();
+        let one_address = async {
+            loop {
+                let end = one_watch(&hall, &client, &at, &mut rev).await;
+                log::warn!("the watch of discovery ended: {}", end.name());
+                hall.counters.add("discovery", end.name());
+                tokio::time::sleep(pause).await;
+            }
+        };
+        // Guards against news missed after a move: a try or a pause at the old address is left at once, and as the
+        // new one may count versions otherwise, the whole list is asked for there.
+        tokio::select! {
+            () = one_address => {}
+            Ok(()) = address.changed() => {
+                hall.counters.add("discovery", "moved");
+                rev = None;
+            }
+        }
+    }
+}
+
+async fn ask(client: &Asker, address: &str, what: &str) -> Result<Incoming, ConnectionEnd> {
+    let uri = format!("http://{address}/discovery/hosts{what}");
+    let Ok(request) = Request::get(uri).body(Empty::new()) else { return Err(ConnectionEnd::Refused) };
+    match tokio::time::timeout(SILENT, client.request(request)).await {
+        Ok(Ok(answer)) if answer.status() == StatusCode::OK => Ok(answer.into_body()),
+        Ok(Ok(_)) => Err(ConnectionEnd::BadBytes),
+        Ok(Err(_)) => Err(ConnectionEnd::Refused),
+        Err(_) => Err(ConnectionEnd::NeverUp),
+    }
+}
+
+/// Hands on what discovery sent; its version.
+fn take(hall: &Hall, line: &[u8]) -> Result<u64, ConnectionEnd> {
+    let news: Result<News, String> = serde_json::from_slice(line).map_err(|e| e.to_string());
+    let taken = news.and_then(|n| Ok((n.rev, n.rows(&hall.clock)?)));
+    let (rev, (whole, rows)) = taken.map_err(|wrong| {
+        log::warn!("discovery sent what can't be read: {wrong}");
+        ConnectionEnd::BadBytes
+    })?;
+    hall.tell(|e| e.list(hall.clock.now(), whole, rows));
+    Ok(rev)
+}
+
+/// The whole list, where no version of it is known.
+async fn whole_list(hall: &Hall, client: &Asker, address: &str) -> Result<u64, ConnectionEnd> {
+    let body = Limited::new(ask(client, address, "").await?, LONGEST).collect();
+    match tokio::time::timeout(SILENT, body).await {
+        Ok(Ok(body)) => take(hall, &body.to_bytes()),
+        Ok(Err(_)) => Err(ConnectionEnd::Reset),
+        Err(_) => Err(ConnectionEnd::Silent),
     }
 }
 
-async fn one_watch(
-    hall: &Rc<Hall>,
-    client: &Client<HttpConnector, Empty<Bytes>>,
+async fn one_watch(hall: &Hall, client: &Asker, address: &str, rev: &mut Option<u64>) -> ConnectionEnd {
+    match watch_until(hall, client, address, rev).await {
+        Ok(never) => match never {},
+        Err(end) => end,
+    }
+}
+
+async fn watch_until(
+    hall: &Hall,
+    client: &Asker,
     address: &str,
-    rev: &mut u64,
-) -> ConnectionEnd {
-    let uri = format!("http://{address}/discovery/hosts?stream=1&index={rev}");
-    let Ok(request) = Request::get(uri).body(Empty::new()) else { return ConnectionEnd::Refused };
-    let mut body = match tokio::time::timeout(SILENT, client.request(request)).await {
-        Ok(Ok(answer)) if answer.status() == StatusCode::OK => answer.into_body(),
-        Ok(Ok(_)) => return ConnectionEnd::BadBytes,
-        Ok(Err(_)) => return ConnectionEnd::Refused,
-        Err(_) => return ConnectionEnd::NeverUp,
+    rev: &mut Option<u64>,
+) -> Result<Infallible, ConnectionEnd> {
+    let known = match *rev {
+        Some(known) => known,
+        None => whole_list(hall, client, address).await?,
     };
+    *rev = Some(known);
+    let mut body = ask(client, address, &format!("?stream=1&index={known}")).await?;
     let mut buffer = BytesMut::new();
     loop {
         match tokio::time::timeout(SILENT, body.frame()).await {
-            Err(_) => return ConnectionEnd::Silent,
-            Ok(None) => return ConnectionEnd::Closed,
-            Ok(Some(Err(_))) => return ConnectionEnd::Reset,
+            Err(_) => return Err(ConnectionEnd::Silent),
+            Ok(None) => return Err(ConnectionEnd::Closed),
+            Ok(Some(Err(_))) => return Err(ConnectionEnd::Reset),
             Ok(Some(Ok(frame))) => buffer.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
         }
         while let Some(end) = buffer.iter().position(|&b| b == b'\n') {
             let line = buffer.split_to(end + 1);
-            if line.trim_ascii().is_empty() {
-                continue;
-            }
-            let news: Result<News, String> = serde_json::from_slice(&line).map_err(|e| e.to_string());
-            let taken = news.and_then(|n| Ok((n.rev, n.rows(&hall.clock)?)));
-            match taken {
-                Ok((version, (whole, rows))) => {
-                    *rev = version;
-                    hall.tell(|e| e.list(hall.clock.now(), whole, rows));
-                }
-                Err(wrong) => {
-                    log::warn!("discovery sent a bad line: {wrong}");
-                    return ConnectionEnd::BadBytes;
-                }
+            if !line.trim_ascii().is_empty() {
+                *rev = Some(take(hall, &line)?);
             }
         }
         if buffer.len() > LONGEST {
-            return ConnectionEnd::BadBytes;
+            return Err(ConnectionEnd::BadBytes);
         }
     }
 }
--- a/crates/pipitcrank-node/src/front.rs
+++ b/crates/pipitcrank-node/src/front.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::clock::{Clock, duration};
 use crate::counters::Counters;
@@ -26,6 +27,15 @@
 /// Longest id taken: it goes out with each part.
 const LONGEST_ID: usize = 256;
 
+/// What is known of a request beside its text.
+#[derive(Clone, Copy)]
+pub struct Arrival {
+    /// By then it has to be here whole.
+    pub whole_by: Instant,
+    /// It says in two ways at once where it ends.
+    pub mixed: bool,
+}
+
 /// What the front has for the exchange.
 pub enum Knock {
     Ask(u64, Asked, oneshot::Sender<Final>),
@@ -126,7 +136,8 @@
         refused.headers_mut().insert(ALLOW, HeaderValue::from_static("POST"));
         return refused;
     }
-    let asked = match read(&door, Vertical(vertical as u16), &parts.headers, body).await {
+    let arrival = parts.extensions.get::<Arrival>().copied();
+    let asked = match read(&door, Vertical(vertical as u16), &parts.headers, arrival, body).await {
         Ok(asked) => asked,
         Err((status, what)) => {
             let kind = if status == StatusCode::PAYLOAD_TOO_LARGE { "too_large" } else { "malformed" };
@@ -155,9 +166,19 @@
 type Wrong = (StatusCode, &'static str);
 
 /// One request, read whole.
-async fn read(door: &Door, vertical: Vertical, headers: &HeaderMap, body: Body) -> Result<Asked, Wrong> {
+async fn read(
+    door: &Door,
+    vertical: Vertical,
+    headers: &HeaderMap,
+    arrival: Option<Arrival>,
+    body: Body,
+) -> Result<Asked, Wrong> {
     let received = door.clock.now();
     let wrong = |what: &'static str| (StatusCode::BAD_REQUEST, what);
+    // Guards against a request hidden in the body of another: neither is taken.
+    if arrival.is_some_and(|a| a.mixed) {
+        return Err(wrong("it has both Content-Length and Transfer-Encoding"));
+    }
     let header = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
     let id = header("Req-Id").ok_or(wrong("Req-Id is missing"))?;
     if id.is_empty() || id.len() > LONGEST_ID || !id.bytes().all(|b| b.is_ascii_graphic()) {
@@ -165,8 +186,10 @@
     }
     let left: Option<u32> = header("Req-Deadline-Ms").and_then(|v| v.trim().parse().ok());
     let left = Span::from_ms(left.ok_or(wrong("Req-Deadline-Ms is not a number of milliseconds"))?.into());
-    // Guards against places held by clients whose body never comes: past its own time nobody waits for an answer.
-    let body = tokio::time::timeout(duration(left), to_bytes(body, MOST_BODY)).await;
+    // Guards against places held by clients whose body never comes, whatever time they claim to wait.
+    let own = Instant::now() + duration(left);
+    let whole_by = arrival.map_or(own, |a| a.whole_by.min(own));
+    let body = tokio::time::timeout_at(whole_by, to_bytes(body, MOST_BODY)).await;
     let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))?;
     let body = body.map_err(|e| too_large_or_broken(&e))?;
     decode(&body, id, vertical, received + left, door.shards).map_err(wrong)
--- a/crates/pipitcrank-node/src/hall.rs
+++ b/crates/pipitcrank-node/src/hall.rs
@@ -22,11 +22,11 @@
 #[derive(Clone)]
 pub struct Sockets {
     most: usize,
-    open: Rc<Cell<usize>>,
+    open: Rc<(Cell<usize>, Notify)>,
 }
 
 /// One socket's place; given back when dropped.
-pub struct Place(Rc<Cell<usize>>);
+pub struct Place(Rc<(Cell<usize>, Notify)>);
 
 impl Sockets {
     pub fn new(most: usize) -> Sockets {
@@ -34,20 +34,34 @@
     }
 
     pub fn place(&self) -> Option<Place> {
-        (self.open.get() < self.most).then(|| {
-            self.open.set(self.open.get() + 1);
+        (self.open() < self.most).then(|| {
+            self.open.0.set(self.open() + 1);
             Place(self.open.clone())
         })
     }
 
     pub fn open(&self) -> usize {
-        self.open.get()
+        self.open.0.get()
+    }
+
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
+    pub fn free(&self) -> usize {
+        self.most - self.open()
+    }
+
+    /// Ends when a place was given back.
+    pub async fn freed(&self) {
+        self.open.1.notified().await;
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.0.set(self.0.0.get() - 1);
+        self.0.1.notify_one();
     }
 }
 
--- a/crates/pipitcrank-node/src/lib.rs
+++ b/crates/pipitcrank-node/src/lib.rs
@@ -12,4 +12,7 @@
 pub mod hall;
 pub mod leaves;
 pub mod logger;
+pub mod reload;
+pub mod tap;
+pub mod visits;
 pub mod wire;
--- a/crates/pipitcrank-node/src/main.rs
+++ b/crates/pipitcrank-node/src/main.rs
@@ -21,6 +21,7 @@
 use pipitcrank_node::hall::{Hall, Sockets};
 use pipitcrank_node::leaves::Leaves;
 use pipitcrank_node::logger::Logger;
+use pipitcrank_node::reload;
 
 fn main() {
     let clock = Clock::start();
@@ -39,6 +40,8 @@
 }
 
 async fn serve(clock: Clock) -> Result<(), Box<dyn Error>> {
+    // Before all else: unheeded, the signal ends the process.
+    let hangups = signal(SignalKind::hangup())?;
     let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
     let charter = Charter::read(&text, |name| std::env::var(name).ok())?;
@@ -47,8 +50,8 @@
     let mut exchange = charter.exchange(counters.clone())?;
     let (rev, known) = charter.known(&clock)?;
     exchange.list(clock.now(), true, known);
-    let (for_leaves, for_clients) =
-        (Sockets::new(charter.sockets_each()?), Sockets::new(charter.sockets_each()?));
+    let (for_leaves, for_clients) = charter.sockets()?;
+    let (for_leaves, for_clients) = (Sockets::new(for_leaves), Sockets::new(for_clients));
     let hall = Rc::new(Hall::new(clock, counters.clone(), for_leaves, exchange));
     let leaves = Leaves::new(hall.clone(), charter.streams()?, charter.dial_limit()?, charter.idle_limit()?);
     let (knocks, knocked) = unbounded_channel();
@@ -62,7 +65,9 @@
         closing: closing.clone(),
         tickets: Arc::new(AtomicU64::new(0)),
     });
-    let watch = discovery::watch(hall.clone(), charter.discovery()?, rev, charter.dial_limit()?);
+    let (move_watch, watched) = watch::channel(charter.discovery()?);
+    let watch = discovery::watch(hall.clone(), watched, rev, charter.dial_limit()?);
+    tokio::task::spawn_local(reload::heed(hangups, path.into(), clock, counters.clone(), move_watch));
     let (tick, name, listen) = (charter.tick()?, charter.name()?, charter.listen()?);
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("/listen: {e}"))?;
 
--- /dev/null
+++ b/crates/pipitcrank-node/src/tap.rs
@@ -0,0 +1,212 @@
+//! The stream of one client's connection as HTTP is read from it: it notes when a request begins and how its head
+//! says the body is framed, which the HTTP library does not tell.
+
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::visits::{Doing, Visit};
+
+/// How a request says where it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By a length, or it has no body.
+    Length(u64),
+    Chunked,
+    /// Both ways at once, so that two readers may not agree on what is one request.
+    Mixed,
+}
+
+/// Reads the bytes of a connection beside the HTTP library.
+pub struct Heads {
+    longest: usize,
+    /// The head as far as it has come; emptied once whole.
+    head: Vec<u8>,
+    /// Of a whole head: how it is framed, and what of its body is still to come.
+    framing: Option<Framing>,
+    left: u64,
+    /// Something came behind the request: a next one before the answer, or a length that does not fit.
+    more: bool,
+}
+
+impl Heads {
+    pub fn new(longest: usize) -> Heads {
+        Heads { longest, head: Vec::new(), framing: None, left: 0, more: false }
+    }
+
+    /// What of the request came.
+    pub fn see(&mut self, mut bytes: &[u8]) {
+        if self.framing.is_none() {
+            let before = self.head.len();
+            let room = (self.longest - before).min(bytes.len());
+            self.head.extend_from_slice(&bytes[..room]);
+            let Some(end) = end_of_head(&self.head) else { return };
+            bytes = &bytes[end - before..];
+            let framing = framing(&self.head[..end]);
+            self.left = if let Framing::Length(left) = framing { left } else { 0 };
+            self.framing = Some(framing);
+            self.head = Vec::new();
+        }
+        if let Some(Framing::Length(_)) = self.framing {
+            self.more |= bytes.len() as u64 > self.left;
+            self.left = self.left.saturating_sub(bytes.len() as u64);
+        }
+    }
+
+    /// How the request at hand is framed, once its head is whole.
+    pub fn framing(&self) -> Option<Framing> {
+        self.framing
+    }
+
+    /// Whether another request may follow on the connection: only where it is known that this one has come whole
+    /// and none has begun behind it, so that each head is seen from its first byte.
+    pub fn may_follow(&self) -> bool {
+        matches!(self.framing, Some(Framing::Length(_))) && self.left == 0 && !self.more
+    }
+
+    /// The request was answered; what comes now is the next one.
+    pub fn next(&mut self) {
+        *self = Heads::new(self.longest);
+    }
+}
+
+/// Behind the empty line that ends a head. Lines before a request that are empty are not its end.
+fn end_of_head(bytes: &[u8]) -> Option<usize> {
+    let start = bytes.iter().position(|b| !b"\r\n".contains(b))?;
+    let mut line = start;
+    while let Some(n) = bytes[line..].iter().position(|&b| b == b'\n') {
+        let end = line + n;
+        if bytes[line..end].trim_ascii().is_empty() {
+            return Some(end + 1);
+        }
+        line = end + 1;
+    }
+    None
+}
+
+fn framing(head: &[u8]) -> Framing {
+    let (mut length, mut chunked) = (None, false);
+    for line in head.split(|&b| b == b'\n') {
+        let Some(colon) = line.iter().position(|&b| b == b':') else { continue };
+        let (name, value) = (line[..colon].trim_ascii(), line[colon + 1..].trim_ascii());
+        if name.eq_ignore_ascii_case(b"content-length") {
+            let value = std::str::from_utf8(value).ok().and_then(|v| v.parse().ok());
+            length = Some(value.unwrap_or(u64::MAX));
+        }
+        chunked |= name.eq_ignore_ascii_case(b"transfer-encoding");
+    }
+    match (length, chunked) {
+        (Some(_), true) => Framing::Mixed,
+        (None, true) => Framing::Chunked,
+        (length, false) => Framing::Length(length.unwrap_or(0)),
+    }
+}
+
+pub struct Tap {
+    pub stream: TcpStream,
+    pub visit: Rc<Visit>,
+    pub heads: Rc<std::cell::RefCell<Heads>>,
+    /// The client has closed its side.
+    pub ended: bool,
+}
+
+impl AsyncRead for Tap {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let came = &buf.filled()[before..];
+        self.ended |= came.is_empty();
+        if !came.is_empty() && matches!(self.visit.doing(), Doing::Silent | Doing::Idle) {
+            self.visit.turns_to(Doing::Begun, Instant::now());
+        }
+        self.heads.borrow_mut().see(came);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Tap {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    const LONGEST: usize = 1000;
+
+    /// However the bytes are cut into reads: the framing, and whether another request may follow.
+    fn seen(request: &str, cuts: &[usize]) -> (Option<Framing>, bool) {
+        let mut heads = Heads::new(LONGEST);
+        let mut rest = request.as_bytes();
+        for &cut in cuts {
+            let (piece, after) = rest.split_at(cut.min(rest.len()));
+            heads.see(piece);
+            rest = after;
+        }
+        heads.see(rest);
+        (heads.framing(), heads.may_follow())
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        #[test]
+        fn framing_is_seen_however_the_bytes_come(cuts in proptest::collection::vec(0usize..40, 0..12)) {
+            let head = |lines: &str| format!("\r\nPOST /v HTTP/1.1\r\nHost: x\r\n{lines}\r\n");
+            let cases = [
+                (head("Content-Length: 4\r\n") + "body", Some(Framing::Length(4)), true),
+                (head("Content-Length: 4\r\n") + "bodyPOST", Some(Framing::Length(4)), false),
+                (head("content-length:9\r\n") + "body", Some(Framing::Length(9)), false),
+                (head("Content-Length: -4\r\n"), Some(Framing::Length(u64::MAX)), false),
+                (head("Transfer-Encoding: chunked\r\n") + "0\r\n\r\n", Some(Framing::Chunked), false),
+                (head("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"), Some(Framing::Mixed), false),
+                (head("tRANSFER-encoding: x\r\nA: b\r\nContent-Length: 5\r\n"), Some(Framing::Mixed), false),
+                (head("").replace("\r\n", "\n"), Some(Framing::Length(0)), true),
+                ("POST /v HTTP/1.1\r\nHost: ".to_string(), None, false),
+            ];
+            for (request, framing, follows) in cases {
+                prop_assert_eq!(seen(&request, &cuts), (framing, follows), "{}", request);
+            }
+        }
+    }
+
+    #[test]
+    fn a_head_that_does_not_end_is_not_kept() {
+        let mut heads = Heads::new(LONGEST);
+        (0..1000).for_each(|_| heads.see(&[b'x'; 100]));
+        assert_eq!((heads.head.len(), heads.framing()), (LONGEST, None));
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-node/src/visits.rs
@@ -0,0 +1,178 @@
+//! Clients' connections: what each is at, how long it may be at that, and which give way to others when places
+//! run short. A connection with an open request never does.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// A request has to be whole this long after it began, the first on a connection after connecting: who does not
+/// get so far is owed an error or a close within 3 s, and half a second of that may pass waiting for the processor.
+const WHOLE_WITHIN: Duration = Duration::from_millis(2500);
+/// Idle for longer than this a connection is closed in any case: most clients are back sooner.
+const LONGEST_IDLE: Duration = Duration::from_secs(60);
+/// Clients reckon with a close of a connection that has been idle for so long.
+const IDLE_GIVES_WAY: Duration = Duration::from_secs(2);
+/// A client that connects has a request to send: many times the way from it is time enough for the first byte.
+const SILENT_GIVES_WAY: Duration = Duration::from_millis(100);
+/// A request comes in one go, so what stops half way for so long is broken off or a bad client's.
+const BEGUN_GIVES_WAY: Duration = Duration::from_millis(1000);
+/// Time for a last answer to be read when others wait for the place.
+const PARTING_GIVES_WAY: Duration = Duration::from_millis(250);
+
+/// What a connection is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doing {
+    /// Nothing has come on it yet.
+    Silent,
+    /// Some of a request's head has come.
+    Begun,
+    /// A request is read or answered.
+    Open,
+    /// The last request was answered.
+    Idle,
+    /// Its last answer is given, and the client is left time to read it.
+    Parting,
+}
+
+pub struct Visit {
+    came: Instant,
+    doing: Cell<(Doing, Instant)>,
+    /// Until when a request begun has to be whole.
+    whole_by: Cell<Instant>,
+    leaving: Cell<bool>,
+    leave: Notify,
+}
+
+impl Visit {
+    fn new(now: Instant) -> Visit {
+        let (doing, whole_by) = (Cell::new((Doing::Silent, now)), Cell::new(now + WHOLE_WITHIN));
+        Visit { came: now, doing, whole_by, leaving: Cell::default(), leave: Notify::new() }
+    }
+
+    pub fn doing(&self) -> Doing {
+        self.doing.get().0
+    }
+
+    /// From now on it is at something else.
+    pub fn turns_to(&self, doing: Doing, now: Instant) {
+        if self.doing() == Doing::Idle {
+            self.whole_by.set(now + WHOLE_WITHIN);
+        }
+        self.doing.set((doing, now));
+    }
+
+    pub fn whole_by(&self) -> Instant {
+        self.whole_by.get()
+    }
+
+    /// Ends when the connection has to be closed.
+    pub async fn called_to_leave(&self) {
+        self.leave.notified().await;
+    }
+
+    fn overdue(&self, now: Instant) -> bool {
+        match self.doing.get() {
+            (Doing::Silent | Doing::Begun, _) => now >= self.whole_by(),
+            (Doing::Idle, since) => now >= since + LONGEST_IDLE,
+            // The front and whoever sees it off have limits of their own.
+            (Doing::Open | Doing::Parting, _) => false,
+        }
+    }
+
+    /// Since when it could give way.
+    fn gives_way(&self) -> Option<Instant> {
+        let (doing, since) = self.doing.get();
+        let wait = match doing {
+            Doing::Silent => SILENT_GIVES_WAY,
+            Doing::Begun => BEGUN_GIVES_WAY,
+            Doing::Idle => IDLE_GIVES_WAY,
+            Doing::Parting => PARTING_GIVES_WAY,
+            Doing::Open => return None,
+        };
+        Some(since + wait)
+    }
+
+    fn call_to_leave(&self) {
+        self.leaving.set(true);
+        self.leave.notify_one();
+    }
+}
+
+/// All of them; each leaves the list as its connection ends.
+#[derive(Default)]
+pub struct Visits(RefCell<Vec<Rc<Visit>>>);
+
+impl Visits {
+    pub fn enter(&self, now: Instant) -> Rc<Visit> {
+        let visit = Rc::new(Visit::new(now));
+        self.0.borrow_mut().push(visit.clone());
+        visit
+    }
+
+    pub fn leave(&self, visit: &Rc<Visit>) {
+        self.0.borrow_mut().retain(|v| !Rc::ptr_eq(v, visit));
+    }
+
+    /// Closes what has been at something for too long; then those that may give way, the longest ready first,
+    /// until `short` places more are on their way to be free. Guards against clients kept out by connections that
+    /// asked once and stay, or that never say anything.
+    pub fn look(&self, now: Instant, short: usize) {
+        let visits = self.0.borrow();
+        visits.iter().filter(|v| !v.leaving.get() && v.overdue(now)).for_each(|v| v.call_to_leave());
+        let on_their_way = visits.iter().filter(|v| v.leaving.get()).count();
+        let mut ready: Vec<(Instant, Instant, &Rc<Visit>)> = visits
+            .iter()
+            .filter(|v| !v.leaving.get())
+            .filter_map(|v| Some((v.gives_way().filter(|&at| at <= now)?, v.came, v)))
+            .collect();
+        ready.sort_by_key(|&(at, came, _)| (at, came));
+        ready.iter().take(short.saturating_sub(on_their_way)).for_each(|(.., v)| v.call_to_leave());
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    #[test]
+    fn the_longest_quiet_give_way_and_open_requests_never_do() {
+        let (visits, start) = (Visits::default(), Instant::now());
+        let [open, idle, fresh_idle, silent, begun] = [0, 1, 2, 3, 4].map(|n| visits.enter(start + MS * n));
+        open.turns_to(Doing::Open, start);
+        idle.turns_to(Doing::Idle, start);
+        fresh_idle.turns_to(Doing::Idle, start + MS * 900);
+        begun.turns_to(Doing::Begun, start + MS * 500);
+        let left = || [&open, &idle, &fresh_idle, &silent, &begun].map(|v| v.leaving.get());
+        visits.look(start + MS * 50, 5);
+        assert_eq!(left(), [false; 5], "each has some time");
+        visits.look(start + MS * 2100, 0);
+        assert_eq!(left(), [false; 5], "there is room");
+        visits.look(start + MS * 2100, 2);
+        assert_eq!(left(), [false, false, false, true, true], "two places, the longest ready first");
+        visits.look(start + MS * 2100, 2);
+        assert_eq!(left(), [false, false, false, true, true], "two are on their way already");
+        visits.look(start + MS * 2500, 9);
+        assert_eq!(left(), [false, true, false, true, true], "idle for 2 s");
+        visits.look(start + MS * 90_000, 0);
+        assert_eq!(left(), [false, true, true, true, true], "an open request is never closed");
+    }
+
+    #[test]
+    fn a_request_is_whole_in_time_from_connecting_or_from_its_first_byte() {
+        let (visits, start) = (Visits::default(), Instant::now());
+        let [silent, slow, again] = [0, 0, 0].map(|_| visits.enter(start));
+        slow.turns_to(Doing::Begun, start + MS * 2400);
+        again.turns_to(Doing::Open, start + MS * 10);
+        again.turns_to(Doing::Idle, start + MS * 20);
+        again.turns_to(Doing::Begun, start + MS * 2400);
+        visits.look(start + WHOLE_WITHIN, 0);
+        assert!(silent.leaving.get() && slow.leaving.get() && !again.leaving.get());
+        visits.look(start + MS * 2400 + WHOLE_WITHIN, 0);
+        assert!(again.leaving.get(), "its second request had as long");
+    }
+}
--- a/crates/pipitcrank-node/tests/protocol.rs
+++ b/crates/pipitcrank-node/tests/protocol.rs
@@ -6,7 +6,6 @@
 use pipitcrank::told::Faulty;
 use pipitcrank_node::charter::Charter;
 use pipitcrank_node::clock::Clock;
-use pipitcrank_node::counters::Counters;
 use pipitcrank_node::discovery::News;
 use pipitcrank_node::ends::ConnectionEnd;
 use pipitcrank_node::frames::{self, CallPart, FromLeaf, Report};
@@ -168,13 +167,7 @@
 
 /// Everything that the program reads at start.
 fn read_all(text: &str) -> Result<(), Faulty> {
-    let charter = Charter::read(text, |_| None)?;
-    charter.exchange(Counters::default())?;
-    charter.known(&Clock::start())?;
-    charter.name().and(charter.discovery()).and(charter.listen().map(drop))?;
-    charter.verticals().and(charter.shards()).and(charter.tick())?;
-    charter.sockets_each().and(charter.streams())?;
-    charter.dial_limit().and(charter.idle_limit()).map(drop)
+    Charter::read(text, |_| None)?.check(&Clock::start())
 }
 
 #[test]
@@ -185,7 +178,8 @@
         charter.idle_limit().unwrap() < std::time::Duration::from_secs(15),
         "closed before the leaf would"
     );
-    assert!(2 * charter.sockets_each().unwrap() < 1024);
+    let (leaves, clients) = charter.sockets().unwrap();
+    assert!(leaves + clients < 1024 && clients > 1024 / 2, "clients may hold a third by requests alone");
     let named = |name: &str| (name == "NODE_NAME").then(|| "other".to_string());
     assert_eq!(Charter::read(&told().to_string(), named).unwrap().name(), Ok("other".into()));
     assert_eq!(read_all(&told().to_string()), Ok(()));
@@ -197,6 +191,7 @@
         ("/listen", json!("here")),
         ("/seed", json!("xyz")),
         ("/discovery", json!(3)),
+        ("/discovery", json!("somewhere")),
         ("/known", json!({"rev": "x"})),
         ("/limits/sockets", json!(8)),
         ("/settings/allowed/conn_idle_s", json!("long")),
--- a/crates/pipitcrank-node/tests/sockets.rs
+++ b/crates/pipitcrank-node/tests/sockets.rs
@@ -1,7 +1,7 @@
 //! The whole program against stand-ins for clients, leaves and discovery, on loopback. Nothing hangs on how long
 //! anything takes: what has to happen is waited for, up to a limit far beyond it.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -128,7 +128,10 @@
                         let line = match fed.recv_timeout(Duration::from_secs(1)) {
                             Ok(line) => line,
                             Err(std::sync::mpsc::RecvTimeoutError::Timeout) => String::new(),
-                            Err(_) => break,
+                            Err(_) => {
+                                let _ = stream.write_all(b"0\r\n\r\n");
+                                break;
+                            }
                         };
                         if write!(stream, "{:x}\r\n{line}\n\r\n", line.len() + 1).is_err() {
                             break;
@@ -183,15 +186,20 @@
 impl Node {
     /// `n` gives each test an address of its own.
     fn start(n: u8, discovery: &Discovery, known: Value) -> Node {
+        Node::start_with(n, discovery, known, 256)
+    }
+
+    fn start_with(n: u8, discovery: &Discovery, known: Value, sockets: u32) -> Node {
         let free = TcpListener::bind(SocketAddr::from(([127, 77, 1, n], 0))).unwrap();
         let address = free.local_addr().unwrap();
         drop(free);
         let charter = std::env::temp_dir().join(format!("pipitcrank-{}-{n}.json", std::process::id()));
         let told = json!({"name":"n1","listen":address.to_string(),"discovery":discovery.address.to_string(),
-            "seed":"5","limits":{"sockets":256,"memory_mb":64,"cores":1.0},"known":known,"settings":settings()});
+            "seed":"5","limits":{"sockets":sockets,"memory_mb":64,"cores":1.0},"known":known,"settings":settings()});
         std::fs::write(&charter, told.to_string()).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_pipitcrank-node"))
             .env("NODE_CONFIG", &charter)
+            .env("NODE_DISCOVERY", discovery.address.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -217,6 +225,19 @@
         stream
     }
 
+    fn signal(&self, which: &str) {
+        let kill = Command::new("kill").arg(which).arg(self.child.id().to_string()).status().unwrap();
+        assert!(kill.success());
+    }
+
+    /// Changes one key of the charter and has it read again.
+    fn reload(&self, key: &str, value: Value) {
+        let mut told: Value = serde_json::from_slice(&std::fs::read(&self.charter).unwrap()).unwrap();
+        *told.pointer_mut(key).unwrap() = value;
+        std::fs::write(&self.charter, told.to_string()).unwrap();
+        self.signal("-HUP");
+    }
+
     fn counted(&self, line: &str) {
         wait_for(line, || self.try_get("/counters").filter(|c| c.lines().any(|l| l == line)));
     }
@@ -400,8 +421,7 @@
     wait_for("a call", || {
         [&a, &b].into_iter().find(|l| l.heard.try_recv().is_ok_and(|f| f.starts_with('Q')))
     });
-    let kill = Command::new("kill").arg("-TERM").arg(node.child.id().to_string()).status().unwrap();
-    assert!(kill.success());
+    node.signal("-TERM");
     wait_for("the end called", || node.try_get("/up").filter(|a| a.starts_with("HTTP/1.1 503")));
     let late = node.send(&post("late", ASK));
     for leaf in [&a, &b] {
@@ -418,6 +438,106 @@
     assert!(log.contains("queries merged 2\n"), "counters at exit: {log}");
 }
 
+#[test]
+fn a_new_charter_moves_the_watch_and_a_faulty_one_changes_nothing() {
+    let (a, b) = (Leaf::start(answers), Leaf::start(answers));
+    let (old, new) = (Discovery::start(), Discovery::start());
+    let mut node = Node::start(8, &old, list(700, true, &[(0, a.address, "active")]));
+    let (_, feed) = old.watch();
+    feed.send(String::new()).unwrap();
+    node.up();
+    node.reload("/settings/allowed/dial_timeout_s", json!("soon"));
+    node.counted("reloads faulty 1");
+    feed.send(list(701, false, &[(1, b.address, "active")]).to_string()).unwrap();
+    node.counted("discovery changes 1");
+    node.reload("/settings/allowed/dial_timeout_s", json!(1.0));
+    node.counted("reloads taken 1");
+    assert!(!node.try_get("/counters").unwrap().contains("discovery moved"), "the same address");
+    // Its versions begin anew there, so what is asked for is the whole list.
+    node.reload("/discovery", json!(new.address.to_string()));
+    let (first, whole_list) = new.watch();
+    assert_eq!(first, "GET /discovery/hosts HTTP/1.1\r\n", "the file goes before the variable");
+    whole_list
+        .send(list(3, true, &[(0, a.address, "active"), (1, b.address, "active")]).to_string())
+        .unwrap();
+    drop(whole_list);
+    let (then, _feed) = new.watch();
+    assert!(then.contains("stream=1&index=3 "), "{then}");
+    node.counted("discovery whole_list 2");
+    let (status, body, _) = answer(node.send(&post("q", ASK)));
+    assert_eq!((status, hits(&body)), (200, whole()));
+    node.signal("-TERM");
+    let status = wait_for("the exit", || node.child.try_wait().unwrap());
+    assert_eq!(status.code(), Some(0));
+    let mut log = String::new();
+    node.child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+    assert!(log.contains("the old one stays: /settings/allowed/dial_timeout_s has no number"), "{log}");
+}
+
+#[test]
+fn clients_that_stay_or_say_nothing_do_not_keep_others_out() {
+    let leaf = Leaf::start(answers);
+    let discovery = Discovery::start();
+    let known = list(1, true, &[(0, leaf.address, "active")]);
+    // 16 places for clients.
+    let node = Node::start_with(9, &discovery, known, 48);
+    node.up();
+    let ask = ASK.replace(r#"},{"shard":1,"weight":0.5}"#, "}").replace("0.5", "1.0");
+    let mut stay = Vec::new();
+    for n in 0..40 {
+        stay.push(node.send(&post(&format!("stays{n}"), &ask)));
+        assert_eq!(answer(stay[n].try_clone().unwrap()).0, 200, "{n}");
+    }
+    let silent: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(node.address).unwrap()).collect();
+    assert_eq!(answer(node.send(&post("usual", &ask))).0, 200);
+    // Each of the silent ones is closed, too, and so is one that stops within its request.
+    let half = node.send("POST /view HTTP/1.1\r\nHost: x\r\nReq-Id: ha");
+    for mut stream in silent.into_iter().chain([half]) {
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        let end = stream.read(&mut [0; 9]);
+        assert!(
+            end.as_ref().is_ok_and(|n| *n == 0) || end.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset)
+        );
+    }
+}
+
+#[test]
+fn a_request_framed_both_ways_is_refused_and_nothing_behind_it_is_read() {
+    let leaf = Leaf::start(answers);
+    let discovery = Discovery::start();
+    let node = Node::start(10, &discovery, list(1, true, &[(0, leaf.address, "active")]));
+    node.up();
+    let ask = ASK.replace(r#"},{"shard":1,"weight":0.5}"#, "}").replace("0.5", "1.0");
+    let hidden = post("hidden", &ask);
+    let chunks = format!("{:x}\r\n{ask}\r\n0\r\n\r\n", ask.len());
+    let chunked = post("c", "").replace("Content-Length: 0", "Transfer-Encoding: chunked") + &chunks;
+    let whole = chunks.len() + hidden.len();
+    let length = format!("Content-Length: {whole}\r\nTransfer-Encoding: chunked");
+    let encoding = format!("tRaNsFeR-eNcOdInG: chunked\r\nContent-Length:{whole}");
+    for both in [length, encoding] {
+        let mut stream = node.send(&(post("m", "").replace("Content-Length: 0", &both) + &chunks + &hidden));
+        let mut all = String::new();
+        stream.read_to_string(&mut all).unwrap();
+        assert!(all.starts_with("HTTP/1.1 400") && all.matches("HTTP/1.1 ").count() == 1, "{all}");
+    }
+    assert!(!leaf.heard.try_iter().any(|f| f.starts_with('Q')), "nothing of it went out");
+    let (status, body, _) = answer(node.send(&chunked));
+    assert_eq!((status, hits(&body).0), (200, true), "a chunked body alone is good");
+}
+
+#[test]
+fn a_client_that_is_still_writing_can_read_why_it_is_refused() {
+    let discovery = Discovery::start();
+    let node = Node::start(11, &discovery, list(1, true, &[]));
+    wait_for("the listener", || node.try_get("/up"));
+    let mut stream = node.send(&post("big", "").replace("Length: 0", "Length: 20000000"));
+    for _ in 0..200 {
+        stream.write_all(&[b' '; 100_000]).expect("what is still written is taken");
+    }
+    let (status, _, close) = answer(stream);
+    assert_eq!((status, close), (413, true));
+}
+
 #[test]
 fn a_faulty_charter_ends_it_with_the_key() {
     let path = std::env::temp_dir().join(format!("pipitcrank-{}-bad.json", std::process::id()));
