After SIGTERM clients keep their connections for 1.5 s; later queries end before the kill

Both co-ordinators were away at once: one was asked to end at 16.2 s and answered with Connection: close from then on, the other was back at 17.1 s, and the front had stopped dealing new connections by 16.6 s. At fault: gate.rs and front.rs ended each connection with its first answer after SIGTERM. Ruled out: calls lost or leaves in trouble (nothing but pass in that span).

Now all goes on for 1.5 s; then idle connections end and busy ones with their answer, as before. Queries that come after SIGTERM end 3.3 s after it at the latest, before the platform's kill at 3.7 s. /up answers 503 from SIGTERM on, as before.

--- a/crates/pipitcrank-node/src/front.rs
+++ b/crates/pipitcrank-node/src/front.rs
@@ -2,12 +2,12 @@
 //! encoded once. It knows nothing of leaves.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use axum::Router;
 use axum::body::{Body, Bytes, to_bytes};
 use axum::extract::{Request, State};
-use axum::http::header::{ALLOW, CONNECTION, RETRY_AFTER};
+use axum::http::header::{ALLOW, RETRY_AFTER};
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
@@ -15,7 +15,7 @@
 use pipitcrank::time::{At, Span};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
 use crate::clock::{Clock, duration};
@@ -27,6 +27,12 @@
 /// Longest id taken: it goes out with each part.
 const LONGEST_ID: usize = 256;
 
+/// When this process was asked to end, once it was.
+pub type EndCalled = watch::Receiver<Option<At>>;
+
+/// A query that comes after that is answered within this at the latest: the platform kills 3.7 s after asking.
+const LAST_ANSWER: Span = Span::from_ms(3300);
+
 /// What is known of a request beside its text.
 #[derive(Clone, Copy)]
 pub struct Arrival {
@@ -51,7 +57,7 @@
     pub verticals: Arc<[String]>,
     pub shards: u32,
     pub knocks: UnboundedSender<Knock>,
-    pub closing: Arc<AtomicBool>,
+    pub end_called: EndCalled,
     pub tickets: Arc<AtomicU64>,
 }
 
@@ -83,26 +89,13 @@
 }
 
 pub fn router(door: Door) -> Router {
-    Router::new()
-        .route("/up", get(up))
-        .route("/counters", get(counters))
-        .fallback(query)
-        .layer(axum::middleware::map_response_with_state(door.clone(), last_answer))
-        .with_state(door)
-}
-
-/// Once this process is to end, each connection ends with the answer it carries.
-async fn last_answer(State(door): State<Door>, mut response: Response) -> Response {
-    if door.closing.load(Ordering::Relaxed) {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    response
+    Router::new().route("/up", get(up)).route("/counters", get(counters)).fallback(query).with_state(door)
 }
 
 async fn up(State(door): State<Door>) -> Response {
     let (tell, told) = oneshot::channel();
     let asked = door.knocks.send(Knock::Able(tell)).is_ok();
-    let able = asked && told.await.unwrap_or(false) && !door.closing.load(Ordering::Relaxed);
+    let able = asked && told.await.unwrap_or(false) && door.end_called.borrow().is_none();
     if able { "up\n".into_response() } else { StatusCode::SERVICE_UNAVAILABLE.into_response() }
 }
 
@@ -192,7 +185,10 @@
     let body = tokio::time::timeout_at(whole_by, to_bytes(body, MOST_BODY)).await;
     let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))?;
     let body = body.map_err(|e| too_large_or_broken(&e))?;
-    decode(&body, id, vertical, received + left, door.shards).map_err(wrong)
+    // Guards against an answer that would come when this process has been killed.
+    let called = *door.end_called.borrow();
+    let ends = called.map_or(received + left, |at| (received + left).min(at + LAST_ANSWER));
+    decode(&body, id, vertical, ends, door.shards).map_err(wrong)
 }
 
 fn too_large_or_broken(error: &axum::Error) -> Wrong {
--- a/crates/pipitcrank-node/src/gate.rs
+++ b/crates/pipitcrank-node/src/gate.rs
@@ -2,8 +2,6 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use axum::Router;
@@ -20,18 +18,20 @@
 use tokio::time::Instant;
 use tower_service::Service;
 
+use crate::counters::Counters;
 use crate::ends::ConnectionEnd;
-use crate::exchange::Exchange;
-use crate::front::Arrival;
-use crate::hall::{Hall, Sockets};
+use crate::front::{Arrival, EndCalled};
+use crate::hall::Sockets;
 use crate::tap::{Framing, Heads, Tap};
 use crate::visits::{Doing, Visit, Visits};
 
 /// Longest request head taken: with all places for clients in use, heads and bodies stay under a quarter of the
 /// memory told.
 const LONGEST_HEAD: usize = 16 * 1024;
-/// After SIGTERM new connections come for up to 0.4 s; we stay at least so long, as the platform asks.
-const STAY: Duration = Duration::from_millis(700);
+/// After SIGTERM new connections come for up to 0.4 s, and clients go on using those they have, while the front may
+/// have nobody else to send them to: a co-ordinator ended just before may not be back. For so long all goes on as
+/// before. It leaves the platform's 3.7 s before it kills for the answers to what came until then.
+pub const STAY: Duration = Duration::from_millis(1500);
 /// How long nothing must have come before we hold ourselves to be quiet.
 const QUIET: Duration = Duration::from_millis(100);
 /// How often connections are looked over: a tenth of the second that is to spare where one has to end by a time.
@@ -50,14 +50,15 @@
 const SEE_OFF_PIECE: usize = 64 * 1024;
 const SEE_OFF_PAUSE: Duration = Duration::from_millis(2);
 
-/// Accepts until it is quiet after the end was called for.
+/// Accepts until all is quiet after the end was called for and `stay` has passed.
 pub async fn keep(
-    hall: Rc<Hall>,
     listener: TcpListener,
     router: Router,
     clients: Sockets,
-    closing: Arc<AtomicBool>,
-    mut end_called: watch::Receiver<bool>,
+    counters: Counters,
+    stay: Duration,
+    mut end_called: EndCalled,
+    quiet: impl Fn() -> bool,
 ) {
     let (last_call, leave) = watch::channel(false);
     let visits = Rc::new(Visits::default());
@@ -73,12 +74,12 @@
             accepted = listener.accept(), if place.is_some() => match accepted {
                 Ok((stream, _)) => {
                     came = Instant::now();
-                    hall.counters.add("clients", "accepted");
-                    let (router, hall, leave) = (router.clone(), hall.clone(), leave.clone());
+                    counters.add("clients", "accepted");
+                    let (router, counters, leave) = (router.clone(), counters.clone(), leave.clone());
                     let (visits, visit) = (visits.clone(), visits.enter(came));
                     tokio::task::spawn_local(async move {
                         let end = serve(stream, router, &visit, leave).await;
-                        hall.counters.add("clients", end.name());
+                        counters.add("clients", end.name());
                         visits.leave(&visit);
                         drop(place);
                     });
@@ -90,18 +91,18 @@
             },
             Ok(()) = end_called.changed(), if since.is_none() => {
                 log::info!("asked to end");
-                closing.store(true, Ordering::Relaxed);
                 since = Some(Instant::now());
             }
             () = clients.freed(), if place.is_none() => {}
             _ = looks.tick() => {
                 drop(place);
                 visits.look(Instant::now(), spare.saturating_sub(clients.free()));
-                let Some(since) = since.filter(|s| s.elapsed() >= STAY) else { continue };
+                if since.is_none_or(|s| s.elapsed() < stay) {
+                    continue;
+                }
                 // Idle connections end now, busy ones with their answer.
                 last_call.send_replace(true);
-                let quiet = clients.open() == 0 && hall.ask(Exchange::quiet);
-                if quiet && since.elapsed() >= STAY && came.elapsed() >= QUIET {
+                if clients.open() == 0 && quiet() && came.elapsed() >= QUIET {
                     return;
                 }
             }
@@ -195,3 +196,64 @@
         tokio::time::sleep(SEE_OFF_PAUSE).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::cell::Cell;
+
+    use axum::routing::get;
+    use pipitcrank::time::At;
+
+    use super::*;
+
+    async fn asked(stream: &mut TcpStream) -> String {
+        stream.write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"served") {
+            assert!(stream.read_buf(&mut answer).await.unwrap() > 0, "a whole answer");
+        }
+        String::from_utf8(answer).unwrap()
+    }
+
+    fn play(stay: Duration, scene: impl AsyncFnOnce(TcpStream, watch::Sender<Option<At>>, &Cell<bool>)) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+            let router = Router::new().route("/", get(async || "served"));
+            let (call, called) = watch::channel(None);
+            let ended = Rc::new(Cell::new(false));
+            let (gate_ended, counters) = (ended.clone(), Counters::default());
+            tokio::task::spawn_local(async move {
+                keep(listener, router, Sockets::new(9), counters, stay, called, || true).await;
+                gate_ended.set(true);
+            });
+            assert!(!asked(&mut stream).await.contains("connection: close"));
+            scene(stream, call, &ended).await;
+        });
+    }
+
+    #[test]
+    fn for_a_while_after_the_end_is_called_clients_keep_their_connections() {
+        play(Duration::from_secs(3600), async |mut stream, call, ended| {
+            call.send_replace(Some(At::default()));
+            for _ in 0..3 {
+                assert!(!asked(&mut stream).await.contains("connection: close"), "nobody else may be there");
+                tokio::time::sleep(2 * LOOK).await;
+            }
+            assert!(!ended.get());
+        });
+    }
+
+    #[test]
+    fn then_connections_end_and_so_does_the_gate() {
+        play(Duration::ZERO, async |mut stream, call, ended| {
+            call.send_replace(Some(At::default()));
+            assert_eq!(stream.read(&mut [0; 9]).await.unwrap(), 0, "closed in order");
+            drop(stream);
+            while !ended.get() {
+                tokio::time::sleep(LOOK).await;
+            }
+        });
+    }
+}
--- a/crates/pipitcrank-node/src/main.rs
+++ b/crates/pipitcrank-node/src/main.rs
@@ -3,7 +3,7 @@
 use std::error::Error;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::AtomicU64;
 
 use log::LevelFilter;
 use tokio::net::TcpListener;
@@ -55,14 +55,14 @@
     let hall = Rc::new(Hall::new(clock, counters.clone(), for_leaves, exchange));
     let leaves = Leaves::new(hall.clone(), charter.streams()?, charter.dial_limit()?, charter.idle_limit()?);
     let (knocks, knocked) = unbounded_channel();
-    let closing = Arc::new(AtomicBool::new(false));
+    let (call_end, end_called) = watch::channel(None);
     let router = front::router(Door {
         clock,
         counters: counters.clone(),
         verticals: charter.verticals()?.into(),
         shards: charter.shards()?,
         knocks,
-        closing: closing.clone(),
+        end_called: end_called.clone(),
         tickets: Arc::new(AtomicU64::new(0)),
     });
     let (move_watch, watched) = watch::channel(charter.discovery()?);
@@ -71,7 +71,6 @@
     let (tick, name, listen) = (charter.tick()?, charter.name()?, charter.listen()?);
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("/listen: {e}"))?;
 
-    let (call_end, end_called) = watch::channel(false);
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
     tokio::task::spawn_local(async move {
@@ -79,16 +78,17 @@
             _ = term.recv() => {}
             _ = int.recv() => {}
         }
-        call_end.send_replace(true);
+        call_end.send_replace(Some(clock.now()));
         // Kept: a closed channel would read as a second call.
         std::future::pending::<()>().await;
     });
     tokio::task::spawn_local(watch);
     tokio::task::spawn_local(hear(hall.clone(), knocked));
+    let quiet = || hall.ask(Exchange::quiet);
     log::info!("{name} serves at {listen}");
     tokio::select! {
         () = hall.take_turns(tick, &leaves) => {}
-        () = gate::keep(hall.clone(), listener, router, for_clients, closing, end_called) => {}
+        () = gate::keep(listener, router, for_clients, counters.clone(), gate::STAY, end_called, quiet) => {}
     }
     log::info!("counters at exit:\n{}", counters.show());
     Ok(())
