Unreadable reports are left; ids never sent and frames without an end end their connection

Now a report that can't be read tells nothing; the last 512 ids given up or answered on a connection are told from ids never sent; a frame begun and not whole in 400 ms ends its connection, which gets no new call meanwhile; an answer without a value, or with a next frame's head in it, is spoilt.

--- a/crates/pipitcrank-node/src/frames.rs
+++ b/crates/pipitcrank-node/src/frames.rs
@@ -96,7 +96,7 @@
             _ => Err(BadFrame("a probe's answer is neither ok nor err")),
         },
         b'L' if rest == "err" => Ok(Some(FromLeaf::Load(Ending::Fault, None))),
-        b'L' => Ok(Some(FromLeaf::Load(Ending::Pass, report(rest)?))),
+        b'L' => Ok(Some(FromLeaf::Load(Ending::Pass, report(rest)))),
         b'E' => Ok(Some(FromLeaf::Complaint(rest.to_string()))),
         _ => Err(BadFrame("its letter is not known")),
     }
@@ -109,28 +109,34 @@
         return Err(BadFrame("an answer's line has not four words"));
     };
     let ending = ending_of(word).ok_or(BadFrame("an answer ends in no known way"))?;
-    if id.is_empty() || score.is_empty() {
+    if id.is_empty() || !score.parse().is_ok_and(f64::is_finite) {
         return Err(BadFrame("an answer lacks its id or score"));
     }
-    Ok(FromLeaf::Answer { id: id.to_string(), ending, report: report(load)?, value: value.to_string() })
+    // Guards against a length that does not fit: a value with the next frame's head in it, or nothing at all, is not
+    // what a part was asked for.
+    if ending == Ending::Pass && (value.is_empty() || value.contains('\0')) {
+        return Err(BadFrame("an answer has no value, or another frame in it"));
+    }
+    Ok(FromLeaf::Answer { id: id.to_string(), ending, report: report(load), value: value.to_string() })
 }
 
 /// `name=value` pairs set apart by commas, or `-`. Names not known are left. The protocol's example has the first
-/// name of each, leaves use the second, that of the settings: read under one alone, reports told nothing.
-fn report(text: &str) -> Result<Option<Report>, BadFrame> {
+/// name of each, leaves use the second, that of the settings: read under one alone, reports told nothing. A report
+/// that can't be read tells nothing, but the answer it comes with is good: it was thrown away once, with all else
+/// out on the connection.
+fn report(text: &str) -> Option<Report> {
     if text == "-" || text.is_empty() {
-        return Ok(None);
+        return None;
     }
     let mut found = Report::default();
     for pair in text.split(',') {
-        let (name, value) = pair.split_once('=').ok_or(BadFrame("a load report is not made of pairs"))?;
+        let (name, value) = pair.split_once('=')?;
         let place = match name {
             "queue" | "backlog" => &mut found.waiting,
             "inflight" | "outstanding" => &mut found.in_hand,
             _ => continue,
         };
-        let value = value.parse().ok().filter(|v: &f64| v.is_finite());
-        *place = Some(value.ok_or(BadFrame("a load report has no number"))?);
+        *place = Some(value.parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)?);
     }
-    Ok(Some(found))
+    Some(found)
 }
--- a/crates/pipitcrank-node/src/leaves.rs
+++ b/crates/pipitcrank-node/src/leaves.rs
@@ -2,7 +2,8 @@
 //! free; one more is opened only when none has.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,10 +42,56 @@
     pub probes: Cell<u32>,
     /// A frame could not be written at once: the other side does not read.
     pub stalled: Cell<bool>,
+    /// A frame of the leaf's has begun and is not whole.
+    pub half_read: Cell<bool>,
+    /// Parts given up or answered, of those begun on it.
+    pub given_up: RefCell<GivenUp>,
     /// The leaf is not needed any more: it closes when nothing is out on it.
     pub let_go: Cell<bool>,
 }
 
+impl Wire {
+    pub fn new(leaf: Leaf, jobs: UnboundedSender<Job>) -> Wire {
+        Wire {
+            leaf,
+            jobs,
+            carried: RefCell::default(),
+            probes: Cell::default(),
+            stalled: Cell::default(),
+            half_read: Cell::default(),
+            given_up: RefCell::default(),
+            let_go: Cell::default(),
+        }
+    }
+}
+
+/// Marks of the last ids that are not waited for any more: what comes for them is late, while an answer for an id
+/// never sent is spoilt.
+#[derive(Default)]
+pub struct GivenUp(VecDeque<u64>);
+
+impl GivenUp {
+    /// So many, the oldest leave first: some seconds' worth on a busy connection, 4 kB.
+    const MOST: usize = 512;
+
+    fn mark(id: &str) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    pub fn add(&mut self, id: &str) {
+        if self.0.len() == Self::MOST {
+            self.0.pop_front();
+        }
+        self.0.push_back(Self::mark(id));
+    }
+
+    pub fn has(&self, id: &str) -> bool {
+        self.0.contains(&Self::mark(id))
+    }
+}
+
 struct Line {
     address: SocketAddr,
     /// A connection leaves when it ends.
@@ -75,23 +122,19 @@
     }
 
     /// A connection with room for so many more parts, opened if need be. None that does not take what is written
-    /// to it: a silent one must not hold up what another could carry.
+    /// to it: a silent one must not hold up what another could carry. Nor one with half a frame: if that never ends,
+    /// it swallows the answers behind it.
     fn wire(&mut self, leaf: Leaf, parts: usize) -> Result<Rc<Wire>, ConnectionEnd> {
         let line = self.lines.get_mut(&leaf).ok_or(ConnectionEnd::LetGo)?;
-        let room = |w: &&Rc<Wire>| !w.stalled.get() && w.carried.borrow().len() + parts <= self.streams;
+        let room = |w: &&Rc<Wire>| {
+            !w.stalled.get() && !w.half_read.get() && w.carried.borrow().len() + parts <= self.streams
+        };
         if let Some(wire) = line.wires.iter().find(room) {
             return Ok(wire.clone());
         }
         let place = self.hall.sockets.place().ok_or(ConnectionEnd::NoSocket)?;
         let (jobs, queue) = unbounded_channel();
-        let wire = Rc::new(Wire {
-            leaf,
-            jobs,
-            carried: RefCell::default(),
-            probes: Cell::default(),
-            stalled: Cell::default(),
-            let_go: Cell::default(),
-        });
+        let wire = Rc::new(Wire::new(leaf, jobs));
         line.wires.push(wire.clone());
         let (hall, this, address) = (self.hall.clone(), self.this.clone(), line.address);
         let (dial_limit, idle_limit, ours) = (self.dial_limit, self.idle_limit, wire.clone());
@@ -105,6 +148,11 @@
         Ok(wire)
     }
 
+    /// Whether a connection to the leaf has half a frame of its.
+    pub fn half_read(&self, leaf: Leaf) -> bool {
+        self.lines.get(&leaf).is_some_and(|l| l.wires.iter().any(|w| w.half_read.get()))
+    }
+
     /// A connection has ended: so have all calls on it. But those `left`, not begun when it was closed by
     /// ourselves, go out on another.
     fn ended(&mut self, wire: &Rc<Wire>, end: ConnectionEnd, left: Vec<Vec<CallNo>>) {
@@ -173,6 +221,7 @@
             let mut carried = wire.carried.borrow_mut();
             let Some(nth) = carried.iter().position(|c| c.call == call) else { continue };
             if let Some(id) = carried.swap_remove(nth).id {
+                wire.given_up.borrow_mut().add(&id);
                 let _ = wire.jobs.send(Job::GiveUp(id));
             }
             return;
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -21,6 +21,9 @@
 use crate::hall::Hall;
 use crate::leaves::{Job, Wire};
 
+/// A frame that has begun is whole within this: leaves write one in one go, and stand still for up to 290 ms.
+const FRAME_LIMIT: Duration = Duration::from_millis(400);
+
 /// What is being written: nothing, a job whose first byte has not gone, or the rest of a frame.
 enum Writing {
     Nothing,
@@ -74,6 +77,7 @@
     let mut buffer = BytesMut::with_capacity(4096);
     let mut writing = Writing::Nothing;
     let mut used = Instant::now();
+    let mut begun = used;
     loop {
         let nothing = matches!(writing, Writing::Nothing);
         if wire.let_go.get() && wire.carried.borrow().is_empty() && nothing && jobs.is_empty() {
@@ -86,23 +90,35 @@
             () = tokio::time::sleep_until(used + idle_limit), if nothing && idle(wire) => {
                 return ConnectionEnd::Idle;
             }
+            // Guards against a frame that never ends: it would swallow all later answers.
+            () = tokio::time::sleep_until(begun + FRAME_LIMIT), if wire.half_read.get() => {
+                log::warn!("leaf {} did not end a frame", wire.leaf.0);
+                return ConnectionEnd::BadBytes;
+            }
             read = from.read_buf(&mut buffer) => match read {
                 Ok(0) => return ConnectionEnd::Closed,
                 Err(_) => return ConnectionEnd::Reset,
                 Ok(_) => {
                     used = Instant::now();
+                    if !wire.half_read.get() {
+                        begun = used;
+                    }
                     loop {
                         match frames::take(&mut buffer) {
                             Ok(None) => break,
-                            Ok(Some(frame)) => if let Err(end) = took(hall, wire, frame) {
-                                return end;
-                            },
+                            Ok(Some(frame)) => {
+                                begun = used;
+                                if let Err(end) = took(hall, wire, frame) {
+                                    return end;
+                                }
+                            }
                             Err(bad) => {
                                 log::warn!("leaf {} sent a bad frame: {bad}", wire.leaf.0);
                                 return ConnectionEnd::BadBytes;
                             }
                         }
                     }
+                    wire.half_read.set(!buffer.is_empty());
                 }
             },
             ready = to.writable(), if !nothing => {
@@ -183,11 +199,17 @@
         FromLeaf::Answer { id, ending, report, value } => {
             let mut carried = wire.carried.borrow_mut();
             let Some(nth) = carried.iter().position(|c| c.id.as_deref() == Some(&*id)) else {
-                // Given up before it came.
-                hall.counters.add("frames", "late_answers");
-                return Ok(());
+                if wire.given_up.borrow().has(&id) {
+                    hall.counters.add("frames", "late_answers");
+                    return Ok(());
+                }
+                // Guards against waiting in vain for the part whose id was spoilt.
+                log::warn!("leaf {} answered what it was not asked", wire.leaf.0);
+                return Err(ConnectionEnd::BadBytes);
             };
             let call = carried.swap_remove(nth).call;
+            // Its second copy is harmless.
+            wire.given_up.borrow_mut().add(&id);
             hall.counters.add("frames", "answers");
             let value = (ending == Ending::Pass).then_some(value);
             hall.tell(|e| e.ended(call, ending, value, report));
@@ -214,7 +236,7 @@
 
 #[cfg(test)]
 mod tests {
-    use std::cell::{Cell, RefCell};
+    use std::cell::RefCell;
 
     use pipitcrank::ids::{Leaf, Part, Vertical};
     use pipitcrank::time::Span;
@@ -271,8 +293,7 @@
         let hall = Rc::new(Hall::new(clock, counters, Sockets::new(9), exchange));
         let (jobs, _) = unbounded_channel();
         let carried = RefCell::new(vec![Carried { call, id: None, written: false }]);
-        let (probes, stalled, let_go) = (Cell::new(0), Cell::new(false), Cell::new(false));
-        let wire = Wire { leaf: Leaf(0), jobs, carried, probes, stalled, let_go };
+        let wire = Wire { carried, ..Wire::new(Leaf(0), jobs) };
 
         let next = write(&hall, &wire, &to, Writing::Next(Job::Call(vec![call]))).unwrap();
         assert!(matches!(next, Writing::Next(Job::Call(_))), "nothing of it has gone");
--- a/crates/pipitcrank-node/tests/leaves.rs
+++ b/crates/pipitcrank-node/tests/leaves.rs
@@ -232,3 +232,53 @@
         stage.count("probes", "no_route", 0).await;
     });
 }
+
+#[test]
+fn a_frame_that_does_not_end_ends_its_connection_and_swallows_no_later_answer() {
+    play(async {
+        let mut stage = Stage::set(8, 9, LONG).await;
+        let told = stage.ask(1, "t".into());
+        let mut stream = stage.accepted.recv().await.unwrap();
+        frame(&mut stream).await;
+        // A length that does not fit: the next answers would be its value.
+        stream.write_all(b"\0\0\x40\0Aq1.0 ok 1 -\nvalue").await.unwrap();
+        // Whether the next call finds the half frame or an ended connection, it opens one of its own.
+        while !stage.leaves.borrow().half_read(Leaf(0))
+            && stage.hall.counters.get("leaf_connections", "bad_bytes") == 0
+        {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let next = stage.ask(1, "t".into());
+        let mut second = stage.accepted.recv().await.unwrap();
+        assert!(frame(&mut second).await.starts_with("Qq2.0 "), "no more is given to the first");
+        answer(&mut second, "q2.0").await;
+        assert!(matches!(next.await.unwrap(), Final::Merged { whole: true, .. }));
+        stage.count("leaf_connections", "bad_bytes", 1).await;
+        told.await.unwrap();
+        stage.count("leaf_calls", "cut", 1).await;
+    });
+}
+
+#[test]
+fn late_answers_and_second_copies_are_told_from_ids_that_were_never_sent() {
+    play(async {
+        let mut stage = Stage::set(8, 9, LONG).await;
+        let one = stage.ask(1, "t".into());
+        let mut stream = stage.accepted.recv().await.unwrap();
+        frame(&mut stream).await;
+        let two = stage.ask(2, "t".into());
+        frame(&mut stream).await;
+        stage.hall.tell(|e| e.client_gone(1));
+        stage.count("leaf_calls", "undone", 1).await;
+        answer(&mut stream, "q1.0").await;
+        answer(&mut stream, "q2.0").await;
+        answer(&mut stream, "q2.0").await;
+        stage.count("frames", "late_answers", 2).await;
+        assert!(one.await.is_err(), "nobody waits for it");
+        answer(&mut stream, "q7.0").await;
+        two.await.unwrap();
+        stage.count("leaf_connections", "bad_bytes", 1).await;
+        stage.count("leaf_calls", "pass", 1).await;
+        stage.count("leaf_calls", "cut", 1).await;
+    });
+}
