A connection with something out that brings nothing is doubted, pinged, then ended as silent

Now, once the time told for a connection to come up has passed with something out and nothing read, the connection gets no new call and a ping, which leaves answer whatever they have to do; as long again without a byte and it ends, its parts as after any broken connection. A half frame ends its connection after that time, too (it was 400 ms).

--- a/crates/pipitcrank-node/src/frames.rs
+++ b/crates/pipitcrank-node/src/frames.rs
@@ -75,6 +75,10 @@
     frame(b'L', b"")
 }
 
+pub fn ping() -> Bytes {
+    frame(b'P', b"")
+}
+
 /// Takes the first whole frame from the buffer, if there is one.
 pub fn take(buffer: &mut BytesMut) -> Result<Option<FromLeaf>, BadFrame> {
     let Some(head) = buffer.first_chunk::<4>() else { return Ok(None) };
--- a/crates/pipitcrank-node/src/leaves.rs
+++ b/crates/pipitcrank-node/src/leaves.rs
@@ -21,6 +21,8 @@
     Call(Vec<CallNo>),
     GiveUp(Rc<str>),
     Probe,
+    /// Asks for a sign of life on this connection.
+    Ping,
 }
 
 /// A part on a connection, from when it is queued for it until its call has ended.
@@ -44,6 +46,10 @@
     pub stalled: Cell<bool>,
     /// A frame of the leaf's has begun and is not whole.
     pub half_read: Cell<bool>,
+    /// Something is out and nothing has come for long.
+    pub doubted: Cell<bool>,
+    /// Pings unanswered.
+    pub pings: Cell<u32>,
     /// Parts given up or answered, of those begun on it.
     pub given_up: RefCell<GivenUp>,
     /// The leaf is not needed any more: it closes when nothing is out on it.
@@ -51,6 +57,13 @@
 }
 
 impl Wire {
+    /// Whether it may be given more. Not one that does not take what is written to it or brings nothing: it must not
+    /// hold up what another could carry. Nor one with half a frame: if that never ends, it swallows the answers
+    /// behind it.
+    fn sound(&self) -> bool {
+        !self.stalled.get() && !self.half_read.get() && !self.doubted.get()
+    }
+
     pub fn new(leaf: Leaf, jobs: UnboundedSender<Job>) -> Wire {
         Wire {
             leaf,
@@ -59,6 +72,8 @@
             probes: Cell::default(),
             stalled: Cell::default(),
             half_read: Cell::default(),
+            doubted: Cell::default(),
+            pings: Cell::default(),
             given_up: RefCell::default(),
             let_go: Cell::default(),
         }
@@ -102,7 +117,7 @@
     hall: Rc<Hall>,
     this: std::rc::Weak<RefCell<Leaves>>,
     streams: usize,
-    dial_limit: Duration,
+    way_limit: Duration,
     idle_limit: Duration,
     /// One per leaf met; ends when the exchange lets go of it.
     lines: BTreeMap<Leaf, Line>,
@@ -112,23 +127,19 @@
     pub fn new(
         hall: Rc<Hall>,
         streams: usize,
-        dial_limit: Duration,
+        way_limit: Duration,
         idle_limit: Duration,
     ) -> Rc<RefCell<Leaves>> {
         Rc::new_cyclic(|this| {
             let this = this.clone();
-            RefCell::new(Leaves { hall, this, streams, dial_limit, idle_limit, lines: BTreeMap::new() })
+            RefCell::new(Leaves { hall, this, streams, way_limit, idle_limit, lines: BTreeMap::new() })
         })
     }
 
-    /// A connection with room for so many more parts, opened if need be. None that does not take what is written
-    /// to it: a silent one must not hold up what another could carry. Nor one with half a frame: if that never ends,
-    /// it swallows the answers behind it.
+    /// A sound connection with room for so many more parts, opened if need be.
     fn wire(&mut self, leaf: Leaf, parts: usize) -> Result<Rc<Wire>, ConnectionEnd> {
         let line = self.lines.get_mut(&leaf).ok_or(ConnectionEnd::LetGo)?;
-        let room = |w: &&Rc<Wire>| {
-            !w.stalled.get() && !w.half_read.get() && w.carried.borrow().len() + parts <= self.streams
-        };
+        let room = |w: &&Rc<Wire>| w.sound() && w.carried.borrow().len() + parts <= self.streams;
         if let Some(wire) = line.wires.iter().find(room) {
             return Ok(wire.clone());
         }
@@ -137,9 +148,9 @@
         let wire = Rc::new(Wire::new(leaf, jobs));
         line.wires.push(wire.clone());
         let (hall, this, address) = (self.hall.clone(), self.this.clone(), line.address);
-        let (dial_limit, idle_limit, ours) = (self.dial_limit, self.idle_limit, wire.clone());
+        let (way_limit, idle_limit, ours) = (self.way_limit, self.idle_limit, wire.clone());
         tokio::task::spawn_local(async move {
-            let (end, left) = wire::run(&hall, &ours, queue, address, dial_limit, idle_limit).await;
+            let (end, left) = wire::run(&hall, &ours, queue, address, way_limit, idle_limit).await;
             drop(place);
             if let Some(leaves) = this.upgrade() {
                 leaves.borrow_mut().ended(&ours, end, left);
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -21,9 +21,6 @@
 use crate::hall::Hall;
 use crate::leaves::{Job, Wire};
 
-/// A frame that has begun is whole within this: leaves write one in one go, and stand still for up to 290 ms.
-const FRAME_LIMIT: Duration = Duration::from_millis(400);
-
 /// What is being written: nothing, a job whose first byte has not gone, or the rest of a frame.
 enum Writing {
     Nothing,
@@ -31,19 +28,21 @@
     Rest(Bytes, Vec<CallNo>),
 }
 
-/// How the connection ended, and the calls that were still to be begun on it.
+/// `way_limit`, the time told for a connection to come up, stands for the longest way there and back: a frame begun
+/// is whole within it, and a connection with something out that brings nothing for so long is doubted, then pinged,
+/// then held to be silent. How the connection ended, and the calls that were still to be begun on it.
 pub async fn run(
     hall: &Rc<Hall>,
     wire: &Wire,
     mut jobs: UnboundedReceiver<Job>,
     address: SocketAddr,
-    dial_limit: Duration,
+    way_limit: Duration,
     idle_limit: Duration,
 ) -> (ConnectionEnd, Vec<Vec<CallNo>>) {
-    let end = match open(address, dial_limit).await {
+    let end = match open(address, way_limit).await {
         Ok(stream) => {
             hall.counters.add("leaf_connections", "opened");
-            serve(hall, wire, &mut jobs, stream, idle_limit).await
+            serve(hall, wire, &mut jobs, stream, way_limit, idle_limit).await
         }
         Err(end) => end,
     };
@@ -71,6 +70,7 @@
     wire: &Wire,
     jobs: &mut UnboundedReceiver<Job>,
     stream: TcpStream,
+    way_limit: Duration,
     idle_limit: Duration,
 ) -> ConnectionEnd {
     let (mut from, to) = stream.into_split();
@@ -78,7 +78,12 @@
     let mut writing = Writing::Nothing;
     let mut used = Instant::now();
     let mut begun = used;
+    // Since when something is out and nothing has come.
+    let mut quiet: Option<Instant> = None;
     loop {
+        quiet = if waiting(wire) { quiet.or_else(|| Some(Instant::now())) } else { None };
+        let (doubt_at, silent_at) =
+            (quiet.unwrap_or(used) + way_limit, quiet.unwrap_or(used) + 2 * way_limit);
         let nothing = matches!(writing, Writing::Nothing);
         if wire.let_go.get() && wire.carried.borrow().is_empty() && nothing && jobs.is_empty() {
             return ConnectionEnd::LetGo;
@@ -91,7 +96,7 @@
                 return ConnectionEnd::Idle;
             }
             // Guards against a frame that never ends: it would swallow all later answers.
-            () = tokio::time::sleep_until(begun + FRAME_LIMIT), if wire.half_read.get() => {
+            () = tokio::time::sleep_until(begun + way_limit), if wire.half_read.get() => {
                 log::warn!("leaf {} did not end a frame", wire.leaf.0);
                 return ConnectionEnd::BadBytes;
             }
@@ -100,6 +105,8 @@
                 Err(_) => return ConnectionEnd::Reset,
                 Ok(_) => {
                     used = Instant::now();
+                    quiet = None;
+                    wire.doubted.set(false);
                     if !wire.half_read.get() {
                         begun = used;
                     }
@@ -132,6 +139,15 @@
                 wire.stalled.set(!matches!(writing, Writing::Nothing));
                 used = Instant::now();
             }
+            // Guards against a connection that has fallen silent while its leaf is well: it took call after call, and
+            // what was out on it made the leaf look jammed. A leaf answers this however much it has to do.
+            () = tokio::time::sleep_until(doubt_at), if quiet.is_some() && !wire.doubted.get() => {
+                wire.doubted.set(true);
+                let _ = wire.jobs.send(Job::Ping);
+            }
+            () = tokio::time::sleep_until(silent_at), if quiet.is_some() && wire.doubted.get() => {
+                return ConnectionEnd::Silent;
+            }
             Some(job) = jobs.recv(), if nothing => {
                 writing = Writing::Next(job);
                 wire.stalled.set(true);
@@ -140,6 +156,11 @@
     }
 }
 
+/// Something written on it is unanswered.
+fn waiting(wire: &Wire) -> bool {
+    wire.probes.get() > 0 || wire.pings.get() > 0 || wire.carried.borrow().iter().any(|c| c.id.is_some())
+}
+
 /// Nothing begun on it is out: parts that wait for their first byte don't count, they can go on another. Nor do
 /// probes: one that was not answered for so long will not be, and would keep a silent connection for ever.
 fn idle(wire: &Wire) -> bool {
@@ -154,6 +175,10 @@
         Writing::Rest(rest, parts) => (rest, parts),
         Writing::Next(Job::GiveUp(id)) => (frames::give_up(&id), Vec::new()),
         Writing::Next(Job::Probe) => (frames::load_probe(), Vec::new()),
+        Writing::Next(Job::Ping) => {
+            wire.pings.set(wire.pings.get() + 1);
+            (frames::ping(), Vec::new())
+        }
         Writing::Next(Job::Call(mut parts)) => {
             let going = hall.tell(|e| e.release(hall.clock.now(), wire.leaf, &mut parts));
             let mut carried = wire.carried.borrow_mut();
@@ -224,8 +249,9 @@
                 hall.tell(|e| e.probed(wire.leaf, ending, report));
             }
         }
-        // We send no plain probes; whoever answers one is not spoken to any more.
-        FromLeaf::Alive(_) => return Err(ConnectionEnd::BadBytes),
+        FromLeaf::Alive(_) => {
+            wire.pings.set(wire.pings.get().checked_sub(1).ok_or(ConnectionEnd::BadBytes)?);
+        }
         FromLeaf::Complaint(words) => {
             log::warn!("leaf {} could not use a frame: {words}", wire.leaf.0);
             return Err(ConnectionEnd::Complaint);
@@ -267,6 +293,23 @@
         fn probe(&mut self, _: Leaf) {}
     }
 
+    fn exchange(counters: &Counters) -> Exchange {
+        let root = Told::new(&serde_json::from_str(TOLD).unwrap()).root(1).unwrap();
+        Exchange::new(root, 9, 4, Span::ZERO, counters.clone())
+    }
+
+    #[test]
+    fn a_sign_of_life_is_good_once_for_each_ping() {
+        let counters = Counters::default();
+        let hall = Rc::new(Hall::new(Clock::start(), counters.clone(), Sockets::new(9), exchange(&counters)));
+        let (jobs, _queue) = unbounded_channel();
+        let wire = Wire::new(Leaf(0), jobs);
+        wire.pings.set(1);
+        let alive = || took(&hall, &wire, FromLeaf::Alive(Ending::Fault));
+        assert_eq!(alive(), Ok(()), "busy with probes, but alive");
+        assert_eq!(alive(), Err(ConnectionEnd::BadBytes), "nobody asked");
+    }
+
     #[tokio::test]
     async fn a_call_of_which_no_byte_has_gone_is_looked_at_again() {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -277,10 +320,8 @@
         to.writable().await.unwrap();
         while to.try_write(&[0; 1 << 16]).is_ok() {}
 
-        let root = Told::new(&serde_json::from_str(TOLD).unwrap()).root(1).unwrap();
-        let counters = Counters::default();
-        let mut exchange = Exchange::new(root, 9, 4, Span::ZERO, counters.clone());
-        let clock = Clock::start();
+        let (clock, counters) = (Clock::start(), Counters::default());
+        let mut exchange = exchange(&counters);
         let row = Listed { uid: "l".into(), address: Some(address), cell: 0, up: true, started: None };
         exchange.list(clock.now(), true, vec![row]);
         let parts = vec![AskedPart { shard: 0, weight: 1.0, work: None }];
--- a/crates/pipitcrank-node/tests/leaves.rs
+++ b/crates/pipitcrank-node/tests/leaves.rs
@@ -24,6 +24,7 @@
   "domain":{"call_cost_s":0.01,"complete_from":[1.0],"floor_by_class":[1.0],"follow_up":[0],"parts_a_call":4,"sets":1,
   "shards":12,"span":1},"rules":{"cold_from":0.3,"cold_s":9.0,"fall_s":1.5,"overload_factor":4.0},"tick_s":0.001}"#;
 const LONG: Duration = Duration::from_secs(60);
+const SHORT: Duration = Duration::from_millis(50);
 const TICK: Span = Span::from_ms(1);
 
 /// One leaf that holds everything; its connections are handed out as they come.
@@ -36,6 +37,10 @@
 
 impl Stage {
     async fn set(streams: usize, sockets: usize, idle: Duration) -> Stage {
+        Stage::with_ways(streams, sockets, idle, LONG).await
+    }
+
+    async fn with_ways(streams: usize, sockets: usize, idle: Duration, way: Duration) -> Stage {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (hand_out, accepted) = unbounded_channel();
@@ -44,7 +49,7 @@
                 let _ = hand_out.send(stream);
             }
         });
-        Stage::facing(address, accepted, streams, sockets, idle)
+        Stage::facing(address, accepted, streams, sockets, idle, way)
     }
 
     fn facing(
@@ -53,6 +58,7 @@
         streams: usize,
         sockets: usize,
         idle: Duration,
+        way: Duration,
     ) -> Stage {
         let clock = Clock::start();
         let counters = Counters::default();
@@ -61,7 +67,7 @@
         let row = Listed { uid: "leaf".into(), address: Some(address), cell: 0, up: true, started: None };
         exchange.list(clock.now(), true, vec![row]);
         let hall = Rc::new(Hall::new(clock, counters, Sockets::new(sockets), exchange));
-        let leaves = Leaves::new(hall.clone(), streams, LONG, idle);
+        let leaves = Leaves::new(hall.clone(), streams, way, idle);
         let (turns, side) = (hall.clone(), leaves.clone());
         tokio::task::spawn_local(async move { turns.take_turns(TICK, &side).await });
         Stage { hall, leaves, accepted, asked: 0 }
@@ -208,7 +214,7 @@
     play(async {
         let nobody = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
         let (_, accepted) = unbounded_channel::<TcpStream>();
-        let mut stage = Stage::facing(nobody, accepted, 8, 9, LONG);
+        let mut stage = Stage::facing(nobody, accepted, 8, 9, LONG, LONG);
         assert!(matches!(stage.ask(2, "t".into()).await.unwrap(), Final::Rejected { .. }));
         stage.count("leaf_calls", "no_route", 2).await;
     });
@@ -236,7 +242,7 @@
 #[test]
 fn a_frame_that_does_not_end_ends_its_connection_and_swallows_no_later_answer() {
     play(async {
-        let mut stage = Stage::set(8, 9, LONG).await;
+        let mut stage = Stage::with_ways(8, 9, LONG, SHORT).await;
         let told = stage.ask(1, "t".into());
         let mut stream = stage.accepted.recv().await.unwrap();
         frame(&mut stream).await;
@@ -282,3 +288,23 @@
         stage.count("leaf_calls", "cut", 1).await;
     });
 }
+
+#[test]
+fn a_silent_connection_is_pinged_gets_nothing_more_and_ends() {
+    play(async {
+        let mut stage = Stage::with_ways(8, 9, LONG, SHORT).await;
+        let told = stage.ask(2, "t".into());
+        let mut silent = stage.accepted.recv().await.unwrap();
+        frame(&mut silent).await;
+        assert_eq!(frame(&mut silent).await, "P", "a sign of life is asked for");
+        let next = stage.ask(1, "t".into());
+        let mut second = stage.accepted.recv().await.unwrap();
+        assert!(frame(&mut second).await.starts_with("Qq2.0 "));
+        answer(&mut second, "q2.0").await;
+        assert!(matches!(next.await.unwrap(), Final::Merged { whole: true, .. }));
+        assert_eq!(silent.read(&mut [0]).await.unwrap(), 0, "closed, with nothing sent on it since");
+        told.await.unwrap();
+        stage.count("leaf_connections", "silent", 1).await;
+        stage.count("leaf_calls", "cut", 2).await;
+    });
+}
--- a/crates/pipitcrank-node/tests/protocol.rs
+++ b/crates/pipitcrank-node/tests/protocol.rs
@@ -33,6 +33,7 @@
     assert_eq!(&bytes[..], framed(b"Q9b1f.3 3 d=240 8\nc41e77d09b1f.9 9 d=240 8\nc41e77d0"));
     assert_eq!(&frames::give_up("9b1f.3")[..], framed(b"X9b1f.3"));
     assert_eq!(&frames::load_probe()[..], framed(b"L"));
+    assert_eq!(&frames::ping()[..], framed(b"P"));
 }
 
 #[test]
