Answers and rejections both speak against clients leaving early

Two clients in a row had left early by chance; from two in a row on the time to answer is that of the leavers (decide.rs, Trade::left and counts), here too short for any answer, so all were rejected, and only answers near that age spoke for clients that stay: nothing ended it. Ruled out: full leaves (4 in 5 s), memory, descriptors, processor time. A test has the same: of 28 queries after two leavers none was begun before, 26 at least now.

Now each answer moves the share of leavers down by a fiftieth, and a rejection counts like an answer at its age.

--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -54,11 +54,12 @@
         self.leaving += LeafState::NEWEST * (1.0 - self.leaving);
     }
 
-    /// Answered at that age: near the time to stay or past it, clients may stay longer than thought.
+    /// Answered or rejected at that age: near the time to stay or past it, clients may stay longer than thought.
+    /// Each answer speaks against leaving: one stray leaver and another a minute later were held for all.
     fn stayed(&mut self, age: Span) {
-        if age > self.stay * 0.8 {
-            (self.stay, self.leaving) = (self.stay * 1.02, self.leaving * 0.9);
-        }
+        let past = age > self.stay * 0.8;
+        self.leaving *= if past { 0.9 } else { 0.98 };
+        self.stay = self.stay * if past { 1.02 } else { 1.0 };
     }
 
     /// Work of a part; before any answer a tenth of the SLO time stands for it.
@@ -521,7 +522,7 @@
             let parts = std::mem::take(&mut open.parts);
             self.drop_parts(port, parts);
             if last {
-                self.give_up(port, id, Span::ZERO);
+                self.give_up(port, now, id, Span::ZERO);
             }
             return;
         }
@@ -529,8 +530,10 @@
     }
 
     /// Final: rejected where asking again is harmless, aborted otherwise (rule 2).
-    fn give_up(&mut self, port: &mut dyn Port, id: Query, stay_away: Span) {
+    fn give_up(&mut self, port: &mut dyn Port, now: At, id: Query, stay_away: Span) {
         let open = &self.queries[&id];
+        // Guards against a time to stay held too short for any answer: then only rejections tell who stayed.
+        self.trades[open.vertical.0 as usize].stayed(now - open.arrived);
         let effect = self.terms(open).effect;
         let unrun = |p: &Part| self.parts[p].sent.iter().all(|s| s.never_ran);
         let begun = open.parts.iter().any(|p| !self.parts[p].sent.is_empty());
@@ -748,7 +751,7 @@
         let may_come = |p: &&Part| self.parts[p].done || self.parts[p].out() > 0 || self.could_go(now, **p);
         let hope: f64 = open.parts.iter().filter(may_come).map(|p| self.parts[p].weight).sum();
         if hope < self.bounds(open).0 {
-            self.give_up(port, query, Span::ZERO);
+            self.give_up(port, now, query, Span::ZERO);
         }
     }
 
@@ -1010,9 +1013,9 @@
         if any && now >= answer_by {
             self.merge(port, now, id, whole, now >= end);
         } else if now >= end {
-            self.give_up(port, id, Span::ZERO);
+            self.give_up(port, now, id, Span::ZERO);
         } else if now - open.arrived > patience && open.parts.iter().all(unsent) {
-            self.give_up(port, id, patience);
+            self.give_up(port, now, id, patience);
         }
         let Some(open) = self.queries.get(&id) else { return };
         for part in if now < open.slo { open.parts.clone() } else { Vec::new() } {
--- a/crates/pipitcrank/tests/cases.rs
+++ b/crates/pipitcrank/tests/cases.rs
@@ -263,6 +263,30 @@
     assert!(seen.0.contains(&Act::Merge(Query(0), false)), "{:?}", seen.0);
 }
 
+#[test]
+fn two_stray_leavers_do_not_end_a_vertical() {
+    // On a long day of sockets two clients in a row left early by chance; all others of that vertical were then
+    // rejected for 100 s: their time was held too short for any answer, and only answers told who had stayed.
+    let (mut root, mut tape) = fresh(7);
+    let mut begun = 0;
+    for n in 0..60 {
+        let (t, mut asked) = (n * 1000, Tape::default());
+        ask(&mut root, &mut asked, t, 0, 0, &[2]);
+        let calls = turned(&mut root, t).calls().len();
+        if n == 30 || n == 31 {
+            root.gone(&mut tape, at(t + 30), Query(0));
+            end(&mut root, t + 31, Part(0), 0, Ending::Undone);
+        } else if calls == 1 {
+            begun += usize::from(n > 31);
+            end(&mut root, t + 300, Part(0), 0, Ending::Pass);
+        } else {
+            let seen = helper::pass(&mut root, &asked.0, at(t + 900)).0;
+            assert!(seen.contains(&Act::Reject(Query(0))), "not begun, so it is rejected early: {seen:?}");
+        }
+    }
+    assert!(begun >= 26, "{begun} of 28 begun");
+}
+
 /// A root that may probe; a query for shard 2 has sent its probes, one to each holder.
 fn probing(seed: u64) -> (Root, Tape) {
     let (mut root, mut tape) =
