--- a/crates/pipitcrank-node/src/front.rs
+++ b/crates/pipitcrank-node/src/front.rs
@@ -1,13 +1,14 @@
 //! The front: HTTP requests of clients are decoded once into a query for the exchange, and its final answer is
 //! encoded once. It knows nothing of leaves.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use axum::Router;
 use axum::body::{Body, Bytes, to_bytes};
 use axum::extract::{Request, State};
-use axum::http::header::{ALLOW, RETRY_AFTER};
+use axum::http::header::{ALLOW, CONNECTION, RETRY_AFTER};
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
@@ -42,6 +43,11 @@
     pub mixed: bool,
 }
 
+/// Longest time a client may claim to wait: beyond a day it is no time that anybody waits.
+const LONGEST_WAIT: i64 = 24 * 3600 * 1000;
+/// Weights are shares of the whole answer, so they sum to 1; each is rounded for the wire, so not quite.
+const WEIGHTS_OFF: f64 = 0.01;
+
 /// What the front has for the exchange.
 pub enum Knock {
     Ask(u64, Asked, oneshot::Sender<Final>),
@@ -63,17 +69,21 @@
 
 /// What a client asks.
 #[derive(Deserialize)]
-struct Question {
-    shards: Vec<Piece>,
+struct Question<'a> {
+    #[serde(borrow)]
+    shards: Vec<Piece<'a>>,
     q: String,
 }
 
 #[derive(Deserialize)]
-struct Piece {
+struct Piece<'a> {
     shard: u32,
     weight: f64,
     /// Microseconds.
     cost: Option<f64>,
+    /// Checked, and nothing more: no decision reads it.
+    #[serde(borrow)]
+    key: Option<Cow<'a, str>>,
 }
 
 #[derive(Serialize)]
@@ -92,15 +102,23 @@
     Router::new().route("/up", get(up)).route("/counters", get(counters)).fallback(query).with_state(door)
 }
 
+/// Only clients whose queries are sound keep their connections. Guards against places held by connections that
+/// asked for `/up` once, or for what is refused, by hundreds: idle, they may not be closed for 2 s.
+fn last_on_connection(mut response: Response) -> Response {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 async fn up(State(door): State<Door>) -> Response {
     let (tell, told) = oneshot::channel();
     let asked = door.knocks.send(Knock::Able(tell)).is_ok();
     let able = asked && told.await.unwrap_or(false) && door.end_called.borrow().is_none();
-    if able { "up\n".into_response() } else { StatusCode::SERVICE_UNAVAILABLE.into_response() }
+    let status = if able { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    last_on_connection(status.into_response())
 }
 
-async fn counters(State(door): State<Door>) -> String {
-    door.counters.show()
+async fn counters(State(door): State<Door>) -> Response {
+    last_on_connection(door.counters.show().into_response())
 }
 
 /// Says to the exchange that the client is gone, unless the answer came first.
@@ -153,7 +171,7 @@
 
 fn bad(door: &Door, kind: &'static str, status: StatusCode, what: &'static str) -> Response {
     door.counters.add("bad_requests", kind);
-    (status, what).into_response()
+    last_on_connection((status, what).into_response())
 }
 
 type Wrong = (StatusCode, &'static str);
@@ -172,13 +190,21 @@
     if arrival.is_some_and(|a| a.mixed) {
         return Err(wrong("it has both Content-Length and Transfer-Encoding"));
     }
-    let header = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
-    let id = header("Req-Id").ok_or(wrong("Req-Id is missing"))?;
+    // A header that stands there twice says nothing: two readers may not take the same one.
+    let header = |name: &str| {
+        let mut all = headers.get_all(name).iter();
+        all.next().filter(|_| all.next().is_none()).and_then(|v| v.to_str().ok())
+    };
+    let id = header("Req-Id").ok_or(wrong("Req-Id is missing, or there are several"))?;
     if id.is_empty() || id.len() > LONGEST_ID || !id.bytes().all(|b| b.is_ascii_graphic()) {
         return Err(wrong("Req-Id is no id"));
     }
-    let left: Option<u32> = header("Req-Deadline-Ms").and_then(|v| v.trim().parse().ok());
-    let left = Span::from_ms(left.ok_or(wrong("Req-Deadline-Ms is not a number of milliseconds"))?.into());
+    if headers.contains_key("Req-Key") && !header("Req-Key").is_some_and(is_key) {
+        return Err(wrong("Req-Key is no key"));
+    }
+    let left = header("Req-Deadline-Ms").filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
+    let left = left.and_then(|v| v.parse().ok()).filter(|&ms: &i64| ms <= LONGEST_WAIT);
+    let left = Span::from_ms(left.ok_or(wrong("Req-Deadline-Ms is not a number of milliseconds"))?);
     // Guards against places held by clients whose body never comes, whatever time they claim to wait.
     let own = Instant::now() + duration(left);
     let whole_by = arrival.map_or(own, |a| a.whole_by.min(own));
@@ -213,8 +239,15 @@
     if seen.windows(2).any(|w| w[0] == w[1]) || seen.last().is_some_and(|&last| last >= shards) {
         return Err("it asks for a shard twice, or for one that there is not");
     }
-    if pieces.iter().any(|p| p.weight < 0.0 || p.cost.is_some_and(|c| c < 0.0)) {
-        return Err("a weight or cost is below 0");
+    let off = (pieces.iter().map(|p| p.weight).sum::<f64>() - 1.0).abs();
+    if !(off <= WEIGHTS_OFF && pieces.iter().all(|p| (0.0..=1.0).contains(&p.weight))) {
+        return Err("the weights are not shares that sum to 1");
+    }
+    if pieces.iter().any(|p| p.cost.is_some_and(|c| !c.is_finite() || c < 0.0)) {
+        return Err("a cost is below 0");
+    }
+    if pieces.iter().any(|p| p.key.as_deref().is_some_and(|k| !is_key(k))) {
+        return Err("a part's key is no key");
     }
     let parts = pieces.into_iter().map(|p| AskedPart {
         shard: p.shard,
@@ -224,6 +257,10 @@
     Ok(Asked { id: id.to_string(), vertical, ends, parts: parts.collect(), text: q.into() })
 }
 
+fn is_key(key: &str) -> bool {
+    key.len() == 16 && key.bytes().all(|b| b.is_ascii_hexdigit())
+}
+
 fn encode(last: Final) -> Response {
     match last {
         Final::Merged { whole, hits } => {
@@ -240,6 +277,8 @@
             response
         }
         Final::Aborted => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
-        Final::Repeated => (StatusCode::CONFLICT, "a query with this Req-Id is held").into_response(),
+        Final::Repeated => {
+            last_on_connection((StatusCode::CONFLICT, "a query with this Req-Id is held").into_response())
+        }
     }
 }
--- a/crates/pipitcrank-node/tests/sockets.rs
+++ b/crates/pipitcrank-node/tests/sockets.rs
@@ -302,6 +302,8 @@
     assert_eq!(answer(node.send(&post("q3", ASK).replace("/view", "/sell"))).0, 404);
     assert_eq!(answer(node.send("GET /view HTTP/1.1\r\nHost: x\r\n\r\n")).0, 405);
     assert_eq!(answer(node.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")).0, 404);
+    let (status, _, close) = answer(node.send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n"));
+    assert_eq!((status, close), (200, true), "only sound queries keep a place");
     let malformed = [
         post("q4", "{"),
         post("q4", &ASK.replace("\"shard\":1", "\"shard\":0")),
@@ -312,10 +314,21 @@
         post("q 4", ASK),
         post("q4", ASK).replace("Req-Id", "Req-It"),
         post("q4", ASK).replace("25000", "soon"),
+        post("q4", ASK).replace("25000", "-5"),
+        post("q4", ASK).replace("25000", "90000000"),
+        post("q4", ASK).replace("25000", "25000\r\nReq-Deadline-Ms: 25000"),
+        post("q4", ASK).replace("Req-Id: q4", "Req-Id: q4\r\nReq-Id: q9"),
+        post("q4", ASK).replace("Req-Id: q4", "Req-Id: q4\r\nReq-Key: mine"),
+        post("q4", &ASK.replace("0.5,", "1.5,")),
+        post("q4", &ASK.replace("0.5,", "0.3,")),
+        post("q4", &ASK.replace("9000", "-9000")),
+        post("q4", &ASK.replace("9000", "1e999")),
+        post("q4", &ASK.replace("9000", "9000,\"key\":\"7f3a\"")),
         "nonsense\r\n\r\n".to_string(),
     ];
     for request in &malformed {
-        assert_eq!(answer(node.send(request)).0, 400, "{request}");
+        let (status, _, close) = answer(node.send(request));
+        assert_eq!((status, close), (400, true), "{request}");
     }
     assert_eq!(answer(node.send(&post("q5", &format!("{ASK}{}", " ".repeat(70_000))))).0, 413);
     let never_whole =
@@ -323,8 +336,12 @@
     assert_eq!(answer(node.send(&never_whole)).0, 408);
     let long_head = post("q7", ASK).replace("Host: x", &format!("Host: x\r\nMore: {}", "x".repeat(40_000)));
     assert_eq!(answer(node.send(&long_head)).0, 431);
-    node.counted("queries merged 2");
-    node.counted("bad_requests malformed 10");
+    let good =
+        post("q8", &ASK.replace("9000", "9000,\"key\":\"7f3a9c21e0b4d655\"").replace("0.5,", "0.501,"));
+    let good = good.replace("Host: x", "Host: x\r\nReq-Key: 7f3a9c21e0b4d655\r\nReq-Retry: 1");
+    assert_eq!(answer(node.send(&good)).0, 200, "keys, retries and rounded weights are good");
+    node.counted("queries merged 3");
+    node.counted(&format!("bad_requests malformed {}", malformed.len()));
     node.counted("bad_requests too_large 1");
     assert_eq!(answer(node.send(&post("q4", ASK))).0, 200, "still serving");
 }
