A part cut off with its connection says little of its leaf; lost probes are no missing route

Cause as in the probe before: leaves that close connections right after an answer had the other parts on them cut, and each cut, as each probe lost so, had the leaf left out for a second (decide.rs, learn and probed; leaves.rs told probes of any ended connection as no route). Now a cut part weighs 0.03 in the share of faults, so a dozen leave a leaf out; a leaf that is gone is told by no route to it; ends.rs says what an end means for a probe.

--- a/crates/pipitcrank-node/src/ends.rs
+++ b/crates/pipitcrank-node/src/ends.rs
@@ -47,6 +47,13 @@
     pub fn ending(self, written: bool) -> Ending {
         if written { Ending::Cut } else { Ending::NoRoute }
     }
+
+    /// What it means for a probe on it. Guards against a leaf held to be out of reach because it closed a connection
+    /// that was up: only one that never came up tells that.
+    pub fn of_probe(self) -> Ending {
+        let up = !matches!(self, ConnectionEnd::Refused | ConnectionEnd::NeverUp | ConnectionEnd::NoSocket);
+        self.ending(up)
+    }
 }
 
 /// The leaf's own words for how a part ended.
--- a/crates/pipitcrank-node/src/leaves.rs
+++ b/crates/pipitcrank-node/src/leaves.rs
@@ -185,7 +185,7 @@
         }
         // Of a leaf let go nothing is told: its index may stand for another by now.
         if wire.probes.get() > 0 && !wire.let_go.get() {
-            self.hall.tell(|e| e.probed(wire.leaf, end.ending(false), None));
+            self.hall.tell(|e| e.probed(wire.leaf, end.of_probe(), None));
         }
     }
 }
--- a/crates/pipitcrank-node/tests/protocol.rs
+++ b/crates/pipitcrank-node/tests/protocol.rs
@@ -105,6 +105,12 @@
         assert_eq!((end.ending(false), end.ending(true)), (Ending::NoRoute, Ending::Cut), "{}", end.name());
     }
     assert_eq!(ConnectionEnd::NeverUp.ending(false), Ending::NoRoute);
+    // A probe lost with a connection that was up is no sign that there is no way to the leaf.
+    assert_eq!(ConnectionEnd::Refused.of_probe(), Ending::NoRoute);
+    assert_eq!(
+        (ConnectionEnd::Closed.of_probe(), ConnectionEnd::Idle.of_probe()),
+        (Ending::Cut, Ending::Cut)
+    );
 }
 
 proptest! {
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -235,6 +235,8 @@
     const FAULTY: f64 = 0.3;
     /// Weight of the newest answer in the share of faults and in the lag: five answers make a view.
     const NEWEST: f64 = 0.2;
+    /// The same of a part cut off with its connection.
+    const CUT: f64 = 0.03;
     /// Lag of a leaf that turns a part away as full: about what a full waiting room takes to work off. Guards
     /// against storms of calls turned away in a millisecond and sent on to the next full leaf (i695bd0).
     const FULL_LAG_S: f64 = 2.0;
@@ -683,9 +685,7 @@
                 self.lag = (self.lag.0 + Self::NEWEST_OF_ALL * (lag - self.lag.0), now);
                 let known = state.lag_now(now, rate, usual);
                 state.lag = (known + LeafState::NEWEST * (lag - known), now);
-                if state.faults < LeafState::FAULTY {
-                    state.trial_at = None;
-                }
+                state.trial_at = state.trial_at.filter(|_| state.faults >= LeafState::FAULTY);
                 self.overdue.see(pace, Mark::HIGH);
                 self.rate.see(pace, Mark::LOW);
                 self.carried = (carried + work / Self::FADE_S, now);
@@ -695,19 +695,19 @@
                     self.trades[vertical.0 as usize].work.see(own, Mark::LOW);
                 }
             }
-            Ending::Fault => {
-                state.faults += LeafState::NEWEST * (1.0 - state.faults);
+            // A cut says little: some leaves close connections often, and one that is gone gives no route.
+            Ending::Fault | Ending::Cut => {
+                let newest = if ending == Ending::Cut { LeafState::CUT } else { LeafState::NEWEST };
+                state.faults += newest * (1.0 - state.faults);
                 if state.faults >= LeafState::FAULTY {
                     state.trial_at = Some(now + LeafState::TRIAL_WAIT);
                 }
             }
-            Ending::NoRoute | Ending::Cut => {
+            Ending::NoRoute => {
                 state.faults = state.faults.max(2.0 * LeafState::FAULTY);
                 state.trial_at = Some(now + LeafState::TRIAL_WAIT);
             }
-            Ending::NoRoom => {
-                state.lag = (LeafState::FULL_LAG_S, now);
-            }
+            Ending::NoRoom => state.lag = (LeafState::FULL_LAG_S, now),
             Ending::TooSlow | Ending::Undone | Ending::Stale => {}
         }
         if !state.listed && state.out.is_empty() {
@@ -789,7 +789,7 @@
         let Some(state) = self.leaves.get_mut(&leaf) else { return };
         match ending {
             Ending::TooSlow => {}
-            Ending::NoRoute | Ending::Cut => state.trial_at = Some(now + LeafState::TRIAL_WAIT),
+            Ending::NoRoute => state.trial_at = Some(now + LeafState::TRIAL_WAIT),
             _ => state.probed = state.probed.map(|(at, _)| (at, false)),
         }
         self.moved = true;
--- a/crates/pipitcrank/tests/cases.rs
+++ b/crates/pipitcrank/tests/cases.rs
@@ -151,7 +151,7 @@
     let (mut root, mut tape) = fresh(6);
     ask(&mut root, &mut tape, 0, 0, 0, &[2]);
     let bad = turned(&mut root, 0).calls()[0].1;
-    end(&mut root, 1, Part(0), 0, Ending::Cut);
+    end(&mut root, 1, Part(0), 0, Ending::NoRoute);
     let times: Vec<i64> = (1..20).map(|n| 10 + n * 20).collect();
     assert_eq!(sent_to(&mut root, &mut tape, bad, &times), 0, "nothing before the wait is over");
     ask(&mut root, &mut tape, 1010, 0, 500, &[2]);
@@ -287,6 +287,26 @@
     assert!(begun >= 26, "{begun} of 28 begun");
 }
 
+#[test]
+fn a_part_cut_off_leaves_its_leaf_in_but_a_leaf_that_always_cuts_goes_out() {
+    // Leaves that closed connections after an answer were left out by turns, and the other holders got it all.
+    let (mut root, mut tape) = fresh(6);
+    ask(&mut root, &mut tape, 0, 0, 0, &[2]);
+    let cuts = turned(&mut root, 0).calls()[0].1;
+    end(&mut root, 1, Part(0), 0, Ending::Cut);
+    let times: Vec<i64> = (1..20).map(|n| 10 + n * 20).collect();
+    assert!(sent_to(&mut root, &mut tape, cuts, &times) > 0, "one cut is no fault");
+    let ((mut root, mut tape), mut sent, mut last) = (fresh(6), 0, 0);
+    for n in 0..120 {
+        let t = n * 5;
+        ask(&mut root, &mut tape, t, 3, 0, &[2]);
+        let to = turned(&mut root, t).calls()[0].1;
+        end(&mut root, t + 1, Part(0), 0, if to == cuts { Ending::Cut } else { Ending::Pass });
+        (sent, last) = if to == cuts { (sent + 1, n) } else { (sent, last) };
+    }
+    assert!(sent >= 8 && last < 110, "left out in the end: {sent} sent, the last as number {last}");
+}
+
 /// A root that may probe; a query for shard 2 has sent its probes, one to each holder.
 fn probing(seed: u64) -> (Root, Tape) {
     let (mut root, mut tape) =
