--- a/crates/pipitcrank-node/src/front.rs
+++ b/crates/pipitcrank-node/src/front.rs
@@ -211,12 +211,15 @@
     let body = tokio::time::timeout_at(whole_by, to_bytes(body, MOST_BODY)).await;
     let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))?;
     let body = body.map_err(|e| too_large_or_broken(&e))?;
-    // Guards against an answer that would come when this process has been killed.
-    let called = *door.end_called.borrow();
-    let ends = called.map_or(received + left, |at| (received + left).min(at + LAST_ANSWER));
+    let ends = ends(received + left, *door.end_called.borrow());
     decode(&body, id, vertical, ends, door.shards).map_err(wrong)
 }
 
+/// Guards against an answer that would come when this process has been killed.
+fn ends(own: At, end_called: Option<At>) -> At {
+    end_called.map_or(own, |at| own.min(at + LAST_ANSWER))
+}
+
 fn too_large_or_broken(error: &axum::Error) -> Wrong {
     let mut cause: Option<&dyn std::error::Error> = Some(error);
     while let Some(e) = cause {
@@ -282,3 +285,16 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_query_that_comes_after_the_end_was_called_is_answered_before_the_kill() {
+        let at = |ms| At::default() + Span::from_ms(ms);
+        assert_eq!(ends(at(9000), None), at(9000));
+        assert_eq!(ends(at(9000), Some(at(1000))), at(1000) + LAST_ANSWER);
+        assert_eq!(ends(at(2000), Some(at(1000))), at(2000), "its own time, where that is sooner");
+    }
+}
