--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -85,7 +85,7 @@
         let at = address.borrow_and_update().clone();
         let one_address = async {
             loop {
-                let end = one_watch(&hall, &client, &at, &mut rev).await;
+                let Err(end) = one_watch(&hall, &client, &at, &mut rev).await;
                 log::warn!("the watch of discovery ended: {}", end.name());
                 hall.counters.add("discovery", end.name());
                 tokio::time::sleep(pause).await;
@@ -136,14 +136,8 @@
     }
 }
 
-async fn one_watch(hall: &Hall, client: &Asker, address: &str, rev: &mut Option<u64>) -> ConnectionEnd {
-    match watch_until(hall, client, address, rev).await {
-        Ok(never) => match never {},
-        Err(end) => end,
-    }
-}
-
-async fn watch_until(
+/// One watch, until it ends.
+async fn one_watch(
     hall: &Hall,
     client: &Asker,
     address: &str,
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -82,8 +82,7 @@
     let mut quiet: Option<Instant> = None;
     loop {
         quiet = if waiting(wire) { quiet.or_else(|| Some(Instant::now())) } else { None };
-        let (doubt_at, silent_at) =
-            (quiet.unwrap_or(used) + way_limit, quiet.unwrap_or(used) + 2 * way_limit);
+        let quiet_since = quiet.unwrap_or(used);
         let nothing = matches!(writing, Writing::Nothing);
         if wire.let_go.get() && wire.carried.borrow().is_empty() && nothing && jobs.is_empty() {
             return ConnectionEnd::LetGo;
@@ -141,11 +140,11 @@
             }
             // Guards against a connection that has fallen silent while its leaf is well: it took call after call, and
             // what was out on it made the leaf look jammed. A leaf answers this however much it has to do.
-            () = tokio::time::sleep_until(doubt_at), if quiet.is_some() && !wire.doubted.get() => {
+            () = tokio::time::sleep_until(quiet_since + way_limit), if quiet.is_some() && !wire.doubted.get() => {
                 wire.doubted.set(true);
                 let _ = wire.jobs.send(Job::Ping);
             }
-            () = tokio::time::sleep_until(silent_at), if quiet.is_some() && wire.doubted.get() => {
+            () = tokio::time::sleep_until(quiet_since + 2 * way_limit), if quiet.is_some() && wire.doubted.get() => {
                 return ConnectionEnd::Silent;
             }
             Some(job) = jobs.recv(), if nothing => {
