--- /dev/null
+++ b/crates/pipitcrank-cli/src/keeper.rs
@@ -0,0 +1,272 @@
+//! The process that operators start and signal where upgrades are on: it holds a copy of the listener, starts workers
+//! and carries out what the book wishes. It serves nobody itself and knows no query.
+
+use std::collections::BTreeMap;
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::time::Instant;
+
+use anyhow::{Context, Result};
+use pipitcrank::time::{At, Span};
+use pipitcrank_handover::book::{Book, Event, Times, Wish, Worker};
+use pipitcrank_handover::passing::{self, Broken, Incoming, Outgoing};
+use pipitcrank_handover::words::{ToKeeper, ToWorker, VERSION};
+use pipitcrank_operators::{Operators, Upgrade};
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::net::TcpListener;
+use tokio::process::{Child, Command};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+pub struct Keeper {
+    /// Where the program is; what stands there at an upgrade is what is started.
+    program: PathBuf,
+    operators: Option<PathBuf>,
+    start: Instant,
+    /// None once the end was called: then only workers listen, and clients are refused when they cease to.
+    listener: Option<std::net::TcpListener>,
+    workers: BTreeMap<Worker, Running>,
+    events: UnboundedSender<Event>,
+}
+
+struct Running {
+    to: Outgoing,
+    signals: UnboundedSender<Signal>,
+}
+
+fn span(d: std::time::Duration) -> Span {
+    Span::from_s(d.as_secs_f64())
+}
+
+fn times(upgrade: Upgrade) -> Times {
+    Times {
+        start: span(upgrade.start),
+        settle: span(upgrade.settle),
+        silent: span(upgrade.silent),
+        finish: span(upgrade.finish),
+    }
+}
+
+/// Runs until all workers have ended; the exit code.
+pub async fn keep(
+    program: PathBuf,
+    operators: Option<PathBuf>,
+    listen: std::net::SocketAddr,
+    upgrade: Upgrade,
+) -> Result<i32> {
+    let mut upgrades = signal(SignalKind::user_defined2())?;
+    let mut hangups = signal(SignalKind::hangup())?;
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let listener =
+        TcpListener::bind(listen).await.with_context(|| format!("/listen: {listen}"))?.into_std()?;
+    let (events, mut happened) = unbounded_channel();
+    let mut keeper = Keeper {
+        program,
+        operators,
+        start: Instant::now(),
+        listener: Some(listener),
+        workers: BTreeMap::new(),
+        events,
+    };
+    let (mut book, wishes) = Book::open(keeper.now(), times(upgrade));
+    tracing::info!("keeping a listener at {listen}");
+    if let Some(code) = keeper.carry_out(&book, wishes) {
+        return Ok(code);
+    }
+    loop {
+        let event = tokio::select! {
+            Some(event) = happened.recv() => event,
+            Some(()) = upgrades.recv() => {
+                tracing::info!("asked to upgrade");
+                Event::Asked
+            }
+            Some(()) = term.recv() => Event::EndCalled,
+            Some(()) = int.recv() => Event::EndCalled,
+            Some(()) = hangups.recv() => {
+                keeper.reload(&mut book);
+                continue;
+            }
+            () = keeper.due(&book) => Event::Tick,
+        };
+        match event {
+            Event::EndCalled => {
+                tracing::info!("asked to end");
+                keeper.listener = None;
+            }
+            Event::Gone(who, _) | Event::NotStarted(who) => drop(keeper.workers.remove(&who)),
+            _ => {}
+        }
+        let undone = book.undone;
+        let wishes = book.on(keeper.now(), event);
+        if book.undone > undone && !book.upgrading() {
+            tracing::warn!("the upgrade is undone: {:?}", book.last_undone());
+        }
+        if let Some(code) = keeper.carry_out(&book, wishes) {
+            return Ok(code);
+        }
+    }
+}
+
+impl Keeper {
+    fn now(&self) -> At {
+        At::from_us(self.start.elapsed().as_micros() as i64)
+    }
+
+    async fn due(&self, book: &Book) {
+        match book.due() {
+            Some(due) => {
+                let left = (due - self.now()).us().max(0) as u64;
+                tokio::time::sleep(std::time::Duration::from_micros(left)).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
+    /// SIGHUP: workers read their charter again, the keeper the operators' file. A faulty one changes nothing.
+    fn reload(&self, book: &mut Book) {
+        for worker in self.workers.values() {
+            let _ = worker.signals.send(Signal::HUP);
+        }
+        let Some(path) = &self.operators else { return };
+        match Operators::read(path) {
+            Ok(Operators { upgrade: Some(upgrade), .. }) => {
+                book.set_times(times(upgrade));
+                tracing::info!("the operators' file is read again");
+            }
+            Ok(_) => tracing::error!("/upgrade is off in the new operators' file: that takes a new start"),
+            Err(wrong) => tracing::error!("the new operators' file is faulty, the old one stays: {wrong}"),
+        }
+    }
+
+    fn carry_out(&mut self, book: &Book, wishes: Vec<Wish>) -> Option<i32> {
+        for wish in wishes {
+            tracing::debug!(?wish);
+            match wish {
+                Wish::Start(who) => {
+                    if let Err(wrong) = self.start_worker(who) {
+                        tracing::error!("{} can't be started: {wrong:#}", self.program.display());
+                        let _ = self.events.send(Event::NotStarted(who));
+                    }
+                }
+                Wish::Serve(who) => match self.listener.as_ref().map(|l| l.try_clone()) {
+                    Some(Ok(listener)) => {
+                        tracing::info!(worker = who.0, "serves");
+                        self.tell(who, ToWorker::Serve, Some(listener.into()));
+                    }
+                    Some(Err(e)) => {
+                        // Without the listener it is of no use; its end is dealt with as any other.
+                        tracing::error!("the listener can't be given to a worker: {e}");
+                        self.signal(who, Signal::KILL);
+                    }
+                    None => {}
+                },
+                Wish::Join(old, new) => match passing::pair() {
+                    Ok((a, b)) => {
+                        tracing::info!(old = old.0, new = new.0, "hands over");
+                        self.tell(old, ToWorker::HandOver, Some(a.into()));
+                        self.tell(new, ToWorker::TakeOver, Some(b.into()));
+                    }
+                    // The limit of the step ends this try.
+                    Err(e) => tracing::error!("no link between workers: {e}"),
+                },
+                Wish::Alone(who) => self.tell(who, ToWorker::Alone, None),
+                Wish::Pass(who) => {
+                    tracing::info!(worker = who.0, "passes listener and connections");
+                    self.tell(who, ToWorker::Pass, None);
+                }
+                Wish::Kill(who) => self.signal(who, Signal::KILL),
+                Wish::End(who) => self.signal(who, Signal::TERM),
+                Wish::Tell(who) => {
+                    let (asked, done, undone) = (book.asked, book.done, book.undone);
+                    self.tell(who, ToWorker::Upgrades { asked, done, undone }, None);
+                }
+                Wish::Exit(code) => return Some(code),
+            }
+        }
+        None
+    }
+
+    fn tell(&self, who: Worker, what: ToWorker, fd: Option<OwnedFd>) {
+        if let Some(worker) = self.workers.get(&who) {
+            worker.to.send(&what, fd);
+        }
+    }
+
+    fn signal(&self, who: Worker, signal: Signal) {
+        if let Some(worker) = self.workers.get(&who) {
+            let _ = worker.signals.send(signal);
+        }
+    }
+
+    fn start_worker(&mut self, who: Worker) -> Result<()> {
+        let (ours, theirs) = passing::pair()?;
+        let mut command = Command::new(&self.program);
+        command.arg("work").stdin(Stdio::from(OwnedFd::from(theirs)));
+        if let Some(path) = &self.operators {
+            command.arg("--operators").arg(path);
+        }
+        let child = command.spawn()?;
+        let (to, from) = passing::join(ours)?;
+        to.send(&ToWorker::Hello { version: VERSION }, None);
+        let (signals, wanted) = unbounded_channel();
+        tracing::info!(worker = who.0, pid = child.id(), "started");
+        tokio::task::spawn_local(listen(who, from, self.events.clone()));
+        tokio::task::spawn_local(wait(who, child, wanted, self.events.clone()));
+        self.workers.insert(who, Running { to, signals });
+        Ok(())
+    }
+}
+
+/// Hands on what the worker says, until it says no more.
+async fn listen(who: Worker, mut from: Incoming, events: UnboundedSender<Event>) {
+    loop {
+        let event = match from.next::<ToKeeper>().await {
+            Ok((ToKeeper::Hello { version: VERSION }, _)) => continue,
+            Ok((ToKeeper::Hello { version }, _)) => {
+                tracing::error!(worker = who.0, "speaks version {version}, not {VERSION}");
+                Event::Garbled(who)
+            }
+            Ok((ToKeeper::Checked, _)) => Event::Checked(who),
+            Ok((ToKeeper::Learned, _)) => Event::Learned(who),
+            Ok((ToKeeper::Beat, _)) => Event::Beat(who),
+            Ok((ToKeeper::Drained, _)) => Event::Drained(who),
+            Ok((ToKeeper::Passed, _)) => Event::Passed(who),
+            Err(Broken::Closed | Broken::Io(_)) => return,
+            Err(wrong) => {
+                tracing::error!(worker = who.0, "{wrong}");
+                let _ = events.send(Event::Garbled(who));
+                return;
+            }
+        };
+        let _ = events.send(event);
+    }
+}
+
+/// Waits for the process's end; it is signalled only before that, so that no other process ever is.
+async fn wait(
+    who: Worker,
+    mut child: Child,
+    mut wanted: UnboundedReceiver<Signal>,
+    events: UnboundedSender<Event>,
+) {
+    let status: Option<ExitStatus> = loop {
+        tokio::select! {
+            status = child.wait() => break status.ok(),
+            Some(signal) = wanted.recv() => {
+                if let Some(pid) = child.id().and_then(|id| Pid::from_raw(id as i32)) {
+                    let _ = kill_process(pid, signal);
+                }
+            }
+        }
+    };
+    tracing::info!(worker = who.0, "ended: {}", status.map_or("unknown".to_string(), |s| s.to_string()));
+    let _ = events.send(Event::Gone(who, status.and_then(|s| s.code())));
+}
+
+/// The program's path as it was started, resolved now: what is put there later is what an upgrade starts.
+pub fn program() -> Result<PathBuf> {
+    let path = std::env::current_exe().context("the program's path")?;
+    Ok(Path::new(&path).to_path_buf())
+}
--- /dev/null
+++ b/crates/pipitcrank-cli/src/main.rs
@@ -0,0 +1,178 @@
+//! `pipitcrank`: a scatter-gather co-ordinator, and what is run beside it.
+
+mod asking;
+mod keeper;
+mod logs;
+
+use std::os::fd::AsFd;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::{Context, Result, anyhow};
+use clap::{Parser, Subcommand};
+use pipitcrank_node::charter::Charter;
+use pipitcrank_node::clock::Clock;
+use pipitcrank_node::serve;
+use pipitcrank_operators::Operators;
+
+/// A scatter-gather co-ordinator: it reads many shards for one query and gives one answer.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Exit codes: 0 done; 1 not done, or a promise not kept; 2 a faulty file, variable or \
+argument, named by its key; 3 a link between processes broke."
+)]
+struct Args {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Serve, told by the file that NODE_CONFIG names, until SIGTERM
+    ///
+    /// NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before that file. SIGTERM ends it in order, SIGHUP has its files
+    /// read again, SIGUSR2 starts an upgrade where the operators' file has that on.
+    Serve {
+        /// The operators' file (Dhall); without it all that it could turn on is off
+        #[arg(long)]
+        operators: Option<PathBuf>,
+    },
+    /// Check the charter (NODE_CONFIG) and the operators' file, and say what is wrong by its key
+    Check {
+        #[arg(long)]
+        operators: Option<PathBuf>,
+        /// Leave the charter: only the operators' file is looked at
+        #[arg(long)]
+        no_charter: bool,
+    },
+    /// Ask a running co-ordinator to start the program anew and hand all over to it
+    Upgrade {
+        /// The process that was started with `serve`
+        #[arg(long)]
+        pid: i32,
+        /// Where it serves: its counters say how the upgrade ended. Without this nothing is waited for
+        #[arg(long)]
+        address: Option<std::net::SocketAddr>,
+        /// Seconds to wait for that
+        #[arg(long, default_value_t = 120.0)]
+        wait: f64,
+    },
+    /// Show it at work on this machine: stand-in leaves, some hundred queries, a leaf killed half way
+    Demo {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Play a named scenario with faults on loopback; exits with 0 only if its promise held
+    Trial {
+        /// Its name: upgrade
+        name: String,
+        /// The same seed plays the same script
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Upgrades in a row, for `upgrade`
+        #[arg(long, default_value_t = 8)]
+        rounds: u32,
+        /// Figures as one JSON object
+        #[arg(long)]
+        json: bool,
+    },
+    /// A worker under a keeper, which is its standard input
+    #[command(hide = true)]
+    Work {
+        #[arg(long)]
+        operators: Option<PathBuf>,
+    },
+}
+
+fn main() {
+    let Args { what } = Args::parse();
+    let code = match what {
+        What::Serve { operators } => logged(operators, serve_or_keep),
+        What::Work { operators } => logged(operators, |_, _| work()),
+        What::Check { operators, no_charter } => check(operators, no_charter),
+        What::Upgrade { pid, address, wait } => {
+            said(asking::upgrade(pid, address, Duration::from_secs_f64(wait)))
+        }
+        What::Demo { seed } => said(keeper::program().and_then(|p| pipitcrank_rig::demo::play(&p, seed))),
+        What::Trial { name, seed, rounds, json } => {
+            said(keeper::program().and_then(|p| pipitcrank_rig::trial::play(&p, &name, seed, rounds, json)))
+        }
+    };
+    // Nothing is waited for: all that was taken has been answered.
+    std::process::exit(code);
+}
+
+/// A wrong ending in words, for a person.
+fn said(ended: Result<i32>) -> i32 {
+    ended.unwrap_or_else(|wrong| {
+        eprintln!("ERROR {wrong:#}");
+        1
+    })
+}
+
+fn logged(path: Option<PathBuf>, run: impl FnOnce(Option<PathBuf>, Operators) -> Result<i32>) -> i32 {
+    let read = path.as_deref().map(Operators::read).transpose();
+    let logs = logs::start(&read.as_ref().ok().cloned().flatten().unwrap_or_default().logs);
+    let ended = read.map_err(Into::into).and_then(|operators| run(path, operators.unwrap_or_default()));
+    let code = ended.unwrap_or_else(|wrong| {
+        tracing::error!("{wrong:#}");
+        2
+    });
+    logs.finish();
+    code
+}
+
+fn on_one_thread<T>(run: impl Future<Output = T>) -> Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    Ok(tokio::task::LocalSet::new().block_on(&runtime, run))
+}
+
+fn serve_or_keep(path: Option<PathBuf>, operators: Operators) -> Result<i32> {
+    let clock = Clock::start();
+    let Some(upgrade) = operators.upgrade else {
+        return on_one_thread(async {
+            // Heeded without effect: left alone it would end the process.
+            let _upgrades = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::user_defined2())?;
+            serve::serve(clock, None).await.map_err(|e| anyhow!("{e}"))
+        })?
+        .map(|()| 0);
+    };
+    let (_, text) = serve::charter_text().map_err(|e| anyhow!(e))?;
+    let charter = Charter::read(&text, |name| std::env::var(name).ok())?;
+    charter.check(&clock)?;
+    let path = path.map(|p| p.canonicalize().context("the operators' file")).transpose()?;
+    on_one_thread(keeper::keep(keeper::program()?, path, charter.listen()?, upgrade))?
+}
+
+fn work() -> Result<i32> {
+    let keeper = std::io::stdin().as_fd().try_clone_to_owned().context("standard input")?;
+    let keeper = UnixStream::from(keeper);
+    keeper.peer_addr().context("standard input is not a keeper's link")?;
+    on_one_thread(serve::serve(Clock::start(), Some(keeper)))?.map_err(|e| anyhow!("{e}"))?;
+    Ok(0)
+}
+
+/// All faults that there are, one a line: the charter's first, then the operators' file's.
+fn check(operators: Option<PathBuf>, no_charter: bool) -> i32 {
+    let charter = || -> Result<()> {
+        let (_, text) = serve::charter_text().map_err(|e| anyhow!(e))?;
+        Ok(Charter::read(&text, |name| std::env::var(name).ok())?.check(&Clock::start())?)
+    };
+    let mut code = 0;
+    let mut look = |what: &str, found: Result<()>| match found {
+        Ok(()) => println!("{what} is good"),
+        Err(wrong) => {
+            eprintln!("ERROR {wrong:#}");
+            code = 2;
+        }
+    };
+    if !no_charter {
+        look("the charter", charter());
+    }
+    if let Some(path) = operators {
+        look(&path.display().to_string(), Operators::read(&path).map(drop).map_err(Into::into));
+    }
+    code
+}
--- a/crates/pipitcrank-node/tests/sockets.rs
+++ b/crates/pipitcrank-cli/tests/sockets.rs
@@ -197,7 +197,8 @@
         let told = json!({"name":"n1","listen":address.to_string(),"discovery":discovery.address.to_string(),
             "seed":"5","limits":{"sockets":sockets,"memory_mb":64,"cores":1.0},"known":known,"settings":settings()});
         std::fs::write(&charter, told.to_string()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_pipitcrank-node"))
+        let child = Command::new(env!("CARGO_BIN_EXE_pipitcrank"))
+            .arg("serve")
             .env("NODE_CONFIG", &charter)
             .env("NODE_DISCOVERY", discovery.address.to_string())
             .stderr(Stdio::piped())
@@ -560,8 +561,8 @@
     let path = std::env::temp_dir().join(format!("pipitcrank-{}-bad.json", std::process::id()));
     let start = |text: &str| {
         std::fs::write(&path, text).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_pipitcrank-node"));
-        let done = command.env("NODE_CONFIG", &path).output().unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_pipitcrank"));
+        let done = command.arg("serve").env("NODE_CONFIG", &path).output().unwrap();
         (done.status.code(), String::from_utf8(done.stderr).unwrap())
     };
     let (code, log) = start(r#"{"listen":"127.0.0.1:0","settings":{},"seed":7}"#);
--- /dev/null
+++ b/crates/pipitcrank-handover/src/snapshot.rs
@@ -0,0 +1,170 @@
+//! What is known, as it passes from one process to another: a head with its version, length and sum, and a body in
+//! postcard's form. Refused whole or taken whole.
+
+use std::net::SocketAddr;
+
+use pipitcrank::decide::known::Known;
+use pipitcrank::time::Span;
+use serde::{Deserialize, Serialize};
+
+const MAGIC: [u8; 4] = *b"pckn";
+/// Raised with each change of the body's form.
+pub const VERSION: u16 = 1;
+/// Longest body: some twenty thousand leaves.
+pub const LONGEST: usize = 4 << 20;
+const HEAD: usize = 4 + 2 + 4 + 4;
+/// Most of each kind taken: far above what any told limit lets be held.
+const MOST: usize = 1 << 18;
+
+/// All moments stand as ages before `taken_us`, on the machine's monotonic clock, in microseconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    pub taken_us: i64,
+    /// Version of discovery's list, where one is held.
+    pub rev: Option<u64>,
+    pub leaves: Vec<SeenLeaf>,
+    pub known: Known,
+    /// Further calls that stay with the giver.
+    pub lent: u32,
+}
+
+/// One leaf of the list; its place is the index by which `known` names it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SeenLeaf {
+    pub index: u32,
+    pub uid: String,
+    pub address: Option<SocketAddr>,
+    pub cell: u32,
+    pub started: Option<Span>,
+    /// How long ago it was told to drain or be gone.
+    pub off: Option<Span>,
+}
+
+#[derive(Debug, PartialEq, thiserror::Error)]
+pub enum Refused {
+    #[error("it is no snapshot")]
+    Foreign,
+    #[error("its version is {0}, not {VERSION}")]
+    Version(u16),
+    #[error("it is cut or has more than its length")]
+    Length,
+    #[error("its sum is off")]
+    Sum,
+    #[error("its body can't be read")]
+    Body,
+    #[error("it holds what can't be")]
+    Unsound,
+}
+
+impl Snapshot {
+    pub fn encode(&self) -> Result<Vec<u8>, Refused> {
+        let body = postcard::to_allocvec(self).map_err(|_| Refused::Body)?;
+        if body.len() > LONGEST {
+            return Err(Refused::Length);
+        }
+        let mut out = Vec::with_capacity(HEAD + body.len());
+        out.extend_from_slice(&MAGIC);
+        out.extend_from_slice(&VERSION.to_be_bytes());
+        out.extend_from_slice(&(body.len() as u32).to_be_bytes());
+        out.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
+        out.extend_from_slice(&body);
+        Ok(out)
+    }
+
+    pub fn decode(bytes: &[u8]) -> Result<Snapshot, Refused> {
+        let (head, body) = bytes.split_at_checked(HEAD).ok_or(Refused::Length)?;
+        let word = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
+        if head[..4] != MAGIC {
+            return Err(Refused::Foreign);
+        }
+        let version = u16::from_be_bytes([head[4], head[5]]);
+        if version != VERSION {
+            return Err(Refused::Version(version));
+        }
+        if body.len() != word(6) as usize || body.len() > LONGEST {
+            return Err(Refused::Length);
+        }
+        if crc32fast::hash(body) != word(10) {
+            return Err(Refused::Sum);
+        }
+        let (snapshot, rest): (Snapshot, _) = postcard::take_from_bytes(body).map_err(|_| Refused::Body)?;
+        let few =
+            snapshot.leaves.len().max(snapshot.known.taken.len()).max(snapshot.known.further.len()) <= MOST;
+        let past = |s: &Option<Span>| s.is_none_or(|s| s >= Span::ZERO);
+        let leaves = snapshot.leaves.iter().all(|l| past(&l.off) && !l.uid.is_empty());
+        if rest.is_empty() && few && leaves && snapshot.known.sound() {
+            Ok(snapshot)
+        } else {
+            Err(Refused::Unsound)
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn some() -> Snapshot {
+        let leaf = |n: u32| SeenLeaf {
+            index: n,
+            uid: format!("s-{n}"),
+            address: Some(([127, 0, 0, 1], n as u16).into()),
+            cell: n,
+            started: (n > 1).then(|| Span::from_ms(70)),
+            off: (n == 3).then(|| Span::from_ms(5)),
+        };
+        let mut known = Known::default();
+        known.taken = vec![Span::from_ms(3); 9];
+        // The share of the time left that is filled starts between its bounds.
+        let mut root = pipitcrank::decide::Root::new(
+            pipitcrank::chance::Chance::new(1),
+            Default::default(),
+            Default::default(),
+            Default::default(),
+            Default::default(),
+            false,
+            Span::from_ms(5),
+        );
+        let mut fresh = root.known(pipitcrank::time::At::default());
+        fresh.taken = known.taken;
+        Snapshot { taken_us: 5, rev: Some(7), leaves: (0..4).map(leaf).collect(), known: fresh, lent: 2 }
+    }
+
+    #[test]
+    fn what_is_encoded_is_read_again_and_other_versions_are_not() {
+        let bytes = some().encode().unwrap();
+        assert_eq!(Snapshot::decode(&bytes), Ok(some()));
+        let mut other = bytes.clone();
+        other[5] += 1;
+        assert_eq!(Snapshot::decode(&other), Err(Refused::Version(VERSION + 1)));
+        let mut foreign = bytes.clone();
+        foreign[0] = b'x';
+        assert_eq!(Snapshot::decode(&foreign), Err(Refused::Foreign));
+        let mut unsound = some();
+        unsound.known.taken[0] = Span::from_ms(-1);
+        assert_eq!(Snapshot::decode(&unsound.encode().unwrap()), Err(Refused::Unsound));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Cut at any byte, longer by some, or with any byte spoilt: refused whole.
+        #[test]
+        fn torn_and_spoilt_ones_are_refused(cut in 0usize..10_000, at in 0usize..10_000, bit in 0u8..8, more in 1usize..9) {
+            let bytes = some().encode().unwrap();
+            prop_assert!(Snapshot::decode(&bytes[..cut % bytes.len()]).is_err());
+            let mut spoilt = bytes.clone();
+            let at = at % bytes.len();
+            spoilt[at] ^= 1 << bit;
+            prop_assert!(Snapshot::decode(&spoilt).is_err());
+            prop_assert!(Snapshot::decode(&[&bytes[..], &vec![0; more][..]].concat()).is_err());
+        }
+
+        #[test]
+        fn noise_is_refused(noise in proptest::collection::vec(any::<u8>(), 0..400)) {
+            prop_assert!(Snapshot::decode(&noise).is_err());
+        }
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-handover/src/words.rs
@@ -0,0 +1,106 @@
+//! What is said: between the keeper and a worker, and between the old worker and the new one.
+
+use pipitcrank::time::Span;
+use serde::{Deserialize, Serialize};
+
+/// Raised with each change of what is said here; the first thing said is this.
+pub const VERSION: u16 = 1;
+
+/// From the keeper to a worker.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum ToWorker {
+    Hello {
+        version: u16,
+    },
+    /// Serve; the listener comes with it.
+    Serve,
+    /// Take over from the process at the other end of the socket that comes with it.
+    TakeOver,
+    /// Hand over to the process at the other end of the socket that comes with it.
+    HandOver,
+    /// The other is gone: go on alone.
+    Alone,
+    /// The trial is over: pass listener and connections, and end.
+    Pass,
+    /// How often an upgrade was asked for, done, undone.
+    Upgrades {
+        asked: u64,
+        done: u64,
+        undone: u64,
+    },
+}
+
+/// From a worker to the keeper.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToKeeper {
+    Hello {
+        version: u16,
+    },
+    /// It has read and checked all it is told by, and could serve.
+    Checked,
+    /// It has taken what is known (or goes by the list alone) and takes queries.
+    Learned,
+    /// A sign of life of one on trial.
+    Beat,
+    /// Of its own queries none is open.
+    Drained,
+    /// Nothing is left with it.
+    Passed,
+}
+
+/// From the old worker to the new one.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum ToNew {
+    Hello {
+        version: u16,
+    },
+    /// A snapshot as encoded, or nothing where none could be made.
+    Known(Vec<u8>),
+    Ask(RelayedAsk),
+    Gone {
+        ticket: u64,
+    },
+    /// What the old one still holds: connections to leaves, to clients, open queries and parts.
+    Room {
+        leaves: u32,
+        clients: u32,
+        open: u32,
+    },
+    /// A client's connection comes with it, and bytes read from it already. A request begun on it has to be whole
+    /// within that.
+    Connection {
+        read: Vec<u8>,
+        whole_within: Option<Span>,
+    },
+    /// The old one ends: further calls it made of those lent, and its counters.
+    Bye {
+        further: u32,
+        counters: Vec<(String, String, u64)>,
+    },
+}
+
+/// From the new worker to the old one.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum ToOld {
+    Hello { version: u16 },
+    Answer { ticket: u64, last: RelayedFinal },
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RelayedAsk {
+    pub ticket: u64,
+    pub id: String,
+    pub vertical: u16,
+    /// Time left.
+    pub left: Span,
+    pub parts: Vec<(u32, f64, Option<f64>)>,
+    pub text: String,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum RelayedFinal {
+    Merged { whole: bool, hits: Vec<(u32, String)> },
+    Rejected { stay_away: Span },
+    Aborted,
+    Repeated,
+}
--- a/crates/pipitcrank-node/src/charter.rs
+++ b/crates/pipitcrank-node/src/charter.rs
@@ -104,6 +104,14 @@
         self.settings()?.verticals()
     }
 
+    /// What passes in a time without any promise: the longest that a client is waited for.
+    pub fn longest(&self) -> Result<Span, Faulty> {
+        let settings = self.settings()?;
+        let mut limits =
+            (0..settings.verticals()?.len()).map(|n| settings.span(&format!("/classes/{n}/hard_limit_s")));
+        limits.try_fold(Span::ZERO, |most, next| Ok(most.max(next?)))
+    }
+
     pub fn shards(&self) -> Result<u32, Faulty> {
         self.settings()?.count("/domain/shards")
     }
--- a/crates/pipitcrank-node/src/counters.rs
+++ b/crates/pipitcrank-node/src/counters.rs
@@ -1,20 +1,53 @@
 //! Counts of what is taken in, sent and answered; shown on request and at exit.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::{Arc, Mutex, PoisonError};
 
-/// By what is counted and which kind of it: both are words of the code, so there are only so many.
+type Word = Cow<'static, str>;
+
+/// By what is counted and which kind of it: both are words of the code, of this process's or of one before it, so
+/// there are only so many.
 #[derive(Clone, Default)]
-pub struct Counters(Arc<Mutex<BTreeMap<(&'static str, &'static str), u64>>>);
+pub struct Counters(Arc<Mutex<BTreeMap<(Word, Word), u64>>>);
 
 impl Counters {
     pub fn add(&self, what: &'static str, which: &'static str) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner).entry((what, which)).or_default() += 1;
+        self.add_many(what.into(), which.into(), 1);
+    }
+
+    fn add_many(&self, what: Word, which: Word, more: u64) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner).entry((what, which)).or_default() += more;
+    }
+
+    pub fn set(&self, what: &'static str, which: &'static str, to: u64) {
+        if to > 0 {
+            let key = (what.into(), which.into());
+            self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(key, to);
+        }
+    }
+
+    /// All of them, for a process that goes on counting.
+    pub fn all(&self) -> Vec<(String, String, u64)> {
+        let all = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        all.iter().map(|((what, which), n)| (what.to_string(), which.to_string(), *n)).collect()
+    }
+
+    /// Adds what a process before this one had counted; most lines taken are far more than there are words.
+    pub fn go_on_from(&self, counted: Vec<(String, String, u64)>) {
+        for (what, which, n) in counted.into_iter().take(1000).filter(|(what, ..)| what != "upgrades") {
+            self.add_many(what.into(), which.into(), n);
+        }
     }
 
     pub fn get(&self, what: &'static str, which: &'static str) -> u64 {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).get(&(what, which)).copied().unwrap_or(0)
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(&(what.into(), which.into()))
+            .copied()
+            .unwrap_or(0)
     }
 
     /// One line each: `what which count`.
--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: the list of leaves as first known, and the watch that keeps it.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -73,20 +74,22 @@
 
 type Asker = Client<HttpConnector, Empty<Bytes>>;
 
-/// Watches for ever, wherever discovery is at the moment; `rev` is the version of the list as first known. Between
-/// two tries it waits for `pause`.
-pub async fn watch(hall: Rc<Hall>, mut address: watch::Receiver<String>, rev: u64, pause: Duration) {
+/// Version of the list that is held; none asks for the whole list.
+pub type Rev = Rc<Cell<Option<u64>>>;
+
+/// Watches for ever, wherever discovery is at the moment; `rev` is the version of the list as first known, and then
+/// as held. Between two tries it waits for `pause`.
+pub async fn watch(hall: Rc<Hall>, mut address: watch::Receiver<String>, rev: Rev, pause: Duration) {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(pause));
     let client: Asker = Client::builder(TokioExecutor::new()).build(connector);
-    let mut rev = Some(rev);
     loop {
         let at = address.borrow_and_update().clone();
         let one_address = async {
             loop {
-                let Err(end) = one_watch(&hall, &client, &at, &mut rev).await;
-                log::warn!("the watch of discovery ended: {}", end.name());
+                let Err(end) = one_watch(&hall, &client, &at, &rev).await;
+                tracing::warn!("the watch of discovery ended: {}", end.name());
                 hall.counters.add("discovery", end.name());
                 tokio::time::sleep(pause).await;
             }
@@ -97,7 +100,7 @@
             () = one_address => {}
             Ok(()) = address.changed() => {
                 hall.counters.add("discovery", "moved");
-                rev = None;
+                rev.set(None);
             }
         }
     }
@@ -119,7 +122,7 @@
     let news: Result<News, String> = serde_json::from_slice(line).map_err(|e| e.to_string());
     let taken = news.and_then(|n| Ok((n.rev, n.rows(&hall.clock)?)));
     let (rev, (whole, rows)) = taken.map_err(|wrong| {
-        log::warn!("discovery sent what can't be read: {wrong}");
+        tracing::warn!("discovery sent what can't be read: {wrong}");
         ConnectionEnd::BadBytes
     })?;
     hall.tell(|e| e.list(hall.clock.now(), whole, rows));
@@ -141,13 +144,13 @@
     hall: &Hall,
     client: &Asker,
     address: &str,
-    rev: &mut Option<u64>,
+    rev: &Rev,
 ) -> Result<Infallible, ConnectionEnd> {
-    let known = match *rev {
+    let known = match rev.get() {
         Some(known) => known,
         None => whole_list(hall, client, address).await?,
     };
-    *rev = Some(known);
+    rev.set(Some(known));
     let mut body = ask(client, address, &format!("?stream=1&index={known}")).await?;
     let mut buffer = BytesMut::new();
     loop {
@@ -160,7 +163,7 @@
         while let Some(end) = buffer.iter().position(|&b| b == b'\n') {
             let line = buffer.split_to(end + 1);
             if !line.trim_ascii().is_empty() {
-                *rev = Some(take(hall, &line)?);
+                rev.set(Some(take(hall, &line)?));
             }
         }
         if buffer.len() > LONGEST {
--- a/crates/pipitcrank-node/src/ends.rs
+++ b/crates/pipitcrank-node/src/ends.rs
@@ -25,6 +25,8 @@
     Idle,
     /// We closed it: the other side is not needed any more.
     LetGo,
+    /// It goes on at another process, which has its descriptor.
+    Passed,
 }
 
 impl ConnectionEnd {
@@ -40,6 +42,7 @@
             ConnectionEnd::Silent => "silent",
             ConnectionEnd::Idle => "idle",
             ConnectionEnd::LetGo => "let_go",
+            ConnectionEnd::Passed => "passed",
         }
     }
 
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -14,6 +14,8 @@
 use pipitcrank::names::Names;
 use pipitcrank::port::Port;
 use pipitcrank::time::{At, Span};
+use pipitcrank_handover::division;
+use pipitcrank_handover::snapshot::{SeenLeaf, Snapshot};
 
 use crate::counters::Counters;
 use crate::ends::ending_name;
@@ -104,6 +106,8 @@
 
 struct HeldLeaf {
     address: Option<SocketAddr>,
+    cell: u32,
+    started: Option<At>,
     /// When this co-ordinator was told that it drains or is gone, until it is listed as up again.
     off: Option<At>,
 }
@@ -151,6 +155,15 @@
         Some(leaf)
     }
 
+    /// Queries and parts open: a part that is in is not.
+    fn open(&self) -> usize {
+        let open = self
+            .held_parts
+            .values()
+            .filter(|p| p.value.is_none() && self.held_queries.contains_key(&p.query));
+        self.held_queries.len() + open.count()
+    }
+
     fn finish(&mut self, query: Query, last: Final, word: &'static str) {
         self.counters.add("queries", word);
         let held = self.held_queries.get_mut(&query.0);
@@ -205,7 +218,7 @@
     fn watch(&mut self) {} // Discovery is always watched.
 
     fn note(&mut self, text: &str) {
-        log::info!("{text}");
+        tracing::info!("{text}");
     }
 
     fn let_go_query(&mut self, query: Query) {
@@ -233,6 +246,8 @@
     /// Emptied at each turn.
     inbox: Vec<Happened>,
     most_open: usize,
+    /// Queries and parts open at another process of this co-ordinator.
+    open_elsewhere: usize,
     call_size: usize,
     drain_grace: Span,
 }
@@ -247,7 +262,7 @@
     ) -> Exchange {
         let desk = Desk { counters, ..Desk::default() };
         let call_size = call_size.max(1);
-        Exchange { root, desk, inbox: Vec::new(), most_open, call_size, drain_grace }
+        Exchange { root, desk, inbox: Vec::new(), most_open, open_elsewhere: 0, call_size, drain_grace }
     }
 
     // What happens outside.
@@ -293,6 +308,17 @@
         self.inbox.is_empty()
     }
 
+    /// Whether a query of that id is held.
+    pub fn holds(&self, id: &str) -> bool {
+        let waits = |h: &Happened| matches!(h, Happened::Asked(_, asked, _) if asked.id == id);
+        self.desk.queries.find(id).is_some() || self.inbox.iter().any(waits)
+    }
+
+    /// Queries and parts open here.
+    pub fn open(&self) -> usize {
+        self.desk.open()
+    }
+
     pub fn is_out(&self, call: CallNo) -> bool {
         self.desk.out.contains_key(&call)
     }
@@ -377,12 +403,7 @@
         }
         // With the number told open, further queries never reach the module. Guards against turning away a query
         // while there is room: a part that is in is not open any more, and the last query taken may pass the number.
-        let open = desk
-            .held_parts
-            .values()
-            .filter(|p| p.value.is_none() && desk.held_queries.contains_key(&p.query));
-        let held = desk.held_queries.len() + open.count();
-        if held >= self.most_open {
+        if desk.open() + self.open_elsewhere >= self.most_open {
             desk.counters.add("queries", "turned_away_over_most_open");
             return then(Final::Rejected { stay_away: Span::ZERO });
         }
@@ -419,6 +440,93 @@
         }
     }
 
+    // Two processes as one co-ordinator.
+
+    /// What another process needs to go on from here, taken at `now`; from then on this one only finishes what it
+    /// holds, for `longest` at most.
+    pub fn hand_over(&mut self, now: At, taken_us: i64, rev: Option<u64>, longest: Span) -> Snapshot {
+        self.take_lists();
+        let mut known = self.root.known(now);
+        let (free, share, span) = self.root.budget_terms();
+        let purse = division::divide(free, share, span, longest, &mut known);
+        self.root.finish_with(purse.further, now + purse.within);
+        let leaves = self.desk.held_leaves.iter().map(|(&index, held)| SeenLeaf {
+            index,
+            uid: self.desk.leaves.name(index).to_string(),
+            address: held.address,
+            cell: held.cell,
+            started: held.started.map(|t| now - t),
+            off: held.off.map(|t| now - t),
+        });
+        Snapshot { taken_us, rev, leaves: leaves.collect(), known, lent: purse.further }
+    }
+
+    /// Goes on from what another process knew `passed` ago.
+    pub fn go_on_from(&mut self, now: At, passed: Span, snapshot: Snapshot) {
+        let at = |age: Span| now - age - passed;
+        let mut indices = BTreeMap::new();
+        let mut rows = Vec::new();
+        let mut offs = Vec::new();
+        for SeenLeaf { index, uid, address, cell, started, off } in snapshot.leaves {
+            let ours = self.desk.leaves.enter(&uid);
+            indices.insert(index, ours);
+            offs.extend(off.map(|off| (ours, at(off))));
+            rows.push(Listed { uid, address, cell, up: off.is_none(), started: started.map(at) });
+        }
+        self.take_list(now, true, rows);
+        for (leaf, off) in offs {
+            if let Some(held) = self.desk.held_leaves.get_mut(&leaf) {
+                held.off = Some(off);
+            }
+        }
+        let mut known = snapshot.known;
+        let leaves = std::mem::take(&mut known.leaves);
+        known.leaves = leaves.into_iter().filter_map(|(i, l)| Some((*indices.get(&i)?, l))).collect();
+        self.root.learn_from(now, passed, known);
+        self.root.lend(snapshot.lent);
+    }
+
+    /// The other process has ended, and made so many further calls of those lent.
+    pub fn settle(&mut self, now: At, further: u32) {
+        self.root.settle(now, further);
+        self.open_elsewhere = 0;
+    }
+
+    /// Further calls made of those kept when handing over.
+    pub fn made_of(&self, kept: u32) -> u32 {
+        kept.saturating_sub(self.root.purse_left())
+    }
+
+    /// The other process is gone, and what it did is not known.
+    pub fn alone_again(&mut self, now: At) {
+        self.root.alone_again(now);
+        self.open_elsewhere = 0;
+    }
+
+    pub fn set_open_elsewhere(&mut self, open: usize) {
+        self.open_elsewhere = open;
+    }
+
+    /// How a query ends that the other process had when it died.
+    pub fn stranded(&self, vertical: Vertical) -> Final {
+        match self.root.stranded(vertical) {
+            Some(stay_away) => Final::Rejected { stay_away },
+            None => Final::Aborted,
+        }
+    }
+
+    /// News of the list that have come and were not looked at yet.
+    fn take_lists(&mut self) {
+        let (lists, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.inbox).into_iter().partition(|h| matches!(h, Happened::List(..)));
+        self.inbox = rest;
+        for list in lists {
+            if let Happened::List(at, whole, rows) = list {
+                self.take_list(at, whole, rows);
+            }
+        }
+    }
+
     fn take_list(&mut self, at: At, whole: bool, rows: Vec<Listed>) {
         self.desk.counters.add("discovery", if whole { "whole_list" } else { "changes" });
         self.root.list_begin(whole);
@@ -427,8 +535,9 @@
         }
         for Listed { uid, address, cell, up, started } in rows {
             let leaf = Leaf(self.desk.leaves.enter(&uid));
-            let held =
-                self.desk.held_leaves.entry(leaf.0).or_insert(HeldLeaf { address: None, off: Some(at) });
+            let fresh = HeldLeaf { address: None, cell, started, off: Some(at) };
+            let held = self.desk.held_leaves.entry(leaf.0).or_insert(fresh);
+            (held.cell, held.started) = (cell, started);
             held.off = if up { None } else { held.off.or(Some(at)) };
             if let Some(address) = address.filter(|a| held.address != Some(*a)) {
                 held.address = Some(address);
--- a/crates/pipitcrank-node/src/gate.rs
+++ b/crates/pipitcrank-node/src/gate.rs
@@ -1,6 +1,8 @@
 //! Client connections: accepting them, seeing them off, and ending them in order after SIGTERM.
 
 use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,12 +10,15 @@
 use axum::body::Body;
 use axum::http::header::CONNECTION;
 use axum::http::{HeaderValue, Request};
+use bytes::Bytes;
+use futures_util::FutureExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tower_service::Service;
@@ -21,7 +26,7 @@
 use crate::counters::Counters;
 use crate::ends::ConnectionEnd;
 use crate::front::{Arrival, EndCalled};
-use crate::hall::Sockets;
+use crate::hall::{Place, Sockets};
 use crate::tap::{Framing, Heads, Tap};
 use crate::visits::{Doing, Visit, Visits};
 
@@ -32,8 +37,6 @@
 /// have nobody else to send them to: a co-ordinator ended just before may not be back. For so long all goes on as
 /// before. It leaves the platform's 3.7 s before it kills for the answers to what came until then.
 pub const STAY: Duration = Duration::from_millis(1500);
-/// How long nothing must have come before we hold ourselves to be quiet.
-const QUIET: Duration = Duration::from_millis(100);
 /// How often connections are looked over: a tenth of the second that is to spare where one has to end by a time.
 const LOOK: Duration = Duration::from_millis(50);
 /// Of the places for clients, one in so many is kept free for who comes next.
@@ -50,9 +53,69 @@
 const SEE_OFF_PIECE: usize = 64 * 1024;
 const SEE_OFF_PAUSE: Duration = Duration::from_millis(2);
 
-/// Accepts until all is quiet after the end was called for and `stay` has passed.
+/// What the gate is told from outside.
+pub enum Order {
+    /// Accept there.
+    Accept(TcpListener),
+    /// Serve a connection that another process had.
+    Adopt(Adopted),
+    /// Accept no more, and pass on each connection as soon as it rests.
+    Pass(UnboundedSender<Adopted>),
+    /// Pass on no more.
+    Stay,
+    /// All has been passed on.
+    Done,
+}
+
+/// A connection on its way between processes: what had been read of a request, which has to be whole within that.
+pub struct Adopted {
+    pub stream: TcpStream,
+    pub read: Bytes,
+    pub whole_within: Option<Duration>,
+}
+
+/// What connections do as soon as they rest.
+#[derive(Clone)]
+enum Mood {
+    Stay,
+    Leave,
+    Pass(UnboundedSender<Adopted>),
+}
+
+/// What each connection's task is given.
+struct Rounds {
+    router: Router,
+    counters: Counters,
+    visits: Rc<Visits>,
+    mood: watch::Receiver<Mood>,
+}
+
+impl Rounds {
+    fn receive(&self, place: Option<Place>, come: Adopted, new: bool) {
+        self.counters.add("clients", if new { "accepted" } else { "adopted" });
+        let (router, counters, mood) = (self.router.clone(), self.counters.clone(), self.mood.clone());
+        let (visits, visit) = (self.visits.clone(), self.visits.enter(Instant::now()));
+        if !new {
+            visit.goes_on(Instant::now(), come.whole_within);
+        }
+        tokio::task::spawn_local(async move {
+            let end = serve(come, router, &visit, mood).await;
+            counters.add("clients", end.name());
+            visits.leave(&visit);
+            drop(place);
+        });
+    }
+
+    fn accepted(&self, place: Option<Place>, stream: TcpStream) {
+        self.receive(place, Adopted { stream, read: Bytes::new(), whole_within: None }, true);
+    }
+}
+
+/// Accepts as ordered. After the end was called and `stay` has passed, or no listener is left to it, it closes the
+/// listener, so that clients are refused and not dropped, answers what has come, and returns when all is quiet:
+/// connections that are at nothing within two seconds, the others with their answer.
 pub async fn keep(
-    listener: TcpListener,
+    mut orders: UnboundedReceiver<Order>,
     router: Router,
     clients: Sockets,
     counters: Counters,
@@ -60,49 +123,76 @@
     mut end_called: EndCalled,
     quiet: impl Fn() -> bool,
 ) {
-    let (last_call, leave) = watch::channel(false);
+    let (moods, mood) = watch::channel(Mood::Stay);
     let visits = Rc::new(Visits::default());
-    let spare = clients.most().div_ceil(SPARE);
+    let rounds = Rounds { router, counters, visits: visits.clone(), mood };
+    let mut listener: Option<TcpListener> = None;
     let mut since: Option<Instant> = None;
-    let mut came = Instant::now();
+    let mut leaving = false;
     let mut looks = tokio::time::interval(LOOK);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         // Without a place the rest waits in the accept queue.
-        let place = clients.place();
+        let place = if listener.is_some() { clients.place() } else { None };
         tokio::select! {
-            accepted = listener.accept(), if place.is_some() => match accepted {
-                Ok((stream, _)) => {
-                    came = Instant::now();
-                    counters.add("clients", "accepted");
-                    let (router, counters, leave) = (router.clone(), counters.clone(), leave.clone());
-                    let (visits, visit) = (visits.clone(), visits.enter(came));
-                    tokio::task::spawn_local(async move {
-                        let end = serve(stream, router, &visit, leave).await;
-                        counters.add("clients", end.name());
-                        visits.leave(&visit);
-                        drop(place);
-                    });
-                }
+            accepted = accept(&listener), if place.is_some() => match accepted {
+                Ok((stream, _)) => rounds.accepted(place, stream),
                 Err(e) => {
-                    log::warn!("accept failed: {e}");
+                    tracing::warn!("accept failed: {e}");
                     tokio::time::sleep(ACCEPT_AGAIN).await;
                 }
             },
+            Some(order) = orders.recv() => match order {
+                Order::Accept(new) => {
+                    listener = (!leaving).then_some(new);
+                    moods.send_if_modified(|m| {
+                        let passing = matches!(m, Mood::Pass(_));
+                        if passing {
+                            *m = Mood::Stay;
+                        }
+                        passing
+                    });
+                }
+                Order::Adopt(come) => {
+                    drop(place);
+                    rounds.receive(Some(clients.place_taken_over()), come, false);
+                }
+                Order::Pass(to) => {
+                    listener = None;
+                    moods.send_if_modified(|m| {
+                        *m = Mood::Pass(to);
+                        true
+                    });
+                }
+                Order::Stay => { moods.send_replace(Mood::Stay); }
+                Order::Done => return,
+            },
             Ok(()) = end_called.changed(), if since.is_none() => {
-                log::info!("asked to end");
+                tracing::info!("asked to end");
                 since = Some(Instant::now());
             }
-            () = clients.freed(), if place.is_none() => {}
+            () = clients.freed(), if listener.is_some() && place.is_none() => {}
             _ = looks.tick() => {
                 drop(place);
-                visits.look(Instant::now(), spare.saturating_sub(clients.free()));
+                // At the end all that is at nothing gives way.
+                let short = if leaving { usize::MAX } else { (clients.most().div_ceil(SPARE)).saturating_sub(clients.free()) };
+                visits.look(Instant::now(), short);
                 if since.is_none_or(|s| s.elapsed() < stay) {
                     continue;
                 }
-                // Idle connections end now, busy ones with their answer.
-                last_call.send_replace(true);
-                if clients.open() == 0 && quiet() && came.elapsed() >= QUIET {
+                if !leaving {
+                    leaving = true;
+                    // Guards against clients reset that connected before the listener closed: they are served.
+                    for _ in 0..clients.most() {
+                        let Some(Ok((stream, _))) = accept(&listener).now_or_never() else { break };
+                        rounds.accepted(clients.place(), stream);
+                    }
+                    listener = None;
+                    // Idle connections end now, busy ones with their answer.
+                    moods.send_replace(Mood::Leave);
+                    tracing::info!("no longer listening");
+                }
+                if visits.none() && quiet() {
                     return;
                 }
             }
@@ -110,28 +200,38 @@
     }
 }
 
+async fn accept(listener: &Option<TcpListener>) -> io::Result<(TcpStream, SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn serve(
-    stream: TcpStream,
+    come: Adopted,
     router: Router,
     visit: &Rc<Visit>,
-    mut leave: watch::Receiver<bool>,
+    mut mood: watch::Receiver<Mood>,
 ) -> ConnectionEnd {
+    let Adopted { stream, read, .. } = come;
     let _ = stream.set_nodelay(true);
     let heads = Rc::new(RefCell::new(Heads::new(LONGEST_HEAD)));
-    let tap = Tap { stream, visit: visit.clone(), heads: heads.clone(), ended: false };
-    let service =
-        service_fn(|request| Box::pin(answer(router.clone(), visit.clone(), heads.clone(), request)));
+    let tap = Tap { stream, visit: visit.clone(), heads: heads.clone(), ended: false, before: read };
+    let moods = mood.clone();
+    let service = service_fn(|request| {
+        Box::pin(answer(router.clone(), visit.clone(), heads.clone(), moods.clone(), request))
+    });
     let mut serving = http1::Builder::new()
         .timer(TokioTimer::new())
         // Visits have their own limits, from connecting on.
         .header_read_timeout(None)
         .max_buf_size(LONGEST_HEAD)
         .serve_connection(TokioIo::new(tap), service);
-    let mut leaving = false;
+    let mut now = mood.borrow_and_update().clone();
     let end = loop {
         tokio::select! {
             served = std::future::poll_fn(|cx| serving.poll_without_shutdown(cx)) => break match served {
-                Ok(()) if leaving => ConnectionEnd::LetGo,
+                Ok(()) if matches!(now, Mood::Leave) => ConnectionEnd::LetGo,
                 Ok(()) => ConnectionEnd::Closed,
                 Err(e) if e.is_parse() => ConnectionEnd::BadBytes,
                 Err(_) => ConnectionEnd::Reset,
@@ -140,9 +240,16 @@
                 Doing::Idle => ConnectionEnd::Idle,
                 _ => ConnectionEnd::Silent,
             },
-            _ = leave.wait_for(|l| *l), if !leaving => {
-                leaving = true;
-                std::pin::Pin::new(&mut serving).graceful_shutdown();
+            Ok(()) = mood.changed() => now = mood.borrow_and_update().clone(),
+            () = visit.rests(matches!(now, Mood::Pass(_))), if !matches!(now, Mood::Stay) => {
+                let Mood::Pass(to) = now else { break ConnectionEnd::LetGo };
+                let whole_within = visit.whole_within(Instant::now());
+                let parts = serving.into_parts();
+                let tap = parts.io.into_inner();
+                // What the library has read and not used, and what had come before and was not read by it.
+                let read = [&parts.read_buf[..], &tap.before[..]].concat().into();
+                let _ = to.send(Adopted { stream: tap.stream, read, whole_within });
+                return ConnectionEnd::Passed;
             }
         }
     };
@@ -162,6 +269,7 @@
     router: Router,
     visit: Rc<Visit>,
     heads: Rc<RefCell<Heads>>,
+    mood: watch::Receiver<Mood>,
     mut request: Request<Incoming>,
 ) -> Result<axum::response::Response, std::convert::Infallible> {
     visit.turns_to(Doing::Open, Instant::now());
@@ -170,13 +278,16 @@
     request.extensions_mut().insert(Arrival { whole_by: visit.whole_by(), mixed });
     let answered = { router }.call(request.map(Body::new)).await;
     let mut heads = heads.borrow_mut();
-    let follows = heads.may_follow();
+    let follows = heads.may_follow() && !matches!(*mood.borrow(), Mood::Leave);
     heads.next();
     visit.turns_to(Doing::Idle, Instant::now());
     answered.map(|mut response| {
         if !follows {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        if response.headers().get(CONNECTION).is_some_and(|v| v == "close") {
+            visit.ends();
+        }
         response
     })
 }
@@ -203,6 +314,7 @@
 
     use axum::routing::get;
     use pipitcrank::time::At;
+    use tokio::sync::mpsc::unbounded_channel;
 
     use super::*;
 
@@ -223,9 +335,11 @@
             let router = Router::new().route("/", get(async || "served"));
             let (call, called) = watch::channel(None);
             let ended = Rc::new(Cell::new(false));
+            let (order, ordered) = unbounded_channel();
+            assert!(order.send(Order::Accept(listener)).is_ok());
             let (gate_ended, counters) = (ended.clone(), Counters::default());
             tokio::task::spawn_local(async move {
-                keep(listener, router, Sockets::new(9), counters, stay, called, || true).await;
+                keep(ordered, router, Sockets::new(9), counters, stay, called, || true).await;
                 gate_ended.set(true);
             });
             assert!(!asked(&mut stream).await.contains("connection: close"));
--- a/crates/pipitcrank-node/src/hall.rs
+++ b/crates/pipitcrank-node/src/hall.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use pipitcrank::time::{At, Span};
+use pipitcrank_handover::division;
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
@@ -21,7 +22,8 @@
 /// Sockets open, of the number that this side may hold at most.
 #[derive(Clone)]
 pub struct Sockets {
-    most: usize,
+    all: usize,
+    most: Rc<Cell<usize>>,
     open: Rc<(Cell<usize>, Notify)>,
 }
 
@@ -30,14 +32,17 @@
 
 impl Sockets {
     pub fn new(most: usize) -> Sockets {
-        Sockets { most, open: Rc::default() }
+        Sockets { all: most, most: Rc::new(Cell::new(most)), open: Rc::default() }
     }
 
     pub fn place(&self) -> Option<Place> {
-        (self.open() < self.most).then(|| {
-            self.open.0.set(self.open() + 1);
-            Place(self.open.clone())
-        })
+        (self.open() < self.most()).then(|| self.place_taken_over())
+    }
+
+    /// For a socket that is open already, as another process had it: it counts even where that is too many.
+    pub fn place_taken_over(&self) -> Place {
+        self.open.0.set(self.open() + 1);
+        Place(self.open.clone())
     }
 
     pub fn open(&self) -> usize {
@@ -45,11 +50,27 @@
     }
 
     pub fn most(&self) -> usize {
-        self.most
+        self.most.get()
+    }
+
+    /// Where another process holds some of them. What is open over that stays.
+    pub fn set_most(&self, most: usize) {
+        self.most.set(most);
+        self.open.1.notify_one();
+    }
+
+    /// The other process holds so many of them.
+    pub fn leave_to_other(&self, open: usize) {
+        self.set_most(division::sockets_for_new(self.all, open));
+    }
+
+    /// There is no other process.
+    pub fn set_all(&self) {
+        self.set_most(self.all);
     }
 
     pub fn free(&self) -> usize {
-        self.most - self.open()
+        self.most().saturating_sub(self.open())
     }
 
     /// Ends when a place was given back.
--- a/crates/pipitcrank-node/src/leaves.rs
+++ b/crates/pipitcrank-node/src/leaves.rs
@@ -167,7 +167,7 @@
     /// A connection has ended: so have all calls on it. But those `left`, not begun when it was closed by
     /// ourselves, go out on another.
     fn ended(&mut self, wire: &Rc<Wire>, end: ConnectionEnd, left: Vec<Vec<CallNo>>) {
-        log::debug!("connection to leaf {} ended: {}", wire.leaf.0, end.name());
+        tracing::debug!("connection to leaf {} ended: {}", wire.leaf.0, end.name());
         self.hall.counters.add("leaf_connections", end.name());
         if let Some(line) = self.lines.get_mut(&wire.leaf) {
             line.wires.retain(|w| !Rc::ptr_eq(w, wire));
--- /dev/null
+++ b/crates/pipitcrank-node/src/relay.rs
@@ -0,0 +1,144 @@
+//! Queries that another process of this co-ordinator works on, while their clients' connections are here. Each is
+//! answered once: by the other's word, at the client's time if that does not come, or when the other is gone.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use pipitcrank::ids::Vertical;
+use pipitcrank::time::Span;
+use pipitcrank_handover::passing::Outgoing;
+use pipitcrank_handover::words::{RelayedAsk, RelayedFinal, ToNew};
+use tokio::sync::oneshot;
+
+use crate::exchange::{Asked, AskedPart, Final};
+use crate::hall::Hall;
+
+/// How long before the client's time an answer has to be back: what the link and this thread may take. Guards against
+/// a query lost because the other process hangs.
+const BEFORE_TIME: Span = Span::from_ms(5);
+
+struct Out {
+    vertical: Vertical,
+    answer: oneshot::Sender<Final>,
+}
+
+/// Cheap to clone; all clones are one.
+#[derive(Clone)]
+pub struct Relay {
+    hall: Rc<Hall>,
+    /// To the process that works on queries, while there is one.
+    to: Rc<RefCell<Option<Outgoing>>>,
+    /// By the front's ticket; each leaves with its answer, or its client.
+    out: Rc<RefCell<BTreeMap<u64, Out>>>,
+}
+
+impl Relay {
+    pub fn new(hall: Rc<Hall>) -> Relay {
+        Relay { hall, to: Rc::default(), out: Rc::default() }
+    }
+
+    /// From now on queries go there.
+    pub fn begin(&self, to: Outgoing) {
+        *self.to.borrow_mut() = Some(to);
+    }
+
+    pub fn quiet(&self) -> bool {
+        self.out.borrow().is_empty()
+    }
+
+    /// Hands a query on; gives it back where nobody takes any, or where this process holds one of its name.
+    pub fn ask(
+        &self,
+        ticket: u64,
+        asked: Asked,
+        answer: oneshot::Sender<Final>,
+    ) -> Result<(), (Asked, oneshot::Sender<Final>)> {
+        let to = self.to.borrow();
+        let Some(to) = to.as_ref().filter(|_| !self.hall.ask(|e| e.holds(&asked.id))) else {
+            return Err((asked, answer));
+        };
+        let left = asked.ends - self.hall.clock.now();
+        self.out.borrow_mut().insert(ticket, Out { vertical: asked.vertical, answer });
+        let relay = self.clone();
+        let by = self.hall.clock.instant(asked.ends - BEFORE_TIME);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep_until(by).await;
+            if relay.strand(ticket) {
+                relay.hall.counters.add("upgrades", "not_answered_in_time");
+            }
+        });
+        to.send(&ToNew::Ask(to_words(ticket, left - BEFORE_TIME, asked)), None);
+        Ok(())
+    }
+
+    /// The client has left. Whether its query was out there.
+    pub fn gone(&self, ticket: u64) -> bool {
+        let held = self.out.borrow_mut().remove(&ticket).is_some();
+        if let Some(to) = self.to.borrow().as_ref().filter(|_| held) {
+            to.send(&ToNew::Gone { ticket }, None);
+        }
+        held
+    }
+
+    pub fn answered(&self, ticket: u64, last: RelayedFinal) {
+        if let Some(out) = self.out.borrow_mut().remove(&ticket) {
+            let _ = out.answer.send(from_words(last));
+        }
+    }
+
+    /// Answers a query of which the other process is not known to have done anything, nor not to have.
+    fn strand(&self, ticket: u64) -> bool {
+        let Some(out) = self.out.borrow_mut().remove(&ticket) else { return false };
+        let last = self.hall.ask(|e| e.stranded(out.vertical));
+        self.hall.counters.add("queries", if last == Final::Aborted { "aborted" } else { "rejected" });
+        let _ = out.answer.send(last);
+        true
+    }
+
+    /// The other process is gone: what it had is answered at once. How many that were.
+    pub fn end(&self) -> usize {
+        *self.to.borrow_mut() = None;
+        let tickets: Vec<u64> = self.out.borrow().keys().copied().collect();
+        tickets.into_iter().filter(|&t| self.strand(t)).count()
+    }
+}
+
+fn to_words(ticket: u64, left: Span, asked: Asked) -> RelayedAsk {
+    let parts = asked.parts.iter().map(|p| (p.shard, p.weight, p.work)).collect();
+    let (id, vertical, text) = (asked.id, asked.vertical.0, asked.text.to_string());
+    RelayedAsk { ticket, id, vertical, left, parts, text }
+}
+
+/// A query as handed on; none if its vertical or a shard is not known here.
+pub fn asked(hall: &Hall, verticals: usize, shards: u32, ask: RelayedAsk) -> Option<Asked> {
+    let RelayedAsk { id, vertical, left, parts, text, .. } = ask;
+    let known =
+        usize::from(vertical) < verticals && !parts.is_empty() && parts.iter().all(|(s, ..)| *s < shards);
+    let part = |(shard, weight, work)| AskedPart { shard, weight, work };
+    known.then(|| Asked {
+        id,
+        vertical: Vertical(vertical),
+        ends: hall.clock.now() + left,
+        parts: parts.into_iter().map(part).collect(),
+        text: text.into(),
+    })
+}
+
+pub fn to_final_words(last: Final) -> RelayedFinal {
+    match last {
+        Final::Merged { whole, hits } => RelayedFinal::Merged { whole, hits },
+        Final::Rejected { stay_away } => RelayedFinal::Rejected { stay_away },
+        Final::Aborted => RelayedFinal::Aborted,
+        Final::Repeated => RelayedFinal::Repeated,
+    }
+}
+
+fn from_words(last: RelayedFinal) -> Final {
+    match last {
+        RelayedFinal::Merged { whole, hits } => Final::Merged { whole, hits },
+        RelayedFinal::Rejected { stay_away } => Final::Rejected { stay_away },
+        RelayedFinal::Aborted => Final::Aborted,
+        RelayedFinal::Repeated => Final::Repeated,
+    }
+}
--- a/crates/pipitcrank-node/src/reload.rs
+++ b/crates/pipitcrank-node/src/reload.rs
@@ -23,7 +23,7 @@
         match read(&path, &clock) {
             Ok(address) => {
                 counters.add("reloads", "taken");
-                log::info!("charter read again: discovery is at {address}");
+                tracing::info!("charter read again: discovery is at {address}");
                 discovery.send_if_modified(|old| {
                     let moved = *old != address;
                     *old = address;
@@ -32,7 +32,7 @@
             }
             Err(wrong) => {
                 counters.add("reloads", "faulty");
-                log::error!("the new charter is faulty, the old one stays: {wrong}");
+                tracing::error!("the new charter is faulty, the old one stays: {wrong}");
             }
         }
     }
--- /dev/null
+++ b/crates/pipitcrank-node/src/serve.rs
@@ -0,0 +1,156 @@
+//! The co-ordinator on sockets: starts what it is made of, joins it, and ends in order.
+
+use std::cell::Cell;
+use std::error::Error;
+use std::os::unix::net::UnixStream as StdStream;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::watch;
+
+use crate::charter::Charter;
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::discovery;
+use crate::exchange::Exchange;
+use crate::front::{self, Door, Knock};
+use crate::gate::{self, Order};
+use crate::hall::{Hall, Sockets};
+use crate::leaves::Leaves;
+use crate::relay::Relay;
+use crate::reload;
+use crate::worker::{FirstList, Worker};
+
+/// The file that `NODE_CONFIG` names, and its text.
+pub fn charter_text() -> Result<(String, String), String> {
+    let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+    Ok((path, text))
+}
+
+/// Serves until asked to end, or until all has passed to another process. Under a keeper its link comes along; the
+/// listener then is the keeper's.
+pub async fn serve(clock: Clock, keeper: Option<StdStream>) -> Result<(), Box<dyn Error>> {
+    // Before all else: unheeded, the signal ends the process.
+    let hangups = signal(SignalKind::hangup())?;
+    let (path, text) = charter_text()?;
+    let charter = Charter::read(&text, |name| std::env::var(name).ok())?;
+
+    let counters = Counters::default();
+    let exchange = charter.exchange(counters.clone())?;
+    let (rev, rows) = charter.known(&clock)?;
+    let (for_leaves, for_clients) = charter.sockets()?;
+    let (for_leaves, for_clients) = (Sockets::new(for_leaves), Sockets::new(for_clients));
+    let hall = Rc::new(Hall::new(clock, counters.clone(), for_leaves, exchange));
+    let leaves = Leaves::new(hall.clone(), charter.streams()?, charter.dial_limit()?, charter.idle_limit()?);
+    let (knocks, knocked) = unbounded_channel();
+    let (call_end, end_called) = watch::channel(None);
+    let tickets = Arc::new(AtomicU64::new(0));
+    let verticals = charter.verticals()?;
+    let worker_verticals = verticals.len();
+    let router = front::router(Door {
+        clock,
+        counters: counters.clone(),
+        verticals: verticals.into(),
+        shards: charter.shards()?,
+        knocks,
+        end_called: end_called.clone(),
+        tickets: tickets.clone(),
+    });
+    let (move_watch, watched) = watch::channel(charter.discovery()?);
+    let (tick, name, listen) = (charter.tick()?, charter.name()?, charter.listen()?);
+    let rev_held = Rc::new(Cell::new(None));
+    let (watch_hall, watch_rev, pause) = (hall.clone(), rev_held.clone(), charter.dial_limit()?);
+    let list_known = move || {
+        let watch = discovery::watch(watch_hall.clone(), watched.clone(), watch_rev.clone(), pause);
+        tokio::task::spawn_local(watch);
+    };
+    tokio::task::spawn_local(reload::heed(hangups, path.into(), clock, counters.clone(), move_watch));
+    let relay = Relay::new(hall.clone());
+    let (gate, ordered) = unbounded_channel();
+    let ended = call_end.clone();
+    match keeper {
+        None => {
+            rev_held.set(Some(rev));
+            hall.tell(|e| e.list(clock.now(), true, rows));
+            list_known();
+            let listener = TcpListener::bind(listen).await.map_err(|e| format!("/listen: {e}"))?;
+            let _ = gate.send(Order::Accept(listener));
+            tracing::info!("{name} serves at {listen}");
+        }
+        Some(keeper) => {
+            let worker = Rc::new(Worker {
+                hall: hall.clone(),
+                relay: relay.clone(),
+                gate: gate.clone(),
+                clients: for_clients.clone(),
+                rev: rev_held,
+                list_known: Rc::new(list_known),
+                first_list: Cell::new(Some(FirstList { rev, rows })),
+                tickets,
+                verticals: worker_verticals,
+                shards: charter.shards()?,
+                longest: charter.longest()?,
+                end_called: call_end.clone(),
+            });
+            tokio::task::spawn_local(async move {
+                if let Err(wrong) = worker.obey(keeper).await {
+                    // The keeper sees the link end, and this process.
+                    tracing::error!("the keeper's link broke: {wrong}");
+                    std::process::exit(3);
+                }
+            });
+            tracing::info!("{name} is checked and waits for the keeper");
+        }
+    }
+
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::task::spawn_local(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        ended.send_replace(Some(clock.now()));
+        // Kept: a closed channel would read as a second call.
+        std::future::pending::<()>().await;
+    });
+    tokio::task::spawn_local(hear(hall.clone(), relay.clone(), knocked));
+    let quiet = || hall.ask(Exchange::quiet) && relay.quiet();
+    tokio::select! {
+        () = hall.take_turns(tick, &leaves) => {}
+        () = gate::keep(ordered, router, for_clients, counters.clone(), gate::STAY, end_called, quiet) => {}
+    }
+    tracing::info!("counters at exit:\n{}", counters.show());
+    Ok(())
+}
+
+/// Hands what the front has to the exchange, or to the process that takes over.
+async fn hear(hall: Rc<Hall>, relay: Relay, mut knocked: UnboundedReceiver<Knock>) {
+    while let Some(knock) = knocked.recv().await {
+        match knock {
+            Knock::Ask(ticket, asked, answer) => {
+                let Err((asked, answer)) = relay.ask(ticket, asked, answer) else { continue };
+                hall.tell(|e| {
+                    let then = Box::new(move |last| {
+                        // Nobody listens where the client left in this very moment.
+                        let _ = answer.send(last);
+                    });
+                    e.asked(ticket, asked, then);
+                });
+            }
+            Knock::Gone(ticket) => {
+                if !relay.gone(ticket) {
+                    hall.tell(|e| e.client_gone(ticket));
+                }
+            }
+            Knock::Able(answer) => {
+                let _ = answer.send(hall.ask(Exchange::able));
+            }
+        }
+    }
+}
--- a/crates/pipitcrank-node/src/tap.rs
+++ b/crates/pipitcrank-node/src/tap.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -113,6 +114,8 @@
     pub heads: Rc<std::cell::RefCell<Heads>>,
     /// The client has closed its side.
     pub ended: bool,
+    /// What another process had read from it: comes before all else.
+    pub before: Bytes,
 }
 
 impl AsyncRead for Tap {
@@ -122,7 +125,13 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if self.before.is_empty() {
+            ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        } else {
+            let n = buf.remaining().min(self.before.len());
+            buf.put_slice(&self.before[..n]);
+            self.before.advance(n);
+        }
         let came = &buf.filled()[before..];
         self.ended |= came.is_empty();
         if !came.is_empty() && matches!(self.visit.doing(), Doing::Silent | Doing::Idle) {
@@ -151,7 +160,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        // Called once all that there was to write has been written.
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.visit.flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/pipitcrank-node/src/visits.rs
+++ b/crates/pipitcrank-node/src/visits.rs
@@ -44,12 +44,65 @@
     whole_by: Cell<Instant>,
     leaving: Cell<bool>,
     leave: Notify,
+    /// The last answer has been handed to the system whole.
+    flushed: Cell<bool>,
+    /// Its last answer says that the connection ends with it.
+    last: Cell<bool>,
+    moved_on: Notify,
 }
 
 impl Visit {
     fn new(now: Instant) -> Visit {
         let (doing, whole_by) = (Cell::new((Doing::Silent, now)), Cell::new(now + WHOLE_WITHIN));
-        Visit { came: now, doing, whole_by, leaving: Cell::default(), leave: Notify::new() }
+        let (leaving, flushed) = (Cell::default(), Cell::new(true));
+        let (leave, last, moved_on) = (Notify::new(), Cell::default(), Notify::new());
+        Visit { came: now, doing, whole_by, leaving, leave, flushed, last, moved_on }
+    }
+
+    /// Goes on from where another process had it: between two requests, or with some of one read, which has to be
+    /// whole within that.
+    pub fn goes_on(&self, now: Instant, whole_within: Option<Duration>) {
+        let doing = if whole_within.is_some() { Doing::Begun } else { Doing::Idle };
+        self.doing.set((doing, now));
+        self.whole_by.set(now + whole_within.unwrap_or(WHOLE_WITHIN).min(WHOLE_WITHIN));
+    }
+
+    /// The answer at hand ends the connection.
+    pub fn ends(&self) {
+        self.last.set(true);
+    }
+
+    /// Until when a request begun has to be whole, from now on.
+    pub fn whole_within(&self, now: Instant) -> Option<Duration> {
+        matches!(self.doing(), Doing::Silent | Doing::Begun).then(|| self.whole_by() - now)
+    }
+
+    /// All of the answer is with the system.
+    pub fn flushed(&self) {
+        if self.doing() == Doing::Idle && !self.flushed.replace(true) {
+            self.moved_on.notify_one();
+        }
+    }
+
+    /// Ends when no request is open on it and its last answer has gone: a moment in which it can pass or end without
+    /// any loss. `begun`: half a request read may be at hand.
+    pub async fn rests(&self, begun: bool) {
+        loop {
+            match self.doing() {
+                _ if self.last.get() => self.moved_on.notified().await,
+                Doing::Idle if self.flushed.get() => return,
+                Doing::Silent | Doing::Begun if begun => return,
+                // Guards against a request lost on its way: who has just connected has one to send.
+                Doing::Silent => {
+                    let (_, since) = self.doing.get();
+                    tokio::select! {
+                        () = self.moved_on.notified() => {}
+                        () = tokio::time::sleep_until(since + SILENT_GIVES_WAY) => return,
+                    }
+                }
+                _ => self.moved_on.notified().await,
+            }
+        }
     }
 
     pub fn doing(&self) -> Doing {
@@ -61,7 +114,11 @@
         if self.doing() == Doing::Idle {
             self.whole_by.set(now + WHOLE_WITHIN);
         }
+        if self.doing() == Doing::Open {
+            self.flushed.set(false);
+        }
         self.doing.set((doing, now));
+        self.moved_on.notify_one();
     }
 
     pub fn whole_by(&self) -> Instant {
@@ -112,6 +169,10 @@
         visit
     }
 
+    pub fn none(&self) -> bool {
+        self.0.borrow().is_empty()
+    }
+
     pub fn leave(&self, visit: &Rc<Visit>) {
         self.0.borrow_mut().retain(|v| !Rc::ptr_eq(v, visit));
     }
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -58,7 +58,7 @@
     match tokio::time::timeout(limit, connector.call(uri)).await {
         Ok(Ok(stream)) => Ok(stream.into_inner()),
         Ok(Err(e)) => {
-            log::debug!("no connection to {address}: {e}");
+            tracing::debug!("no connection to {address}: {e}");
             Err(ConnectionEnd::Refused)
         }
         Err(_) => Err(ConnectionEnd::NeverUp),
@@ -96,7 +96,7 @@
             }
             // Guards against a frame that never ends: it would swallow all later answers.
             () = tokio::time::sleep_until(begun + way_limit), if wire.half_read.get() => {
-                log::warn!("leaf {} did not end a frame", wire.leaf.0);
+                tracing::warn!("leaf {} did not end a frame", wire.leaf.0);
                 return ConnectionEnd::BadBytes;
             }
             read = from.read_buf(&mut buffer) => match read {
@@ -119,7 +119,7 @@
                                 }
                             }
                             Err(bad) => {
-                                log::warn!("leaf {} sent a bad frame: {bad}", wire.leaf.0);
+                                tracing::warn!("leaf {} sent a bad frame: {bad}", wire.leaf.0);
                                 return ConnectionEnd::BadBytes;
                             }
                         }
@@ -228,7 +228,7 @@
                     return Ok(());
                 }
                 // Guards against waiting in vain for the part whose id was spoilt.
-                log::warn!("leaf {} answered what it was not asked", wire.leaf.0);
+                tracing::warn!("leaf {} answered what it was not asked", wire.leaf.0);
                 return Err(ConnectionEnd::BadBytes);
             };
             let call = carried.swap_remove(nth).call;
@@ -240,7 +240,7 @@
         }
         FromLeaf::Load(ending, report) => {
             let Some(before) = wire.probes.get().checked_sub(1) else {
-                log::warn!("leaf {} answered a probe that was not sent", wire.leaf.0);
+                tracing::warn!("leaf {} answered a probe that was not sent", wire.leaf.0);
                 return Err(ConnectionEnd::BadBytes);
             };
             wire.probes.set(before);
@@ -252,7 +252,7 @@
             wire.pings.set(wire.pings.get().checked_sub(1).ok_or(ConnectionEnd::BadBytes)?);
         }
         FromLeaf::Complaint(words) => {
-            log::warn!("leaf {} could not use a frame: {words}", wire.leaf.0);
+            tracing::warn!("leaf {} could not use a frame: {words}", wire.leaf.0);
             return Err(ConnectionEnd::Complaint);
         }
     }
--- /dev/null
+++ b/crates/pipitcrank-node/src/worker.rs
@@ -0,0 +1,374 @@
+//! A co-ordinator under a keeper: does what it is told over its link, and says how far it is. All order and all limits
+//! are the keeper's (`pipitcrank_handover::book`); what each of two processes may spend is `division`'s.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream as StdStream;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use pipitcrank::time::Span;
+use pipitcrank_handover::division;
+use pipitcrank_handover::passing::{self, Broken, Incoming, Outgoing, mono_us};
+use pipitcrank_handover::snapshot::Snapshot;
+use pipitcrank_handover::words::{RelayedAsk, RelayedFinal, ToKeeper, ToNew, ToOld, ToWorker, VERSION};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::watch;
+
+use crate::discovery::Rev;
+use crate::exchange::{Exchange, Final, Listed};
+use crate::gate::{Adopted, Order};
+use crate::hall::{Hall, Sockets};
+use crate::relay::{self, Relay};
+
+/// How often it looks whether a step is done, and gives a sign of life: a small part of any limit that the operators
+/// may set.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What this process knows the list of leaves by before it is told otherwise.
+pub struct FirstList {
+    pub rev: u64,
+    pub rows: Vec<Listed>,
+}
+
+pub struct Worker {
+    pub hall: Rc<Hall>,
+    pub relay: Relay,
+    pub gate: UnboundedSender<Order>,
+    pub clients: Sockets,
+    pub rev: Rev,
+    /// Called once the list is there, from wherever it came.
+    pub list_known: Rc<dyn Fn()>,
+    pub first_list: Cell<Option<FirstList>>,
+    pub tickets: Arc<AtomicU64>,
+    pub verticals: usize,
+    pub shards: u32,
+    /// How long a query may be held.
+    pub longest: Span,
+    pub end_called: watch::Sender<Option<pipitcrank::time::At>>,
+}
+
+/// The process that hands over, and what goes to it.
+struct Old {
+    to: Outgoing,
+    /// Further calls that stayed with it; none once it is settled.
+    lent: Option<u32>,
+    /// Our tickets by theirs.
+    tickets: Rc<RefCell<BTreeMap<u64, u64>>>,
+}
+
+/// The process that takes over.
+struct New {
+    to: Outgoing,
+    kept: u32,
+    trusted: bool,
+    passing: bool,
+    drained: bool,
+}
+
+enum Peer {
+    Nobody,
+    Old(Old),
+    New(New),
+}
+
+type Link<M> = Option<(Incoming, std::marker::PhantomData<M>)>;
+
+async fn heard<M: serde::de::DeserializeOwned>(link: &mut Link<M>) -> Result<(M, Option<OwnedFd>), Broken> {
+    match link {
+        Some((from, _)) => from.next().await,
+        None => std::future::pending().await,
+    }
+}
+
+impl Worker {
+    /// Obeys until the keeper is gone; then it ends in order, as nobody could upgrade or signal it any more.
+    pub async fn obey(self: Rc<Worker>, keeper: StdStream) -> Result<(), Broken> {
+        let (to_keeper, mut from_keeper) = passing::join(keeper)?;
+        to_keeper.send(&ToKeeper::Hello { version: VERSION }, None);
+        to_keeper.send(&ToKeeper::Checked, None);
+        let mut peer = Peer::Nobody;
+        let mut from_old: Link<ToNew> = None;
+        let mut from_new: Link<ToOld> = None;
+        let mut looks = tokio::time::interval(LOOK);
+        looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let (pass_on, mut passed_on) = unbounded_channel::<Adopted>();
+        loop {
+            tokio::select! {
+                said = from_keeper.next::<ToWorker>() => {
+                    let Ok((said, fd)) = said else {
+                        tracing::warn!("the keeper is gone");
+                        self.list_as_first_known();
+                        self.end_called.send_if_modified(|e| {
+                            let first = e.is_none();
+                            *e = e.or(Some(self.hall.clock.now()));
+                            first
+                        });
+                        return Ok(());
+                    };
+                    match said {
+                        ToWorker::Hello { version: VERSION } => {}
+                        ToWorker::Hello { .. } => return Err(Broken::Garbled),
+                        ToWorker::Serve => {
+                            let listener = std::net::TcpListener::from(fd.ok_or(Broken::Descriptors)?);
+                            listener.set_nonblocking(true)?;
+                            if matches!(peer, Peer::Nobody) {
+                                self.list_as_first_known();
+                            }
+                            let _ = self.gate.send(Order::Accept(TcpListener::from_std(listener)?));
+                        }
+                        ToWorker::TakeOver => {
+                            let (to, from) = passing::join(StdStream::from(fd.ok_or(Broken::Descriptors)?))?;
+                            to.send(&ToOld::Hello { version: VERSION }, None);
+                            from_old = Some((from, std::marker::PhantomData));
+                            peer = Peer::Old(Old { to, lent: None, tickets: Rc::default() });
+                        }
+                        ToWorker::HandOver => {
+                            let (to, from) = passing::join(StdStream::from(fd.ok_or(Broken::Descriptors)?))?;
+                            to.send(&ToNew::Hello { version: VERSION }, None);
+                            from_new = Some((from, std::marker::PhantomData));
+                            peer = Peer::New(New { to, kept: 0, trusted: false, passing: false, drained: false });
+                        }
+                        ToWorker::Pass => {
+                            if let Peer::New(new) = &mut peer {
+                                new.passing = true;
+                                let _ = self.gate.send(Order::Pass(pass_on.clone()));
+                            }
+                        }
+                        ToWorker::Alone => {
+                            match std::mem::replace(&mut peer, Peer::Nobody) {
+                                Peer::New(new) => self.go_back(new),
+                                Peer::Old(old) => self.without_old(old),
+                                Peer::Nobody => {}
+                            }
+                            (from_old, from_new) = (None, None);
+                        }
+                        ToWorker::Upgrades { asked, done, undone } => {
+                            for (which, n) in [("asked", asked), ("done", done), ("undone", undone)] {
+                                self.hall.counters.set("upgrades", which, n);
+                            }
+                        }
+                    }
+                }
+                said = heard(&mut from_old) => match said {
+                    Ok((said, fd)) => {
+                        if let Peer::Old(old) = &mut peer {
+                            self.said_by_old(old, said, fd, &to_keeper);
+                        }
+                    }
+                    Err(end) => {
+                        tracing::info!("the link to the old process ended: {end}");
+                        from_old = None;
+                        if let Peer::Old(old) = &mut peer {
+                            // Not before its word is no word at all: then what it might spend is held to be spent.
+                            self.settle(old, None);
+                        }
+                    }
+                },
+                said = heard(&mut from_new) => match (said, &mut peer) {
+                    (Ok((ToOld::Hello { version: VERSION }, _)), Peer::New(new)) => {
+                        new.trusted = true;
+                        self.hand_over(new);
+                    }
+                    (Ok((ToOld::Answer { ticket, last }, _)), _) => self.relay.answered(ticket, last),
+                    (Ok(_), _) => {
+                        tracing::warn!("the new process speaks another version");
+                        from_new = None;
+                    }
+                    (Err(end), _) => {
+                        // Its keeper says what follows; what it had is answered now.
+                        tracing::info!("the link to the new process ended: {end}");
+                        from_new = None;
+                        let stranded = self.relay.end();
+                        tracing::warn!("{stranded} queries were with it");
+                    }
+                },
+                Some(Adopted { stream, read, whole_within }) = passed_on.recv() => {
+                    if let (Peer::New(new), Ok(stream)) = (&peer, stream.into_std()) {
+                        let whole_within = whole_within.map(|d| Span::from_s(d.as_secs_f64()));
+                        new.to.send(&ToNew::Connection { read: read.to_vec(), whole_within }, Some(stream.into()));
+                    }
+                }
+                _ = looks.tick() => match &mut peer {
+                    Peer::Old(old) if old.lent.is_some() => to_keeper.send(&ToKeeper::Beat, None),
+                    Peer::New(new) if new.trusted => {
+                        self.tell_room(new);
+                        let own = self.hall.ask(Exchange::quiet);
+                        if own && !new.drained {
+                            new.drained = true;
+                            to_keeper.send(&ToKeeper::Drained, None);
+                        }
+                        if from_new.is_some() && new.passing && own && self.relay.quiet() && self.clients.open() == 0 && passed_on.is_empty() {
+                            let further = self.hall.ask(|e| e.made_of(new.kept));
+                            let counters = self.hall.counters.all();
+                            new.to.send(&ToNew::Bye { further, counters }, None);
+                            to_keeper.send(&ToKeeper::Passed, None);
+                            peer = Peer::Nobody;
+                            // What is queued is written before the tasks that write it end.
+                            tokio::time::sleep(LOOK).await;
+                            let _ = self.gate.send(Order::Done);
+                        }
+                    }
+                    _ => {}
+                },
+            }
+        }
+    }
+
+    /// The list that the charter names, unless one is held already.
+    fn list_as_first_known(&self) {
+        if let Some(FirstList { rev, rows }) = self.first_list.take() {
+            self.rev.set(Some(rev));
+            let now = self.hall.clock.now();
+            self.hall.tell(|e| e.list(now, true, rows));
+            (self.list_known)();
+        }
+    }
+
+    // As the old one.
+
+    fn hand_over(&self, new: &mut New) {
+        let now = self.hall.clock.now();
+        let snapshot = self.hall.tell(|e| e.hand_over(now, mono_us(), self.rev.get(), self.longest));
+        new.kept = snapshot.lent;
+        let bytes = snapshot.encode().unwrap_or_else(|e| {
+            tracing::error!("what is known can't be handed over: {e}");
+            Vec::new()
+        });
+        tracing::info!("{} bytes of what is known are handed over", bytes.len());
+        new.to.send(&ToNew::Known(bytes), None);
+        self.tell_room(new);
+        self.relay.begin(new.to.clone());
+    }
+
+    /// What is held here is not the new one's; it only shrinks.
+    fn tell_room(&self, new: &New) {
+        let (leaves, clients) = (&self.hall.sockets, &self.clients);
+        leaves.set_most(division::sockets(leaves.most(), leaves.open()).0);
+        let open = self.hall.ask(Exchange::open) as u32;
+        let (leaves, clients) = (leaves.open() as u32, clients.open() as u32);
+        new.to.send(&ToNew::Room { leaves, clients, open }, None);
+    }
+
+    fn go_back(&self, new: New) {
+        let stranded = self.relay.end();
+        if new.trusted {
+            tracing::warn!("going on alone; {stranded} queries were with the new process");
+            self.hall.tell(|e| e.alone_again(self.hall.clock.now()));
+            self.hall.sockets.set_all();
+        }
+        if new.passing {
+            let _ = self.gate.send(Order::Stay);
+        }
+    }
+
+    // As the new one.
+
+    fn said_by_old(&self, old: &mut Old, said: ToNew, fd: Option<OwnedFd>, to_keeper: &Outgoing) {
+        match said {
+            ToNew::Hello { version: VERSION } => {}
+            ToNew::Hello { version } => {
+                tracing::error!("the old process speaks version {version}, not {VERSION}");
+                // Not a word more: the keeper's limit ends this try.
+                old.lent = None;
+            }
+            ToNew::Known(bytes) => {
+                old.lent = Some(self.learn(&bytes));
+                to_keeper.send(&ToKeeper::Learned, None);
+            }
+            ToNew::Ask(ask) => self.asked(old, ask),
+            ToNew::Gone { ticket } => {
+                if let Some(ours) = old.tickets.borrow_mut().remove(&ticket) {
+                    self.hall.tell(|e| e.client_gone(ours));
+                }
+            }
+            ToNew::Room { leaves, clients, open } => {
+                self.hall.sockets.leave_to_other(leaves as usize);
+                self.clients.leave_to_other(clients as usize);
+                self.hall.tell(|e| e.set_open_elsewhere(open as usize));
+            }
+            ToNew::Connection { read, whole_within } => {
+                let stream = fd.map(std::net::TcpStream::from).ok_or(()).and_then(|s| {
+                    s.set_nonblocking(true).map_err(drop)?;
+                    TcpStream::from_std(s).map_err(drop)
+                });
+                if let Ok(stream) = stream {
+                    let whole_within = whole_within.map(crate::clock::duration);
+                    let _ = self.gate.send(Order::Adopt(Adopted { stream, read: read.into(), whole_within }));
+                }
+            }
+            ToNew::Bye { further, counters } => {
+                self.hall.counters.go_on_from(counters);
+                self.settle(old, Some(further));
+            }
+        }
+    }
+
+    /// How many further calls stayed with the old one.
+    fn learn(&self, bytes: &[u8]) -> u32 {
+        let now = self.hall.clock.now();
+        match Snapshot::decode(bytes) {
+            Ok(snapshot) => {
+                let passed = Span::from_s(((mono_us() - snapshot.taken_us).max(0) as f64) / 1e6);
+                tracing::info!(
+                    leaves = snapshot.leaves.len(),
+                    "going on from what was known {} s ago",
+                    passed.s()
+                );
+                self.first_list.take();
+                self.rev.set(snapshot.rev);
+                let lent = snapshot.lent;
+                self.hall.tell(|e| e.go_on_from(now, passed, snapshot));
+                (self.list_known)();
+                lent
+            }
+            Err(why) => {
+                tracing::warn!("what was known is refused ({why}); going by the list alone");
+                self.hall.counters.add("upgrades", "snapshots_refused");
+                self.list_as_first_known();
+                // What the other process spent, or may spend, is not known.
+                self.hall.tell(|e| e.alone_again(now));
+                0
+            }
+        }
+    }
+
+    fn asked(&self, old: &Old, ask: RelayedAsk) {
+        let (theirs, to) = (ask.ticket, old.to.clone());
+        let answer = move |last: RelayedFinal| to.send(&ToOld::Answer { ticket: theirs, last }, None);
+        let Some(asked) = relay::asked(&self.hall, self.verticals, self.shards, ask) else {
+            return answer(RelayedFinal::Rejected { stay_away: Span::ZERO });
+        };
+        let ours = self.tickets.fetch_add(1, Ordering::Relaxed);
+        old.tickets.borrow_mut().insert(theirs, ours);
+        let tickets = old.tickets.clone();
+        let then = Box::new(move |last: Final| {
+            tickets.borrow_mut().remove(&theirs);
+            answer(relay::to_final_words(last));
+        });
+        self.hall.tell(|e| e.asked(ours, asked, then));
+    }
+
+    /// The old one has said all it had to, or is gone without a word.
+    fn settle(&self, old: &mut Old, further: Option<u32>) {
+        if let Some(lent) = old.lent.take() {
+            let further = further.unwrap_or(lent).min(lent);
+            self.hall.tell(|e| e.settle(self.hall.clock.now(), further));
+        }
+        self.hall.sockets.set_all();
+        self.clients.set_all();
+    }
+
+    fn without_old(&self, mut old: Old) {
+        // Guards against an old one that died before it told anything: then the list is all there is.
+        if self.first_list.take().map(|f| self.first_list.set(Some(f))).is_some() {
+            self.list_as_first_known();
+            self.hall.tell(|e| e.alone_again(self.hall.clock.now()));
+        }
+        self.settle(&mut old, None);
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-operators/src/lib.rs
@@ -0,0 +1,174 @@
+//! The operators' file, in Dhall: what a co-ordinator does beside what the platform's charter tells. Typed by the
+//! reader, bounded here, and read whole: a fault names its key. What a key absent from the file stands for is in
+//! `deploy/operators.dhall`, which a file takes its defaults from, or here where it does not import that.
+//!
+//! Absent as a whole, all of it is off.
+
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+/// One key's fault, or why nothing could be read.
+#[derive(Debug, PartialEq, thiserror::Error)]
+#[error("{key} {what}")]
+pub struct Faulty {
+    pub key: String,
+    pub what: String,
+}
+
+/// All that operators say, checked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operators {
+    pub upgrade: Option<Upgrade>,
+    pub logs: Logs,
+}
+
+/// Upgrade under load: how long its steps may take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Upgrade {
+    /// For a new process to have read and checked all it is told by.
+    pub start: Duration,
+    /// How long it is on trial at least.
+    pub settle: Duration,
+    /// Longest silence of a process on trial.
+    pub silent: Duration,
+    /// For the old one's own queries, and again for its last answers.
+    pub finish: Duration,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Logs {
+    pub json: bool,
+    /// Levels by module, as `tracing-subscriber` has them; empty is `info`.
+    pub levels: String,
+}
+
+// The file's form: all fields there, as Dhall records are.
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    upgrade: Option<UpgradeForm>,
+    logs: Option<LogsForm>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct UpgradeForm {
+    start_s: f64,
+    settle_s: f64,
+    silent_s: f64,
+    finish_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LogsForm {
+    json: bool,
+    levels: String,
+}
+
+/// Longest file taken, with what it imports: it is a page of settings.
+const LONGEST: u64 = 256 * 1024;
+
+impl Operators {
+    /// From a file; what it imports is looked for beside it. Nothing is fetched from elsewhere: the reader is built
+    /// without the network.
+    pub fn read(path: &Path) -> Result<Operators, Faulty> {
+        let wrong = |what: String| Faulty { key: path.display().to_string(), what };
+        let size = std::fs::metadata(path).map_err(|e| wrong(format!("can't be read: {e}")))?.len();
+        if size > LONGEST {
+            return Err(wrong(format!("has {size} bytes, over {LONGEST}")));
+        }
+        let file: File = serde_dhall::from_file(path).parse().map_err(|e| faulty(path, &e.to_string()))?;
+        file.checked()
+    }
+
+    /// The same from a text without imports.
+    pub fn parse(text: &str) -> Result<Operators, Faulty> {
+        let file: File = serde_dhall::from_str(text)
+            .parse()
+            .map_err(|e| faulty(Path::new("the operators' file"), &e.to_string()))?;
+        file.checked()
+    }
+}
+
+/// The reader's words name the field: it is put first, as the key.
+fn faulty(path: &Path, words: &str) -> Faulty {
+    let named = words.split_once("field `").and_then(|(_, rest)| rest.split_once('`')).map(|(name, _)| name);
+    let key = named.map_or(path.display().to_string(), |name| format!("/{name}"));
+    Faulty { key, what: words.trim().replace('\n', " ") }
+}
+
+fn time(key: &str, seconds: f64, least: f64, most: f64) -> Result<Duration, Faulty> {
+    if (least..=most).contains(&seconds) {
+        return Ok(Duration::from_secs_f64(seconds));
+    }
+    Err(Faulty { key: key.to_string(), what: format!("is {seconds}, not from {least} to {most} seconds") })
+}
+
+impl File {
+    fn checked(self) -> Result<Operators, Faulty> {
+        let upgrade = self.upgrade.map(UpgradeForm::checked).transpose()?;
+        let logs = self.logs.map_or(Logs::default(), |l| Logs { json: l.json, levels: l.levels });
+        Ok(Operators { upgrade, logs })
+    }
+}
+
+impl UpgradeForm {
+    /// Signs of life come every 0.05 s: ten of them may be late before a process is held to hang. A trial of over
+    /// ten minutes is no trial; two processes need twice the memory as long.
+    fn checked(self) -> Result<Upgrade, Faulty> {
+        Ok(Upgrade {
+            start: time("/upgrade/start_s", self.start_s, 0.1, 600.0)?,
+            settle: time("/upgrade/settle_s", self.settle_s, 0.0, 600.0)?,
+            silent: time("/upgrade/silent_s", self.silent_s, 0.5, 60.0)?,
+            finish: time("/upgrade/finish_s", self.finish_s, 0.1, 600.0)?,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = "{ upgrade = Some { start_s = 10.0, settle_s = 5.0, silent_s = 2.0, finish_s = 30.0 }
+        , logs = Some { json = True, levels = \"info\" } }";
+
+    #[test]
+    fn a_whole_file_is_read_and_an_empty_one_turns_all_off() {
+        let read = Operators::parse(GOOD).unwrap();
+        assert_eq!(read.upgrade.unwrap().settle, Duration::from_secs(5));
+        assert_eq!(read.logs, Logs { json: true, levels: "info".to_string() });
+        let none =
+            "{ upgrade = None { start_s : Double, settle_s : Double, silent_s : Double, finish_s : Double }
+            , logs = None { json : Bool, levels : Text } }";
+        assert_eq!(Operators::parse(none).unwrap(), Operators::default());
+        assert_eq!(Operators::parse("{=}").unwrap(), Operators::default());
+    }
+
+    #[test]
+    fn each_fault_names_its_key() {
+        for (from, to, key) in [
+            ("settle_s = 5.0", "settle_s = -1.0", "/upgrade/settle_s"),
+            ("start_s = 10.0", "start_s = 0.0", "/upgrade/start_s"),
+            ("silent_s = 2.0", "silent_s = 0.1", "/upgrade/silent_s"),
+            ("finish_s = 30.0", "finish_s = 1.0e9", "/upgrade/finish_s"),
+            ("settle_s", "settel_s", "/settel_s"),
+            ("logs =", "log =", "/log"),
+        ] {
+            let wrong = Operators::parse(&GOOD.replace(from, to)).unwrap_err();
+            assert_eq!(wrong.key, key, "{wrong}");
+        }
+        for text in [GOOD.replace("5.0", "\"5\""), GOOD.replace("5.0", "+"), String::new()] {
+            assert!(Operators::parse(&text).is_err(), "{text}");
+        }
+    }
+
+    #[test]
+    fn a_file_that_is_not_there_is_named() {
+        let wrong = Operators::read(Path::new("/nowhere/operators.dhall")).unwrap_err();
+        assert_eq!(wrong.key, "/nowhere/operators.dhall");
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-rig/src/demo.rs
@@ -0,0 +1,73 @@
+//! The main job on one machine: stand-in leaves, one co-ordinator, some hundred queries of three verticals, a leaf
+//! killed half way.
+
+use std::path::Path;
+use std::time::Duration;
+
+use anyhow::Result;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use crate::client::Clients;
+use crate::fleet::{Fleet, question};
+use crate::leaf::Work;
+use crate::ledger::{Ended, Ledger};
+use crate::process::Process;
+use crate::trial::on_one_thread;
+
+const QUERIES: u64 = 400;
+/// Between two queries.
+const PAUSE: Duration = Duration::from_millis(8);
+
+pub fn play(program: &Path, seed: u64) -> Result<i32> {
+    on_one_thread(async {
+        println!("starting 12 stand-in leaves, discovery and one co-ordinator on loopback");
+        let fleet = Fleet::start(seed, Work { usual: Duration::from_millis(10), at_once: 16 }).await?;
+        let process = Process::start(program, fleet.charter(seed, 1024, 2000)?, None).await?;
+        let mut chance = Pcg64::seed_from_u64(seed);
+        let ledgers = ["view", "rank", "sale"].map(|v| (v, Ledger::default()));
+        let mut tasks = tokio::task::JoinSet::new();
+        println!("asking {QUERIES} queries; leaf 5 is killed half way");
+        let all = Clients::new(process.address, Ledger::default());
+        for n in 0..QUERIES {
+            if n == QUERIES / 2 {
+                fleet.leaves[5].kill();
+            }
+            let question = question("demo", n, 0.0, &mut chance);
+            let ledger = ledgers.iter().find(|(v, _)| *v == question.vertical).map(|(_, l)| l.clone());
+            let clients = all.entered_in(ledger.unwrap_or_default());
+            tasks.spawn_local(async move { clients.ask(question).await });
+            tokio::time::sleep(PAUSE).await;
+        }
+        while tasks.join_next().await.is_some() {}
+        println!(
+            "{:<10} {:>7} {:>7} {:>7} {:>8} {:>8} {:>9} {:>9}",
+            "vertical", "asked", "whole", "in part", "rejected", "aborted", "half, ms", "99%, ms"
+        );
+        let mut answered = 0;
+        for (vertical, l) in &ledgers {
+            let ends =
+                [Ended::Merged, Ended::MergedInPart, Ended::Rejected, Ended::Aborted].map(|e| l.count(e));
+            answered += ends.iter().sum::<u64>();
+            let [whole, part, rejected, aborted] = ends;
+            println!(
+                "{vertical:<10} {:>7} {whole:>7} {part:>7} {rejected:>8} {aborted:>8} {:>9.1} {:>9.1}",
+                l.all(),
+                l.within(0.5),
+                l.within(0.99)
+            );
+        }
+        let calls = process.count("frames calls_sent").await.unwrap_or(0);
+        println!(
+            "{calls} leaf calls carried {} parts to the leaves; {} sales ran twice",
+            fleet.ledger.runs(),
+            fleet.ledger.ran_again("sale-")
+        );
+        let held = answered == QUERIES && fleet.ledger.ran_again("sale-") == 0;
+        println!(
+            "{}",
+            if held { "every query got one final answer" } else { "not every query got its answer" }
+        );
+        Ok(if held { 0 } else { 1 })
+    })
+}
--- /dev/null
+++ b/crates/pipitcrank-rig/src/discovery.rs
@@ -0,0 +1,89 @@
+//! A stand-in for discovery: the whole list on request, and a watch that goes on from an index.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Result;
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// An empty line is due every 2 s.
+const SIGN_OF_LIFE: Duration = Duration::from_millis(1000);
+
+pub struct Discovery {
+    pub address: SocketAddr,
+    /// Changes so far, each its own version; version 1 is the first list.
+    changes: Rc<RefCell<Vec<Value>>>,
+    newest: watch::Sender<usize>,
+    first: Value,
+}
+
+/// One row of the list.
+pub fn row(uid: &str, address: SocketAddr, cell: u32, state: &str, started_ms: i64) -> Value {
+    json!({"uid": uid, "endpoint": address.to_string(), "az": "a", "pod_group": cell, "state": state,
+        "capacity_hint": 1.0, "boot_ms": started_ms})
+}
+
+fn list(rev: usize, all: bool, rows: Vec<Value>) -> Value {
+    json!({"rev": rev, "all": all, "targets": rows})
+}
+
+impl Discovery {
+    pub async fn start(rows: Vec<Value>) -> Result<Discovery> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (newest, seen) = watch::channel(1);
+        let changes: Rc<RefCell<Vec<Value>>> = Rc::default();
+        let (told, rows_held) = (changes.clone(), rows.clone());
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::task::spawn_local(answer(stream, rows_held.clone(), told.clone(), seen.clone()));
+            }
+        });
+        Ok(Discovery { address, changes, newest, first: list(1, true, rows) })
+    }
+
+    /// The first list, as a charter names it.
+    pub fn known(&self) -> Value {
+        self.first.clone()
+    }
+
+    /// Watches are told of a changed row.
+    pub fn changes(&self, row: Value) {
+        let rev = self.changes.borrow().len() + 2;
+        self.changes.borrow_mut().push(list(rev, false, vec![row]));
+        self.newest.send_replace(rev);
+    }
+}
+
+async fn answer(
+    stream: TcpStream,
+    rows: Vec<Value>,
+    changes: Rc<RefCell<Vec<Value>>>,
+    mut seen: watch::Receiver<usize>,
+) -> std::io::Result<()> {
+    let (from, mut to) = stream.into_split();
+    let mut from = BufReader::new(from);
+    let mut line = String::new();
+    from.read_line(&mut line).await?;
+    let index = line.split("index=").nth(1).and_then(|r| r.split([' ', '&']).next()?.parse::<usize>().ok());
+    let Some(mut told) = index.filter(|_| line.contains("stream=1")) else {
+        let body = list(1, true, rows).to_string();
+        let head =
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}", body.len());
+        return to.write_all(head.as_bytes()).await;
+    };
+    to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+    loop {
+        let news: Vec<String> =
+            changes.borrow().iter().skip(told.saturating_sub(1)).map(|c| c.to_string()).collect();
+        told += news.len();
+        let lines = if news.is_empty() { "\n".to_string() } else { news.join("\n") + "\n" };
+        to.write_all(format!("{:x}\r\n{lines}\r\n", lines.len()).as_bytes()).await?;
+        let _ = tokio::time::timeout(SIGN_OF_LIFE, seen.changed()).await;
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-rig/src/fleet.rs
@@ -0,0 +1,128 @@
+//! A fleet of stand-in leaves with its discovery, the charter that a co-ordinator of it is told, and the load asked.
+
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use serde_json::{Value, json};
+
+use crate::client::{Clients, Question};
+use crate::discovery::{Discovery, row};
+use crate::leaf::{Leaf, Work};
+use crate::ledger::Ledger;
+
+/// Cells, and leaves a cell; a shard is held by two cells.
+const CELLS: u32 = 6;
+const LEAVES_A_CELL: u32 = 2;
+pub const SHARDS: u32 = 12;
+
+pub struct Fleet {
+    pub leaves: Vec<Leaf>,
+    pub discovery: Discovery,
+    pub ledger: Ledger,
+}
+
+impl Fleet {
+    pub async fn start(seed: u64, work: Work) -> Result<Fleet> {
+        let ledger = Ledger::default();
+        let (mut leaves, mut rows) = (Vec::new(), Vec::new());
+        for n in 0..CELLS * LEAVES_A_CELL {
+            let leaf = Leaf::start(seed ^ u64::from(n) << 32, work, ledger.clone()).await?;
+            rows.push(row(&format!("leaf-{n}"), leaf.address, n % CELLS, "active", 0));
+            leaves.push(leaf);
+        }
+        Ok(Fleet { leaves, discovery: Discovery::start(rows).await?, ledger })
+    }
+
+    /// Tells that the leaf drains, or is back.
+    pub fn drains(&self, leaf: usize, state: &str) {
+        let address = self.leaves[leaf].address;
+        self.discovery.changes(row(&format!("leaf-{leaf}"), address, leaf as u32 % CELLS, state, 0));
+    }
+
+    /// What a co-ordinator of this fleet is told; it listens on an address free a moment ago.
+    pub fn charter(&self, seed: u64, sockets: u32, max_open: u32) -> Result<Value> {
+        let listen: SocketAddr = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let vertical = |name: &str, aim: f64, limit: f64, kind: &str| json!({"name": name, "aim_s": aim, "hard_limit_s": limit, "idempotency": kind});
+        Ok(json!({
+            "name": "stand-in", "listen": listen.to_string(), "discovery": self.discovery.address.to_string(),
+            "seed": format!("{:x}", seed & 0xffff_ffff), "limits": {"sockets": sockets, "memory_mb": 256, "cores": 1.0},
+            "known": self.discovery.known(),
+            "settings": {
+                "allowed": {"cancel": true, "probing": true, "may_duplicate": true, "retry_after": true,
+                    "max_retry_after_s": 2.0, "try_limit": 4, "conn_idle_s": 30.0, "dial_timeout_s": 0.5,
+                    "max_open": max_open, "streams_per_conn": 32},
+                "classes": [vertical("view", 1.0, 4.0, "safe"), vertical("rank", 1.0, 4.0, "safe"),
+                    vertical("sale", 3.0, 5.0, "unsafe")],
+                "domain": {"call_cost_s": 0.001, "complete_from": [1.0, 1.0, 1.0], "floor_by_class": [1.0, 0.8, 1.0],
+                    "follow_up": [0, 0, 0], "parts_a_call": 8, "sets": CELLS, "shards": SHARDS, "span": 2},
+                "rules": {"cold_from": 0.3, "cold_s": 8.0, "drain_grace_s": 2.0, "fall_s": 1.5,
+                    "overload_factor": 4.0, "repeat_ratio": 0.1, "extra_free": 5, "budget_span_s": 10.0},
+                "tick_s": 0.005
+            }
+        }))
+    }
+}
+
+/// Asks on, as many a second as told, until stopped; arrivals by chance, not waiting for answers.
+pub struct Load {
+    going: Rc<Cell<bool>>,
+    task: tokio::task::JoinHandle<u64>,
+}
+
+impl Load {
+    /// `slow_sales`: the share of sales whose part takes from one to two seconds.
+    pub fn start(name: &str, seed: u64, rate: f64, slow_sales: f64, clients: Clients) -> Load {
+        let going = Rc::new(Cell::new(true));
+        let (name, on) = (name.to_string(), going.clone());
+        let task = tokio::task::spawn_local(async move {
+            let mut chance = Pcg64::seed_from_u64(seed);
+            let (start, mut due, mut n) = (Instant::now(), 0.0, 0);
+            let mut tasks = tokio::task::JoinSet::new();
+            while on.get() {
+                due += -(1.0 - chance.random::<f64>()).ln() / rate;
+                let question = question(&name, n, slow_sales, &mut chance);
+                n += 1;
+                tokio::time::sleep_until((start + Duration::from_secs_f64(due)).into()).await;
+                let clients = clients.clone();
+                tasks.spawn_local(async move {
+                    clients.ask(question).await;
+                });
+                while tasks.try_join_next().is_some() {}
+            }
+            while tasks.join_next().await.is_some() {}
+            n
+        });
+        Load { going, task }
+    }
+
+    /// Asks no more and waits for what is open; how many were asked.
+    pub async fn stop(self) -> Result<u64> {
+        self.going.set(false);
+        Ok(self.task.await?)
+    }
+}
+
+pub fn question(name: &str, n: u64, slow_sales: f64, chance: &mut Pcg64) -> Question {
+    let kind: f64 = chance.random();
+    let some = |chance: &mut Pcg64, count: u32| {
+        let first = chance.random_range(0..SHARDS);
+        (0..count).map(|i| (first + i) % SHARDS).collect()
+    };
+    let (vertical, shards): (_, Vec<u32>) = if kind < 0.55 {
+        let count = chance.random_range(4..=6);
+        ("view", some(chance, count))
+    } else if kind < 0.78 {
+        ("rank", some(chance, SHARDS))
+    } else {
+        ("sale", some(chance, 1))
+    };
+    let slow = vertical == "sale" && chance.random_bool(slow_sales);
+    let text = if slow { format!("lasts={}", chance.random_range(1000..2000)) } else { format!("text {n}") };
+    let wait = Duration::from_millis(4000);
+    Question { id: format!("{vertical}-{name}-{n}"), vertical, shards, wait, text }
+}
--- /dev/null
+++ b/crates/pipitcrank-rig/src/leaf.rs
@@ -0,0 +1,231 @@
+//! A stand-in for a leaf: frames of four bytes of length, a letter and the rest. It works on so many parts at once,
+//! the others wait, and beyond its waiting room it is busy.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Result;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::{Notify, Semaphore};
+
+use crate::ledger::Ledger;
+
+/// Parts that wait for work, at most.
+const WAITING: usize = 200;
+/// Longest frame taken from a co-ordinator.
+const LONGEST: usize = 1 << 20;
+
+/// What it does with a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Manner {
+    Answers,
+    /// Takes so many times as long.
+    Slow(f64),
+    /// Works, and says nothing.
+    Silent,
+    /// Says that it has failed.
+    Fails,
+    Busy,
+    /// Closes the connection when a call comes, without having run it.
+    Resets,
+    /// Works, and answers with what is no frame.
+    Garbles,
+    /// Works, and sends half of each answer.
+    Halves,
+}
+
+/// How long a part takes: the most of a few parts by chance, and for some texts what they say.
+#[derive(Clone, Copy)]
+pub struct Work {
+    pub usual: Duration,
+    pub at_once: usize,
+}
+
+pub struct Leaf {
+    pub address: SocketAddr,
+    shared: Rc<Shared>,
+    accepting: tokio::task::JoinHandle<()>,
+}
+
+struct Shared {
+    manner: Cell<Manner>,
+    work: Work,
+    slots: Semaphore,
+    waiting: Cell<usize>,
+    ledger: Ledger,
+    chance: RefCell<Pcg64>,
+    killed: Notify,
+    connections: Cell<usize>,
+    most_connections: Cell<usize>,
+}
+
+impl Leaf {
+    pub async fn start(seed: u64, work: Work, ledger: Ledger) -> Result<Leaf> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let shared = Rc::new(Shared {
+            manner: Cell::new(Manner::Answers),
+            work,
+            slots: Semaphore::new(work.at_once),
+            waiting: Cell::new(0),
+            ledger,
+            chance: RefCell::new(Pcg64::seed_from_u64(seed)),
+            killed: Notify::new(),
+            connections: Cell::new(0),
+            most_connections: Cell::new(0),
+        });
+        let ours = shared.clone();
+        let accepting = tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let shared = ours.clone();
+                tokio::task::spawn_local(async move {
+                    shared.connections.set(shared.connections.get() + 1);
+                    shared.most_connections.set(shared.most_connections.get().max(shared.connections.get()));
+                    tokio::select! {
+                        _ = connection(&shared, stream) => {}
+                        () = shared.killed.notified() => {}
+                    }
+                    shared.connections.set(shared.connections.get() - 1);
+                });
+            }
+        });
+        Ok(Leaf { address, shared, accepting })
+    }
+
+    pub fn turns(&self, manner: Manner) {
+        self.shared.manner.set(manner);
+    }
+
+    /// It is no more: the listener closes, and so do all connections.
+    pub fn kill(&self) {
+        self.accepting.abort();
+        self.shared.killed.notify_waiters();
+    }
+
+    pub fn most_connections(&self) -> usize {
+        self.shared.most_connections.get()
+    }
+}
+
+fn frame(rest: &[u8]) -> Vec<u8> {
+    [&(rest.len() as u32).to_be_bytes()[..], rest].concat()
+}
+
+async fn read_frame(from: &mut OwnedReadHalf) -> std::io::Result<Vec<u8>> {
+    let length = from.read_u32().await? as usize;
+    if length == 0 || length > LONGEST {
+        return Err(std::io::ErrorKind::InvalidData.into());
+    }
+    let mut rest = vec![0; length];
+    from.read_exact(&mut rest).await?;
+    Ok(rest)
+}
+
+async fn connection(shared: &Rc<Shared>, stream: TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let (mut from, mut to) = stream.into_split();
+    let (out, mut queued) = unbounded_channel::<Vec<u8>>();
+    tokio::task::spawn_local(async move {
+        while let Some(bytes) = queued.recv().await {
+            if to.write_all(&bytes).await.is_err() {
+                return;
+            }
+        }
+    });
+    let given_up: Rc<RefCell<BTreeSet<String>>> = Rc::default();
+    loop {
+        let rest = read_frame(&mut from).await?;
+        let words = String::from_utf8_lossy(&rest[1..]).into_owned();
+        match rest[0] {
+            b'L' => {
+                let _ = out.send(frame(format!("Lqueue={},inflight={}", shared.waiting.get(), 0).as_bytes()));
+            }
+            b'P' => {
+                let _ = out.send(frame(b"Pok"));
+            }
+            b'X' => {
+                given_up.borrow_mut().insert(words);
+            }
+            b'Q' if shared.manner.get() == Manner::Resets => return Ok(()),
+            b'Q' => {
+                for part in parts(&words) {
+                    take(shared, part, out.clone(), given_up.clone());
+                }
+            }
+            _ => {
+                let _ = out.send(frame(b"Ewhat?"));
+            }
+        }
+    }
+}
+
+struct Part {
+    id: String,
+    shard: u32,
+    text: String,
+}
+
+fn parts(mut call: &str) -> Vec<Part> {
+    let mut found = Vec::new();
+    while let Some((line, rest)) = call.split_once('\n') {
+        let words: Vec<&str> = line.split(' ').collect();
+        let [id, shard, _, length] = words[..] else { break };
+        let Some((text, after)) = length.parse().ok().and_then(|n| rest.split_at_checked(n)) else { break };
+        found.push(Part { id: id.to_string(), shard: shard.parse().unwrap_or(0), text: text.to_string() });
+        call = after;
+    }
+    found
+}
+
+fn take(
+    shared: &Rc<Shared>,
+    part: Part,
+    out: UnboundedSender<Vec<u8>>,
+    given_up: Rc<RefCell<BTreeSet<String>>>,
+) {
+    let manner = shared.manner.get();
+    if manner == Manner::Busy || shared.waiting.get() >= WAITING {
+        let _ = out.send(frame(format!("A{} busy 0 -\n", part.id).as_bytes()));
+        return;
+    }
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        shared.waiting.set(shared.waiting.get() + 1);
+        let slot = shared.slots.acquire().await;
+        shared.waiting.set(shared.waiting.get() - 1);
+        if given_up.borrow_mut().remove(&part.id) {
+            return;
+        }
+        shared.ledger.ran(&part.id);
+        tokio::time::sleep(shared.lasts(&part.text)).await;
+        drop(slot);
+        let answer = match manner {
+            Manner::Silent => return,
+            Manner::Fails => frame(format!("A{} err 0 -\n", part.id).as_bytes()),
+            Manner::Garbles => frame(b"?what"),
+            _ => frame(format!("A{} ok 7 -\nd{}-{}", part.id, part.shard, part.text.len()).as_bytes()),
+        };
+        let half = answer.len() / 2;
+        let _ = out.send(if manner == Manner::Halves { answer[..half].to_vec() } else { answer });
+    });
+}
+
+impl Shared {
+    /// A text of `lasts=MS` says how long it takes.
+    fn lasts(&self, text: &str) -> Duration {
+        if let Some(ms) = text.split(' ').find_map(|w| w.strip_prefix("lasts=")?.parse().ok()) {
+            return Duration::from_millis(ms);
+        }
+        let factor = if let Manner::Slow(factor) = self.manner.get() { factor } else { 1.0 };
+        let chance: f64 = self.chance.borrow_mut().random();
+        self.work.usual.mul_f64(factor * (0.5 + chance))
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-rig/src/lib.rs
@@ -0,0 +1,12 @@
+//! Stand-ins written from the protocol, on loopback alone: leaves, discovery, clients; faults by script; a ledger that
+//! knows how each query ended and how often each part ran; and the trials that are played on them. Never linked into
+//! what serves.
+
+pub mod client;
+pub mod demo;
+pub mod discovery;
+pub mod fleet;
+pub mod leaf;
+pub mod ledger;
+pub mod process;
+pub mod trial;
--- /dev/null
+++ b/crates/pipitcrank-rig/src/process.rs
@@ -0,0 +1,191 @@
+//! The program under trial as a process of its own, in a folder of its own with its charter and operators' file.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, bail};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+use crate::client;
+
+/// A folder under the system's own for such, gone with this.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Result<Folder> {
+        static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+        let n = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("pipitcrank-{name}-{}-{n}", std::process::id()));
+        std::fs::create_dir_all(&path)?;
+        Ok(Folder(path))
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+pub struct Process {
+    child: Child,
+    pub address: SocketAddr,
+    pub program: PathBuf,
+    pub charter: PathBuf,
+    pub folder: Folder,
+    told: Value,
+}
+
+/// Times of an upgrade's steps, in seconds.
+#[derive(Clone, Copy)]
+pub struct Steps {
+    pub start: f64,
+    pub settle: f64,
+    pub silent: f64,
+    pub finish: f64,
+}
+
+impl Process {
+    /// Starts a copy of the program. `told` is the charter; `steps` turns upgrades on. What it logs goes to `log` in its
+    /// folder.
+    pub async fn start(program: &Path, told: Value, steps: Option<Steps>) -> Result<Process> {
+        let folder = Folder::new("serve")?;
+        let own = folder.path().join("pipitcrank");
+        std::fs::copy(program, &own).context("the program can't be copied")?;
+        let charter = folder.path().join("charter.json");
+        let address: SocketAddr = told["listen"].as_str().context("/listen")?.parse()?;
+        let process_told = told.clone();
+        std::fs::write(&charter, told.to_string())?;
+        let child = Process::spawn(&own, &charter, folder.path(), steps)?;
+        let process = Process { child, address, program: own, charter, folder, told: process_told };
+        process.up().await?;
+        Ok(process)
+    }
+
+    fn spawn(program: &Path, charter: &Path, folder: &Path, steps: Option<Steps>) -> Result<Child> {
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(folder.join("log"))?;
+        let mut command = Command::new(program);
+        command.arg("serve").env("NODE_CONFIG", charter).stdin(Stdio::null()).stderr(log);
+        if let Some(Steps { start, settle, silent, finish }) = steps {
+            let path = folder.join("operators.dhall");
+            let text = format!(
+                "{{ upgrade = Some {{ start_s = {start:?}, settle_s = {settle:?}, silent_s = {silent:?}, finish_s = {finish:?} }} }}"
+            );
+            std::fs::write(&path, text)?;
+            command.arg("--operators").arg(path);
+        }
+        command.spawn().context("the program can't be started")
+    }
+
+    /// Starts it anew after its end, as it was.
+    pub async fn start_again(&mut self, steps: Option<Steps>) -> Result<()> {
+        self.child = Process::spawn(&self.program, &self.charter, self.folder.path(), steps)?;
+        self.up().await
+    }
+
+    async fn up(&self) -> Result<()> {
+        let until = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < until {
+            if client::get(self.address, "/up").await.is_some_and(|a| a.status == 200) {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        bail!("it does not serve; its log: {}", self.log())
+    }
+
+    pub fn pid(&self) -> i32 {
+        self.child.id() as i32
+    }
+
+    pub fn signal(&self, signal: Signal) -> Result<()> {
+        let pid = Pid::from_raw(self.pid()).context("a process has a number")?;
+        kill_process(pid, signal).context("it can't be signalled")
+    }
+
+    /// Whether it has ended, and how.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    pub async fn end(&mut self, within: Duration) -> Option<ExitStatus> {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Some(status) = self.ended() {
+                return Some(status);
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        None
+    }
+
+    /// Its workers, the oldest first.
+    pub fn workers(&self) -> Vec<i32> {
+        let pid = self.pid();
+        let children =
+            std::fs::read_to_string(format!("/proc/{pid}/task/{pid}/children")).unwrap_or_default();
+        let mut found: Vec<i32> = children.split_whitespace().filter_map(|p| p.parse().ok()).collect();
+        found.sort();
+        found
+    }
+
+    /// Kilobytes resident and descriptors open, of it and its workers together.
+    pub fn holds(&self) -> (u64, u64) {
+        let mut sum = (0, 0);
+        for pid in self.workers().into_iter().chain([self.pid()]) {
+            let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+            let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+            sum.0 += line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0);
+            sum.1 += std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |d| d.count() as u64);
+        }
+        sum
+    }
+
+    /// One counter's line.
+    pub async fn count(&self, what: &str) -> Option<u64> {
+        let answer = client::get(self.address, "/counters").await.filter(|a| a.status == 200)?;
+        let line = answer.body.lines().find_map(|l| l.strip_prefix(what)?.strip_prefix(' '));
+        Some(line.and_then(|n| n.trim().parse().ok()).unwrap_or(0))
+    }
+
+    /// The charter with one key changed, as it is read at the next start.
+    pub fn charter_with(&self, key: &str, value: Value) -> Result<()> {
+        let mut told = self.told.clone();
+        *told.pointer_mut(key).context("a key of the charter")? = value;
+        Ok(std::fs::write(&self.charter, told.to_string())?)
+    }
+
+    pub fn charter_as_it_was(&self) -> Result<()> {
+        Ok(std::fs::write(&self.charter, self.told.to_string())?)
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        for pid in self.workers() {
+            if let Some(pid) = Pid::from_raw(pid) {
+                let _ = kill_process(pid, Signal::KILL);
+            }
+        }
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Sends a signal to a worker that is alive.
+pub fn signal_worker(pid: i32, signal: Signal) {
+    if let Some(pid) = Pid::from_raw(pid) {
+        let _ = kill_process(pid, signal);
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-rig/src/trial/mod.rs
@@ -0,0 +1,77 @@
+//! Named scenarios on loopback. The same seed plays the same script; each is bounded in time and says by its exit code
+//! whether its promise held.
+
+pub mod upgrade;
+
+use std::path::Path;
+use std::time::Duration;
+
+use anyhow::{Result, bail};
+use serde::Serialize;
+
+/// No trial lasts longer, whatever hangs.
+const LONGEST: Duration = Duration::from_secs(240);
+
+/// Figures in their order, and promises that were not kept.
+#[derive(Default, Serialize)]
+pub struct Outcome {
+    pub figures: Vec<(String, f64)>,
+    pub broken: Vec<String>,
+}
+
+impl Outcome {
+    pub fn figure(&mut self, name: &str, value: impl Into<f64>) {
+        self.figures.push((name.to_string(), value.into()));
+    }
+
+    /// A figure that has to be nought.
+    pub fn nought(&mut self, name: &str, value: u64) {
+        self.figure(name, value as f64);
+        if value != 0 {
+            self.broken.push(format!("{name} is {value}, not 0"));
+        }
+    }
+
+    pub fn promise(&mut self, kept: bool, what: &str) {
+        if !kept {
+            self.broken.push(what.to_string());
+        }
+    }
+
+    fn show(&self, json: bool) -> Result<()> {
+        if json {
+            let figures: serde_json::Map<String, serde_json::Value> =
+                self.figures.iter().map(|(k, v)| (k.clone(), (*v).into())).collect();
+            println!("{}", serde_json::json!({"figures": figures, "broken": self.broken}));
+            return Ok(());
+        }
+        for (name, value) in &self.figures {
+            println!("{name:<44} {value:>12.1}");
+        }
+        for broken in &self.broken {
+            println!("BROKEN: {broken}");
+        }
+        println!("{}", if self.broken.is_empty() { "the promise held" } else { "the promise did not hold" });
+        Ok(())
+    }
+}
+
+pub fn on_one_thread<T>(run: impl Future<Output = Result<T>>) -> Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        match tokio::time::timeout(LONGEST, run).await {
+            Ok(ended) => ended,
+            Err(_) => bail!("it did not end within {LONGEST:?}"),
+        }
+    })
+}
+
+/// Plays one; the exit code.
+pub fn play(program: &Path, name: &str, seed: u64, rounds: u32, json: bool) -> Result<i32> {
+    let outcome = match name {
+        "upgrade" => on_one_thread(upgrade::play(program, seed, rounds, !json))?,
+        _ => bail!("no trial is named '{name}'; there is: upgrade"),
+    };
+    outcome.show(json)?;
+    Ok(if outcome.broken.is_empty() { 0 } else { 1 })
+}
--- /dev/null
+++ b/crates/pipitcrank-rig/src/trial/upgrade.rs
@@ -0,0 +1,397 @@
+//! Upgrades under load, plain ones and such that go wrong at every step, with the same load without any and with plain
+//! restarts beside it.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, ensure};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use rustix::process::Signal;
+use serde_json::json;
+
+use super::Outcome;
+use crate::client::{Clients, Lone, Question, get};
+use crate::fleet::{Fleet, Load};
+use crate::leaf::Work;
+use crate::ledger::{Ended, Ledger};
+use crate::process::{Process, Steps, signal_worker};
+
+/// Queries a second; a debug build serves them as well.
+const RATE: f64 = 150.0;
+/// Of sales, the share that is in flight through most of a passing: one or two at any time. With many more the
+/// module takes their leaves to lag.
+const SLOW_SALES: f64 = 0.03;
+/// Connections that were asked on once and stay, and go on being used once a round.
+const IDLE: usize = 100;
+const STEPS: Steps = Steps { start: 3.0, settle: 0.6, silent: 0.5, finish: 8.0 };
+/// Restarts beside it: each loses its queries in the same way.
+const RESTARTS: u32 = 2;
+const QUIET_S: f64 = 5.0;
+
+/// What happens in one round.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Round {
+    Plain,
+    /// The new process is killed so many milliseconds into its trial.
+    NewCrashes(u64),
+    /// The new process stands still in its trial.
+    NewHangs,
+    NoProgram,
+    NotExecutable,
+    /// The program does nothing.
+    HangsBeforeReady,
+    CrashesBeforeReady,
+    FaultyCharter,
+    /// A program that says what no worker says.
+    Noise,
+    AskedTwice,
+    Reloaded,
+    /// A leaf drains the moment before.
+    Drained,
+    /// The old process is killed in the trial: what it held is lost with it, and is counted apart.
+    OldKilled,
+}
+
+impl Round {
+    /// Upgrades that come about, and that do not.
+    fn ends(self) -> (u64, u64) {
+        match self {
+            Round::Plain | Round::Reloaded | Round::Drained | Round::OldKilled => (1, 0),
+            Round::AskedTwice => (1, 1),
+            _ => (0, 1),
+        }
+    }
+}
+
+/// Each kind comes up as rounds go on; the order is the seed's.
+fn script(chance: &mut Pcg64, rounds: u32) -> Vec<Round> {
+    let mut kinds = [
+        Round::Plain,
+        Round::NewCrashes(0),
+        Round::NewHangs,
+        Round::NoProgram,
+        Round::NotExecutable,
+        Round::HangsBeforeReady,
+        Round::CrashesBeforeReady,
+        Round::FaultyCharter,
+        Round::Noise,
+        Round::AskedTwice,
+        Round::Reloaded,
+        Round::Drained,
+    ];
+    let mut script = Vec::new();
+    while script.len() < rounds as usize {
+        kinds.shuffle(chance);
+        // Every second one is plain: what goes wrong happens on a chain of upgrades that did not.
+        script.extend(kinds.iter().flat_map(|k| [*k, Round::Plain]));
+    }
+    script.truncate(rounds as usize);
+    for round in &mut script {
+        if *round == Round::NewCrashes(0) {
+            *round = Round::NewCrashes(chance.random_range(1..500));
+        }
+    }
+    script
+}
+
+/// Longest time in which nobody answered a client that had just connected.
+struct Accepts {
+    longest: Rc<Cell<Duration>>,
+    refused: Rc<Cell<u64>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Accepts {
+    fn watch(address: SocketAddr) -> Accepts {
+        let (longest, refused) = (Rc::new(Cell::new(Duration::ZERO)), Rc::new(Cell::new(0)));
+        let (most, no) = (longest.clone(), refused.clone());
+        let task = tokio::task::spawn_local(async move {
+            loop {
+                let asked = Instant::now();
+                match get(address, "/up").await {
+                    Some(_) => most.set(most.get().max(asked.elapsed())),
+                    None => no.set(no.get() + 1),
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        });
+        Accepts { longest, refused, task }
+    }
+}
+
+impl Drop for Accepts {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Most memory and descriptors held, of all its processes together.
+#[derive(Clone, Default)]
+struct Peak(Rc<Cell<(u64, u64)>>);
+
+impl Peak {
+    fn see(&self, (memory, fds): (u64, u64)) {
+        let (m, f) = self.0.get();
+        self.0.set((m.max(memory), f.max(fds)));
+    }
+}
+
+pub async fn play(program: &Path, seed: u64, rounds: u32, talk: bool) -> Result<Outcome> {
+    let mut outcome = Outcome::default();
+    let mut chance = Pcg64::seed_from_u64(seed);
+    let script = script(&mut chance, rounds);
+    let work = Work { usual: Duration::from_millis(8), at_once: 16 };
+
+    let fleet = Fleet::start(seed, work).await?;
+    let mut process = Process::start(program, fleet.charter(seed, 1024, 3000)?, Some(STEPS)).await?;
+    let quiet = {
+        let clients = Clients::new(process.address, Ledger::default());
+        let load = Load::start("quiet", seed ^ 1, RATE, SLOW_SALES, clients.clone());
+        tokio::time::sleep(Duration::from_secs_f64(QUIET_S)).await;
+        load.stop().await?;
+        clients.ledger
+    };
+    let before = process.holds();
+
+    let clients = Clients::new(process.address, fleet.ledger.clone());
+    let mut idle = Vec::new();
+    for n in 0..IDLE {
+        let mut lone = Lone::connect(process.address, fleet.ledger.clone()).await?;
+        let ended = lone.ask_in_pieces(short(&format!("view-idle{n}-0")), &[]).await;
+        ensure!(ended == Ended::Merged, "an idle client's first query: {ended:?}");
+        idle.push(lone);
+    }
+    let accepts = Accepts::watch(process.address);
+    let load = Load::start("load", seed ^ 2, RATE, SLOW_SALES, clients.clone());
+    let (mut done, mut undone) = (0, 0);
+    let peak = Peak::default();
+    for (n, round) in script.iter().enumerate() {
+        if talk {
+            let (all, rejected) = (fleet.ledger.all(), fleet.ledger.count(Ended::Rejected));
+            println!("round {:>3}: {round:?}, after {all} queries, {rejected} rejected", n + 1);
+        }
+        let halves = half_written(&process, &fleet.ledger, n, &mut chance);
+        play_round(&mut process, &fleet, *round, &peak).await.with_context(|| {
+            let log = process.log();
+            let tail: Vec<&str> = log.lines().rev().take(40).collect();
+            format!(
+                "round {}, {round:?}; its log ends: {}",
+                n + 1,
+                tail.into_iter().rev().collect::<Vec<_>>().join("\n")
+            )
+        })?;
+        let (more_done, more_undone) = round.ends();
+        (done, undone) = (done + more_done, undone + more_undone);
+        for half in halves {
+            let ended = half.await?;
+            let answered = matches!(ended, Ended::Merged | Ended::Rejected);
+            outcome.promise(answered, &format!("round {}: a request in pieces ended {ended:?}", n + 1));
+        }
+        for (m, lone) in idle.iter_mut().enumerate().skip(n % 10).step_by(10) {
+            lone.ask_in_pieces(short(&format!("view-idle{m}-{}", n + 1)), &[]).await;
+        }
+    }
+    let asked_done = (process.count("upgrades done").await, process.count("upgrades undone").await);
+    load.stop().await?;
+    let after = process.holds();
+    let ledger = &fleet.ledger;
+
+    outcome.figure("rounds", rounds);
+    outcome.figure("upgrades done", asked_done.0.unwrap_or(0) as f64);
+    outcome.figure("upgrades undone", asked_done.1.unwrap_or(0) as f64);
+    outcome.promise(
+        asked_done == (Some(done), Some(undone)),
+        &format!("upgrades done and undone are {asked_done:?}, not {:?}", (done, undone)),
+    );
+    outcome.figure("queries", ledger.all() as f64);
+    outcome.nought("lost", ledger.count(Ended::Lost) + ledger.open());
+    outcome.nought("refused connections", ledger.count(Ended::Refused) + accepts.refused.get());
+    outcome.nought("answered twice", ledger.answered_twice());
+    outcome.nought("side-effecting parts run twice", ledger.ran_again("sale-"));
+    outcome.nought("odd answers", ledger.odd());
+    outcome.nought("idle connections closed", idle.iter().filter(|l| l.is_closed()).count() as u64);
+    outcome.nought("kept connections closed", clients.closed.get());
+    outcome.figure("merged", ledger.count(Ended::Merged) as f64);
+    outcome.figure("merged in part", ledger.count(Ended::MergedInPart) as f64);
+    outcome.figure("rejected", ledger.count(Ended::Rejected) as f64);
+    outcome.figure("aborted", ledger.count(Ended::Aborted) as f64);
+    outcome
+        .figure("repeatable parts run again", (ledger.ran_again("view-") + ledger.ran_again("rank-")) as f64);
+    for (name, of) in [("with upgrades", ledger), ("without", &quiet)] {
+        outcome.figure(&format!("answer ms, half, {name}"), of.within(0.5));
+        outcome.figure(&format!("answer ms, 99 of 100, {name}"), of.within(0.99));
+        outcome.figure(&format!("answer ms, longest, {name}"), of.longest());
+    }
+    outcome.figure("longest time to accept and answer, ms", accepts.longest.get().as_secs_f64() * 1000.0);
+    let (memory, fds) = peak.0.get();
+    outcome.figure("memory before, MB", before.0 as f64 / 1024.0);
+    outcome.figure("memory at the peak, MB", memory as f64 / 1024.0);
+    outcome.figure("memory after, MB", after.0 as f64 / 1024.0);
+    outcome.figure("descriptors before", before.1 as f64);
+    outcome.figure("descriptors at the peak", fds as f64);
+    outcome.figure("descriptors after", after.1 as f64);
+    drop(accepts);
+
+    if let Ok(path) = std::env::var("TRIAL_LOG") {
+        std::fs::write(path, process.log())?;
+    }
+    // It ends in order, and nothing is left of it.
+    let pids = process.workers();
+    process.signal(Signal::TERM)?;
+    let status = process.end(Duration::from_secs(15)).await;
+    outcome.promise(status.is_some_and(|s| s.success()), &format!("its end is {status:?}"));
+    let left = pids.iter().filter(|p| Path::new(&format!("/proc/{p}")).exists()).count();
+    outcome.nought("workers left behind", left as u64);
+    restarts(program, seed, &mut outcome).await?;
+    Ok(outcome)
+}
+
+fn short(id: &str) -> Question {
+    let wait = Duration::from_secs(4);
+    Question { id: id.to_string(), vertical: "view", shards: vec![0, 1], wait, text: "short".to_string() }
+}
+
+/// Clients that are half through their head, or their body, while the round goes on.
+fn half_written(
+    process: &Process,
+    ledger: &Ledger,
+    round: usize,
+    chance: &mut Pcg64,
+) -> Vec<tokio::task::JoinHandle<Ended>> {
+    let address = process.address;
+    let pieces = (0..8).map(|n| {
+        let question = short(&format!("view-half{round}-{n}"));
+        let cut = if n == 0 { 0 } else { chance.random_range(1..question.request().len()) };
+        let pause = Duration::from_millis(chance.random_range(100..1800));
+        let (ledger, before) = (ledger.clone(), Duration::from_millis(chance.random_range(0..600)));
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(before).await;
+            match Lone::connect(address, ledger.clone()).await {
+                // Sometimes nothing of it has come when the connection passes.
+                Ok(mut lone) => lone.ask_in_pieces(question, &[(cut, pause)]).await,
+                Err(_) => Ended::Refused,
+            }
+        })
+    });
+    pieces.collect()
+}
+
+async fn wait_until(what: &str, limit: Duration, mut there: impl AsyncFnMut() -> bool) -> Result<()> {
+    let until = Instant::now() + limit;
+    while Instant::now() < until {
+        if there().await {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    anyhow::bail!("waited in vain for {what}")
+}
+
+/// A program of a line in the place of the real one, until it is put back.
+fn put_in_place(process: &Process, script: Option<&str>, mode: u32) -> Result<()> {
+    let (real, kept) = (&process.program, process.program.with_extension("kept"));
+    std::fs::rename(real, &kept)?;
+    if let Some(script) = script {
+        std::fs::write(real, format!("#!/bin/sh\n{script}\n"))?;
+        std::fs::set_permissions(real, std::fs::Permissions::from_mode(mode))?;
+    }
+    Ok(())
+}
+
+fn put_back(process: &Process) -> Result<()> {
+    let kept = process.program.with_extension("kept");
+    if kept.exists() {
+        std::fs::rename(kept, &process.program)?;
+    }
+    Ok(())
+}
+
+async fn play_round(process: &mut Process, fleet: &Fleet, round: Round, peak: &Peak) -> Result<()> {
+    let counted =
+        async |p: &Process| Some((p.count("upgrades done").await?, p.count("upgrades undone").await?));
+    let before = counted(process).await.context("its counters")?;
+    match round {
+        Round::NoProgram => put_in_place(process, None, 0)?,
+        Round::NotExecutable => put_in_place(process, Some("exit 0"), 0o644)?,
+        Round::HangsBeforeReady => put_in_place(process, Some("exec sleep 100"), 0o755)?,
+        Round::CrashesBeforeReady => put_in_place(process, Some("exit 70"), 0o755)?,
+        Round::Noise => put_in_place(process, Some("head -c 300 /dev/urandom >&0; exec sleep 100"), 0o755)?,
+        Round::FaultyCharter => process.charter_with("/settings/tick_s", json!("soon"))?,
+        Round::Drained => fleet.drains(3, "leaving"),
+        _ => {}
+    }
+    let old = process.workers();
+    process.signal(Signal::USR2)?;
+    let new = RefCell::new(None);
+    if matches!(round, Round::NewCrashes(_) | Round::NewHangs | Round::OldKilled) {
+        wait_until("a trial", Duration::from_secs(5), async || {
+            let learned = process.log().matches("going on from what was known").count();
+            let begun = process.log().matches("\" serves\"").count();
+            let _ = begun;
+            let found = process.workers().into_iter().find(|p| !old.contains(p));
+            *new.borrow_mut() = found;
+            found.is_some()
+                && learned > 0
+                && process.log().rfind("going on from") > process.log().rfind("hands over")
+        })
+        .await?;
+    }
+    let new = new.into_inner();
+    match (round, new) {
+        (Round::NewCrashes(after), Some(new)) => {
+            tokio::time::sleep(Duration::from_millis(after)).await;
+            signal_worker(new, Signal::KILL);
+        }
+        (Round::NewHangs, Some(new)) => signal_worker(new, Signal::STOP),
+        (Round::OldKilled, _) => old.iter().for_each(|p| signal_worker(*p, Signal::KILL)),
+        (Round::AskedTwice, _) => {
+            tokio::time::sleep(Duration::from_millis(150)).await;
+            process.signal(Signal::USR2)?;
+        }
+        (Round::Reloaded, _) => {
+            tokio::time::sleep(Duration::from_millis(150)).await;
+            process.signal(Signal::HUP)?;
+        }
+        _ => {}
+    }
+    let (more_done, more_undone) = round.ends();
+    let wanted = (before.0 + more_done, before.1 + more_undone);
+    let ended = wait_until("the upgrade's end", Duration::from_secs(25), async || {
+        peak.see(process.holds());
+        counted(process).await == Some(wanted) && process.workers().len() == 1
+    })
+    .await;
+    put_back(process)?;
+    process.charter_as_it_was()?;
+    if round == Round::Drained {
+        fleet.drains(3, "active");
+    }
+    ended
+}
+
+/// The same load while the plain program is ended and started anew, as before there were upgrades.
+async fn restarts(program: &Path, seed: u64, outcome: &mut Outcome) -> Result<()> {
+    let work = Work { usual: Duration::from_millis(8), at_once: 16 };
+    let fleet = Fleet::start(seed ^ 7, work).await?;
+    let mut process = Process::start(program, fleet.charter(seed, 1024, 3000)?, None).await?;
+    let clients = Clients::new(process.address, fleet.ledger.clone());
+    let load = Load::start("restart", seed ^ 3, RATE, SLOW_SALES, clients);
+    for _ in 0..RESTARTS {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        process.signal(Signal::TERM)?;
+        ensure!(process.end(Duration::from_secs(15)).await.is_some(), "it does not end after SIGTERM");
+        process.start_again(None).await?;
+    }
+    load.stop().await?;
+    outcome.figure("beside it: restarts", RESTARTS);
+    outcome.figure("beside it: queries", fleet.ledger.all() as f64);
+    outcome.figure("beside it: lost", fleet.ledger.count(Ended::Lost) as f64);
+    outcome.figure("beside it: refused connections", fleet.ledger.count(Ended::Refused) as f64);
+    Ok(())
+}
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -10,6 +10,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+pub mod known;
+
 use crate::chance::Chance;
 use crate::ids::{Effect, Ending, Leaf, Part, Query, Vertical};
 use crate::port::Port;
@@ -132,28 +134,55 @@
     /// Times of arrivals and of further calls; emptied as they leave the window.
     taken: VecDeque<At>,
     further: VecDeque<At>,
+    /// Where two processes are one co-ordinator: calls lent to the other; or all that this one may make, and until
+    /// when; none before `shut`.
+    lent: f64,
+    purse: Option<(f64, At)>,
+    shut: At,
 }
 
 impl Budget {
     pub fn new(share: f64, free: f64, span: Option<Span>) -> Budget {
         let span = span.unwrap_or(Span::ZERO);
-        Budget { share, free, span, taken: VecDeque::new(), further: VecDeque::new() }
+        Budget { share, free, span, shut: At::from_us(i64::MIN), ..Budget::default() }
     }
 
-    fn left(&mut self, now: At) -> f64 {
+    /// Further calls that may be made now.
+    pub fn left(&mut self, now: At) -> f64 {
         // An arrival on the window's edge is taken as out, a further call on it as in.
         self.taken.retain(|&t| now - t < self.span);
         self.further.retain(|&t| now - t <= self.span);
         if self.span == Span::ZERO {
             return f64::INFINITY;
         }
-        self.free + self.share * self.taken.len() as f64 - self.further.len() as f64
+        match self.purse {
+            _ if now < self.shut => 0.0,
+            Some((left, until)) => {
+                if now < until {
+                    left
+                } else {
+                    0.0
+                }
+            }
+            None => self.free + self.share * self.taken.len() as f64 - self.further.len() as f64 - self.lent,
+        }
+    }
+
+    /// One further call is made.
+    pub fn spend(&mut self, now: At) {
+        self.further.push_back(now);
+        self.purse = self.purse.map(|(left, until)| (left - 1.0, until));
     }
 
-    fn take(&mut self, now: At) {
+    pub fn take(&mut self, now: At) {
         self.left(now);
         self.taken.push_back(now);
     }
+
+    /// So many may be made by another process.
+    pub fn lend(&mut self, further: f64) {
+        self.lent = further;
+    }
 }
 
 /// Rule 4: what this co-ordinator may send to a leaf that has just started.
@@ -163,6 +192,8 @@
     pub cold: Span,
     pub factor: f64,
     pub window: Span,
+    /// Nothing to cold leaves before then: another process has the allowance, or had it.
+    pub shut: At,
 }
 
 impl FailBack {
@@ -179,6 +210,9 @@
     /// slowest legal warming is assumed. The first part of a window always goes, alone.
     fn room(&self, started: Option<At>, now: At, carried: f64, sent: &VecDeque<(At, f64)>) -> f64 {
         let Some(started) = started.filter(|_| self.is_cold(started, now)) else { return f64::INFINITY };
+        if now < self.shut {
+            return 0.0;
+        }
         let age = ((now - started).s() / self.cold.s().max(1e-6)).clamp(0.0, 1.0);
         let share = self.cold_from + (1.0 - self.cold_from) * age;
         let before: f64 = sent.iter().filter(|(t, _)| now - *t <= self.window).map(|(_, w)| w).sum();
@@ -550,6 +584,15 @@
         self.end(port, id);
     }
 
+    /// A query that another process of this co-ordinator held when it died; what of it ran is not known. The time to
+    /// stay away where it is rejected, none where it is aborted (rule 2).
+    pub fn stranded(&self, v: Vertical) -> Option<Span> {
+        let terms = &self.trades[v.0 as usize].terms;
+        let stay_away = terms.slo * Self::WAIT_SHARE;
+        let most = self.tries.longest_stay_away.unwrap_or(Span::ZERO);
+        (terms.effect == Effect::Repeatable).then(|| stay_away.min(most))
+    }
+
     /// A leaf is given work that it should answer within a share of the time left, between what leaves room
     /// for spread and what keeps leaves busy. It settles where one begun query in fifteen to twenty is late.
     const FILL: (f64, f64) = (0.3, 0.7);
@@ -633,7 +676,7 @@
         let open = &self.queries[&part.query];
         let nth = part.sent.len() as u32;
         if nth > 0 {
-            self.budget.further.push_back(now);
+            self.budget.spend(now);
         }
         part.sent.push(Sent { leaf, at: now, out: true, never_ran: false });
         part.waits = false;
--- /dev/null
+++ b/crates/pipitcrank/src/decide/known.rs
@@ -0,0 +1,172 @@
+//! What a `Root` has learned, in a form that another process can take over: every moment stands as an age, so that
+//! the taker places it on its own clock. Open queries and calls out are no part of it: they stay where they are.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{LeafState, Mark, Root};
+use crate::ids::Leaf;
+use crate::time::{At, Span};
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Known {
+    pub verticals: Vec<KnownVertical>,
+    pub leaves: Vec<(u32, KnownLeaf)>,
+    /// Ages of what counts against the budget of further calls, oldest first.
+    pub taken: Vec<Span>,
+    pub further: Vec<Span>,
+    overdue: Option<f64>,
+    rate: Option<f64>,
+    fill: f64,
+    carried: (f64, Span),
+    lag: (f64, Span),
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct KnownVertical {
+    work: Option<f64>,
+    hint: Option<f64>,
+    leaving: f64,
+    stay: Span,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct KnownLeaf {
+    pub started: Option<Span>,
+    faults: f64,
+    lag: (f64, Span),
+    /// Left out as faulty for so long yet.
+    trial_in: Option<Span>,
+    pub sent_cold: Vec<(Span, f64)>,
+}
+
+impl Known {
+    /// Whether all of it can be worked with: no number that is none, no moment still to come.
+    pub fn sound(&self) -> bool {
+        let past = |s: &Span| *s >= Span::ZERO;
+        let good = |x: &f64| x.is_finite() && *x >= 0.0;
+        let mark = |m: &Option<f64>| m.as_ref().is_none_or(|x| good(x) && *x > 0.0);
+        let since = |(x, s): &(f64, Span)| good(x) && past(s);
+        self.verticals.iter().all(|v| {
+            mark(&v.work)
+                && v.hint.is_none_or(f64::is_finite)
+                && good(&v.leaving)
+                && v.leaving <= 1.0
+                && past(&v.stay)
+        }) && self.leaves.iter().all(|(_, l)| {
+            good(&l.faults)
+                && l.faults <= 1.0
+                && since(&l.lag)
+                && l.sent_cold.iter().all(|(s, w)| past(s) && good(w))
+        }) && self.taken.iter().chain(&self.further).all(past)
+            && [&self.overdue, &self.rate].into_iter().all(mark)
+            && (Root::FILL.0..=Root::FILL.1).contains(&self.fill)
+            && since(&self.carried)
+            && since(&self.lag)
+    }
+}
+
+impl Root {
+    /// All that was learned, as of now. What has left its window is not in it.
+    pub fn known(&mut self, now: At) -> Known {
+        self.budget.left(now);
+        let ages = |times: &std::collections::VecDeque<At>| times.iter().map(|&t| now - t).collect();
+        let trades = self.trades.iter();
+        let verticals =
+            trades.map(|t| KnownVertical { work: t.work.0, hint: t.hint, leaving: t.leaving, stay: t.stay });
+        let window = self.fail_back.window;
+        let leaf = |l: &LeafState| KnownLeaf {
+            started: l.started.map(|t| now - t),
+            faults: l.faults,
+            lag: (l.lag.0, now - l.lag.1),
+            trial_in: l.trial_at.map(|t| t - now).filter(|&s| s > Span::ZERO),
+            sent_cold: l.sent_cold.iter().map(|&(t, w)| (now - t, w)).filter(|(s, _)| *s <= window).collect(),
+        };
+        Known {
+            verticals: verticals.collect(),
+            leaves: self.leaves.iter().map(|(id, l)| (id.0, leaf(l))).collect(),
+            taken: ages(&self.budget.taken),
+            further: ages(&self.budget.further),
+            overdue: self.overdue.0,
+            rate: self.rate.0,
+            fill: self.fill,
+            carried: (self.carried.0, now - self.carried.1),
+            lag: (self.lag.0, now - self.lag.1),
+        }
+    }
+
+    /// Takes what another process had learned `passed` ago. Leaves are by the indices of this one. A leaf that has
+    /// started since is another process: of the old one nothing is taken.
+    pub fn learn_from(&mut self, now: At, passed: Span, known: Known) {
+        let at = |age: Span| now - age - passed;
+        if known.verticals.len() == self.trades.len() {
+            for (trade, k) in self.trades.iter_mut().zip(known.verticals) {
+                trade.work = Mark(k.work);
+                (trade.hint, trade.leaving, trade.stay) = (k.hint, k.leaving, k.stay);
+            }
+        }
+        let mut leaves: BTreeMap<u32, KnownLeaf> = known.leaves.into_iter().collect();
+        for (Leaf(id), state) in self.leaves.iter_mut().map(|(id, s)| (*id, s)) {
+            let Some(k) = leaves.remove(&id) else { continue };
+            let same = match (state.started, k.started) {
+                (Some(ours), Some(theirs)) => (ours - at(theirs)).us().abs() < Self::SAME_START.us(),
+                (ours, theirs) => ours.is_none() && theirs.is_none(),
+            };
+            if !same {
+                continue;
+            }
+            (state.faults, state.lag) = (k.faults, (k.lag.0, at(k.lag.1)));
+            state.trial_at = k.trial_in.map(|s| now + s - passed);
+            state.sent_cold = k.sent_cold.into_iter().map(|(s, w)| (at(s), w)).collect();
+        }
+        self.budget.taken = known.taken.into_iter().map(at).collect();
+        self.budget.further = known.further.into_iter().map(at).collect();
+        (self.overdue, self.rate) = (Mark(known.overdue.or(self.overdue.0)), Mark(known.rate));
+        self.fill = known.fill;
+        (self.carried, self.lag) = ((known.carried.0, at(known.carried.1)), (known.lag.0, at(known.lag.1)));
+        self.moved = true;
+    }
+
+    /// The same start as told to two clocks: they are set by the wall clock, which may be moved between.
+    const SAME_START: Span = Span::from_ms(500);
+
+    // Two processes as one co-ordinator: what each may spend is divided by `pipitcrank_handover::division`.
+
+    /// What the budget of further calls is: so many free, a share of what is taken, over a span; none is no budget.
+    pub fn budget_terms(&self) -> (f64, f64, Span) {
+        (self.budget.free, self.budget.share, self.budget.span)
+    }
+
+    /// From now on at most so many further calls, none after `until`, and nothing to cold leaves: another process
+    /// has the rest.
+    pub fn finish_with(&mut self, further: u32, until: At) {
+        self.budget.purse = Some((f64::from(further), until));
+        self.fail_back.shut = At::from_us(i64::MAX);
+    }
+
+    /// Another process may make so many further calls.
+    pub fn lend(&mut self, further: u32) {
+        self.budget.lend(f64::from(further));
+    }
+
+    /// The other process is gone and made so many.
+    pub fn settle(&mut self, now: At, further: u32) {
+        self.budget.lent = 0.0;
+        (0..further).for_each(|_| self.budget.spend(now));
+    }
+
+    /// How many of those lent to this process are left.
+    pub fn purse_left(&self) -> u32 {
+        self.budget.purse.map_or(0, |(n, _)| n.max(0.0) as u32)
+    }
+
+    /// Alone again, and what the other process did is not known: it is held to have used all it might, so nothing
+    /// of a kind goes until the longest window in which that counts has passed.
+    pub fn alone_again(&mut self, now: At) {
+        (self.budget.purse, self.budget.lent) = (None, 0.0);
+        self.budget.shut = now + self.budget.span;
+        self.fail_back.shut = now + self.fail_back.window;
+        self.moved = true;
+    }
+}
--- a/crates/pipitcrank/src/time.rs
+++ b/crates/pipitcrank/src/time.rs
@@ -2,10 +2,12 @@
 
 use std::ops::{Add, Mul, Sub};
 
+use serde::{Deserialize, Serialize};
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct At(i64);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct Span(i64);
 
 impl At {
@@ -67,6 +69,13 @@
     }
 }
 
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, less: Span) -> Span {
+        Span(self.0.saturating_sub(less.0))
+    }
+}
+
 impl Add for Span {
     type Output = Span;
     fn add(self, more: Span) -> Span {
--- a/crates/pipitcrank/src/told.rs
+++ b/crates/pipitcrank/src/told.rs
@@ -8,7 +8,7 @@
 use crate::chance::Chance;
 use crate::decide::{Budget, Cover, FailBack, Root, Terms, Tries};
 use crate::ids::Effect;
-use crate::time::Span;
+use crate::time::{At, Span};
 
 /// A key whose value is missing or not what it has to be, as a JSON pointer.
 #[derive(Debug, PartialEq)]
@@ -111,6 +111,7 @@
             cold: self.span("/rules/cold_s")?,
             factor: self.number("/rules/overload_factor")?,
             window: self.span("/rules/fall_s")?,
+            shut: At::from_us(i64::MIN),
         };
         let tries = Tries {
             limit: self.count("/allowed/try_limit")?,
--- a/crates/pipitcrank/tests/helper/mod.rs
+++ b/crates/pipitcrank/tests/helper/mod.rs
@@ -110,7 +110,13 @@
         may_probe,
         longest_stay_away: Some(ms(500)),
     };
-    let fail_back = FailBack { cold_from: 0.2, cold: ms(10_000), factor: 3.0, window: ms(2000) };
+    let fail_back = FailBack {
+        cold_from: 0.2,
+        cold: ms(10_000),
+        factor: 3.0,
+        window: ms(2000),
+        shut: At::from_us(i64::MIN),
+    };
     let budget = Budget::new(SHARE, FREE, Some(BUDGET_SPAN));
     let cover = Cover::new(cells, hold, call_size, ms(50));
     let mut root = Root::new(Chance::new(seed), cover, budget, fail_back, tries, true, TICK);
