Each trouble of an upgrade is a test; the link's bad input; overload and a killed old process

Need: the hard cases of the upgrade were played by the trial alone, and its figures counted the clients' own pauses.

Change: ten tests on the rig, one kind of trouble each and a plain upgrade after it; tests of the link between processes (cut at each byte, noise, oversized, missing and stray descriptors); trials `upgrade-overloaded` and `upgrade-known`; a listen address that no other test takes, a retry while a copied program is still held open.

--- a/crates/pipitcrank-cli/src/main.rs
+++ b/crates/pipitcrank-cli/src/main.rs
@@ -15,6 +15,7 @@
 use pipitcrank_node::clock::Clock;
 use pipitcrank_node::serve;
 use pipitcrank_operators::Operators;
+use pipitcrank_rig::trial::{self, Terms};
 
 /// A scatter-gather co-ordinator: it reads many shards for one query and gives one answer.
 #[derive(Parser)]
@@ -66,7 +67,7 @@
     },
     /// Play a named scenario with faults on loopback; exits with 0 only if its promise held
     Trial {
-        /// Its name: upgrade
+        /// Its name: upgrade, upgrade-overloaded, upgrade-known
         name: String,
         /// The same seed plays the same script
         #[arg(long, default_value_t = 1)]
@@ -74,6 +75,9 @@
         /// Upgrades in a row, for `upgrade`
         #[arg(long, default_value_t = 8)]
         rounds: u32,
+        /// One kind of round alone, such as plain or newcrashes
+        #[arg(long)]
+        only: Option<String>,
         /// Figures as one JSON object
         #[arg(long)]
         json: bool,
@@ -96,8 +100,9 @@
             said(asking::upgrade(pid, address, Duration::from_secs_f64(wait)))
         }
         What::Demo { seed } => said(keeper::program().and_then(|p| pipitcrank_rig::demo::play(&p, seed))),
-        What::Trial { name, seed, rounds, json } => {
-            said(keeper::program().and_then(|p| pipitcrank_rig::trial::play(&p, &name, seed, rounds, json)))
+        What::Trial { name, seed, rounds, only, json } => {
+            let terms = Terms { seed, rounds, only: only.as_deref(), json };
+            said(keeper::program().and_then(|p| trial::play(&p, &name, terms)))
         }
     };
     // Nothing is waited for: all that was taken has been answered.
--- a/crates/pipitcrank-handover/src/passing.rs
+++ b/crates/pipitcrank-handover/src/passing.rs
@@ -100,18 +100,21 @@
     Ok(sendmsg(stream, &[IoSlice::new(bytes)], &mut with, SendFlags::NOSIGNAL)?)
 }
 
+fn framed(body: Vec<u8>) -> Vec<u8> {
+    [&(body.len() as u32).to_be_bytes()[..], &body].concat()
+}
+
 impl Outgoing {
     /// Whether the other side may still get it is not known here: its end shows at the incoming side.
     pub fn send(&self, message: &impl Serialize, fd: Option<OwnedFd>) {
         let Ok(body) = postcard::to_allocvec(&(fd.is_some(), message)) else { return };
-        let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
-        bytes.extend_from_slice(&body);
-        let _ = self.0.send((bytes, fd));
+        let _ = self.0.send((framed(body), fd));
     }
 
-    /// Sends bytes as they stand: for tests of what the other side does with noise.
-    pub fn send_raw(&self, bytes: Vec<u8>) {
-        let _ = self.0.send((bytes, None));
+    /// Sends a descriptor that its message does not speak of: for tests of what the other side does then.
+    pub fn send_with_stray(&self, message: &impl Serialize, fd: OwnedFd) {
+        let Ok(body) = postcard::to_allocvec(&(false, message)) else { return };
+        let _ = self.0.send((framed(body), Some(fd)));
     }
 }
 
--- a/crates/pipitcrank-rig/src/client.rs
+++ b/crates/pipitcrank-rig/src/client.rs
@@ -153,7 +153,6 @@
 
     /// Asks in pieces, cut at these bytes, waiting as told before each but the first.
     pub async fn ask_in_pieces(&mut self, question: Question, cuts: &[(usize, Duration)]) -> Ended {
-        let begun = Instant::now();
         self.ledger.asked(&question.id);
         let request = question.request();
         let mut from = 0;
@@ -166,6 +165,8 @@
             from = cut;
             tokio::time::sleep(pause).await;
         }
+        // What the client itself waited is not ours.
+        let begun = Instant::now();
         if self.stream.get_mut().write_all(&request.as_bytes()[from..]).await.is_err() {
             how = Some(Ended::Lost);
         }
--- a/crates/pipitcrank-rig/src/demo.rs
+++ b/crates/pipitcrank-rig/src/demo.rs
@@ -15,12 +15,13 @@
 use crate::process::Process;
 use crate::trial::on_one_thread;
 
+const LIMIT: Duration = Duration::from_secs(60);
 const QUERIES: u64 = 400;
 /// Between two queries.
 const PAUSE: Duration = Duration::from_millis(8);
 
 pub fn play(program: &Path, seed: u64) -> Result<i32> {
-    on_one_thread(async {
+    on_one_thread(LIMIT, async {
         println!("starting 12 stand-in leaves, discovery and one co-ordinator on loopback");
         let fleet = Fleet::start(seed, Work { usual: Duration::from_millis(10), at_once: 16 }).await?;
         let process = Process::start(program, fleet.charter(seed, 1024, 2000)?, None).await?;
--- a/crates/pipitcrank-rig/src/fleet.rs
+++ b/crates/pipitcrank-rig/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
@@ -46,7 +47,7 @@
 
     /// What a co-ordinator of this fleet is told; it listens on an address free a moment ago.
     pub fn charter(&self, seed: u64, sockets: u32, max_open: u32) -> Result<Value> {
-        let listen: SocketAddr = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let listen = free_address()?;
         let vertical = |name: &str, aim: f64, limit: f64, kind: &str| json!({"name": name, "aim_s": aim, "hard_limit_s": limit, "idempotency": kind});
         Ok(json!({
             "name": "stand-in", "listen": listen.to_string(), "discovery": self.discovery.address.to_string(),
@@ -68,6 +69,15 @@
     }
 }
 
+/// An address that nobody else gets meanwhile: on a loopback address of this process's own, which no client's
+/// connection is made from.
+pub fn free_address() -> Result<SocketAddr> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let ip = [127, 64 + (pid % 128) as u8, (pid / 128 % 256) as u8, 1 + (n % 250) as u8];
+    Ok(TcpListener::bind(SocketAddr::from((ip, 0)))?.local_addr()?)
+}
+
 /// Asks on, as many a second as told, until stopped; arrivals by chance, not waiting for answers.
 pub struct Load {
     going: Rc<Cell<bool>>,
--- a/crates/pipitcrank-rig/src/ledger.rs
+++ b/crates/pipitcrank-rig/src/ledger.rs
@@ -31,6 +31,8 @@
     /// By part: how often a leaf ran it.
     runs: BTreeMap<String, u32>,
     took: Option<Histogram<u64>>,
+    /// What merged answers took.
+    merged: Vec<Duration>,
     longest: Duration,
 }
 
@@ -51,6 +53,9 @@
         if matches!(how, Ended::Refused | Ended::Lost) {
             return;
         }
+        if matches!(how, Ended::Merged | Ended::MergedInPart) {
+            books.merged.push(took);
+        }
         books.longest = books.longest.max(took);
         let histogram =
             books.took.get_or_insert_with(|| Histogram::new(3).expect("three digits are allowed"));
@@ -96,6 +101,13 @@
         self.0.borrow().took.as_ref().map_or(0.0, |h| h.value_at_quantile(share) as f64 / 1000.0)
     }
 
+    /// The share of all queries that were merged within that time.
+    pub fn merged_within(&self, limit: Duration) -> f64 {
+        let books = self.0.borrow();
+        let soon = books.merged.iter().filter(|t| **t <= limit).count();
+        soon as f64 / books.queries.len().max(1) as f64
+    }
+
     pub fn longest(&self) -> f64 {
         self.0.borrow().longest.as_secs_f64() * 1000.0
     }
--- a/crates/pipitcrank-rig/src/process.rs
+++ b/crates/pipitcrank-rig/src/process.rs
@@ -81,7 +81,16 @@
             std::fs::write(&path, text)?;
             command.arg("--operators").arg(path);
         }
-        command.spawn().context("the program can't be started")
+        // A copy just written may be held open for a moment by a child that another thread is about to start.
+        for _ in 0..100 {
+            match command.spawn() {
+                Err(e) if e.kind() == std::io::ErrorKind::ExecutableFileBusy => {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                started => return started.context("the program can't be started"),
+            }
+        }
+        bail!("the program's file is held open for writing")
     }
 
     /// Starts it anew after its end, as it was.
