--- a/crates/pipitcrank-cli/src/main.rs
+++ b/crates/pipitcrank-cli/src/main.rs
@@ -4,17 +4,23 @@
 mod keeper;
 mod logs;
 
+use std::cell::RefCell;
 use std::os::fd::AsFd;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result, anyhow};
 use clap::{Parser, Subcommand};
+use pipitcrank::time::Span;
+use pipitcrank_gateway::far::Far;
+use pipitcrank_gateway::near::{Near, Peer};
 use pipitcrank_node::charter::Charter;
 use pipitcrank_node::clock::Clock;
-use pipitcrank_node::serve;
-use pipitcrank_operators::Operators;
+use pipitcrank_node::exchange::LeafSide;
+use pipitcrank_node::serve::{self, Beside, Ground};
+use pipitcrank_operators::{Gateway, Operators};
 use pipitcrank_rig::trial::{self, Terms};
 
 /// A scatter-gather co-ordinator: it reads many shards for one query and gives one answer.
@@ -94,7 +100,7 @@
     let Args { what } = Args::parse();
     let code = match what {
         What::Serve { operators } => logged(operators, serve_or_keep),
-        What::Work { operators } => logged(operators, |_, _| work()),
+        What::Work { operators } => logged(operators, |_, operators| work(operators)),
         What::Check { operators, no_charter } => check(operators, no_charter),
         What::Upgrade { pid, address, wait } => {
             said(asking::upgrade(pid, address, Duration::from_secs_f64(wait)))
@@ -140,7 +146,7 @@
         return on_one_thread(async {
             // Heeded without effect: left alone it would end the process.
             let _upgrades = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::user_defined2())?;
-            serve::serve(clock, None).await.map_err(|e| anyhow!("{e}"))
+            serve::serve(clock, None, beside(operators.gateway)).await.map_err(|e| anyhow!("{e}"))
         })?
         .map(|()| 0);
     };
@@ -151,11 +157,28 @@
     on_one_thread(keeper::keep(keeper::program()?, path, charter.listen()?, upgrade))?
 }
 
-fn work() -> Result<i32> {
+/// Other sites beside the near leaves, where the operators' file has them.
+fn beside(gateway: Option<Gateway>) -> Option<Beside> {
+    let Gateway { site, listen, sites, connections, prefer_near } = gateway?;
+    Some(Box::new(move |ground: Ground| {
+        // Told apart from any process before or beside this one: by its number and its start.
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let instance = (since.as_micros() as u64) << 22 ^ u64::from(std::process::id());
+        let names = sites.iter().map(|(name, _)| name.clone()).collect();
+        tokio::task::spawn_local(Far::new(&ground, &site, instance, names).listen(listen));
+        let peers = sites.into_iter().map(|(name, address)| Peer { name, address }).collect();
+        let prefer_near = Span::from_s(prefer_near.as_secs_f64());
+        let near = Near::start(ground, &site, instance, peers, connections, prefer_near);
+        Rc::new(RefCell::new(near)) as Rc<RefCell<dyn LeafSide>>
+    }))
+}
+
+fn work(operators: Operators) -> Result<i32> {
     let keeper = std::io::stdin().as_fd().try_clone_to_owned().context("standard input")?;
     let keeper = UnixStream::from(keeper);
     keeper.peer_addr().context("standard input is not a keeper's link")?;
-    on_one_thread(serve::serve(Clock::start(), Some(keeper)))?.map_err(|e| anyhow!("{e}"))?;
+    on_one_thread(serve::serve(Clock::start(), Some(keeper), beside(operators.gateway)))?
+        .map_err(|e| anyhow!("{e}"))?;
     Ok(0)
 }
 
--- /dev/null
+++ b/crates/pipitcrank-gateway/src/frames.rs
@@ -0,0 +1,231 @@
+//! The link's protocol, version 1. A frame is four bytes of length, most significant first, and a message in postcard's
+//! wire format (postcard.jamesmunns.com/wire-format: varints, strings with their length, an enum's variant by number).
+//! `docs/gateway.md` has each message field by field.
+
+use bytes::{Buf, BytesMut};
+use pipitcrank::time::Span;
+use serde::{Deserialize, Serialize};
+
+/// Raised with each change of a message's form.
+pub const VERSION: u16 = 1;
+/// Longest frame: the longest value of a part with what goes round it, or a query of 200 parts with the longest body.
+pub const LONGEST: usize = 160 * 1024;
+/// Longest name of a site.
+pub const LONGEST_NAME: usize = 64;
+
+/// What one side can do beyond the messages of its version; none yet.
+pub const CAN: u32 = 0;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Said {
+    /// First on each connection, from both sides.
+    Hello {
+        version: u16,
+        site: String,
+        instance: u64,
+        lane: u16,
+        credit: u32,
+        can: u32,
+    },
+    /// Parts of one query.
+    Forward(Forward),
+    /// Nobody waits for it any more.
+    GiveUp {
+        number: u64,
+    },
+    /// One part's answer.
+    Part {
+        number: u64,
+        shard: u32,
+        value: String,
+    },
+    /// The last word on a forward: what becomes of parts that were not answered, and further calls made for it.
+    End {
+        number: u64,
+        how: How,
+        made: u32,
+    },
+    /// After a new connection: what became of these?
+    Ask {
+        numbers: Vec<u64>,
+    },
+    Credit {
+        bytes: u32,
+    },
+    /// A heartbeat; times are each side's own, in microseconds.
+    Ping {
+        sent_us: i64,
+    },
+    Pong {
+        sent_us: i64,
+        mine_us: i64,
+    },
+}
+
+impl Said {
+    /// What carries queries and answers is sent on credit; the rest is small, and bounded by that.
+    pub fn costs_credit(&self) -> bool {
+        matches!(self, Said::Forward(_) | Said::Part { .. } | Said::End { .. })
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Forward {
+    /// Counts from 1 on each lane of an instance, and is never used again.
+    pub number: u64,
+    /// The query's name at its origin.
+    pub id: String,
+    pub vertical: String,
+    /// Time left when it was written, less the way there and back.
+    pub left: Span,
+    /// Further calls that may be made for it.
+    pub further: u32,
+    /// Sites crossed, the origin first.
+    pub crossed: Vec<String>,
+    /// Shard, weight in the query, the client's guess at the work in seconds.
+    pub parts: Vec<(u32, f64, Option<f64>)>,
+    pub text: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum How {
+    /// All its parts were answered.
+    Done,
+    /// Those not answered never ran, or may run again; stay away for so long.
+    Rejected { stay_away: Span },
+    /// Those not answered may have run.
+    Aborted,
+    /// Nothing of it was begun: it could not be back in time.
+    Late,
+    /// Nothing of it was begun: it crossed this site, or too many, or names what is not known here.
+    NotHere,
+    /// Never came here, in answer to `Ask`; it will not be begun either.
+    Unknown,
+}
+
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Bad {
+    #[error("a frame of {0} bytes")]
+    Length(usize),
+    #[error("a frame that can't be read")]
+    Garbled,
+    #[error("a message with what can't be in it")]
+    Unsound,
+}
+
+pub fn encode(said: &Said) -> Vec<u8> {
+    let mut out = vec![0; 4];
+    out.extend(postcard::to_allocvec(said).unwrap_or_default());
+    let length = (out.len() - 4) as u32;
+    out[..4].copy_from_slice(&length.to_be_bytes());
+    out
+}
+
+/// Takes the first whole frame, with its length.
+pub fn take(buffer: &mut BytesMut) -> Result<Option<(Said, usize)>, Bad> {
+    let Some(head) = buffer.first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*head) as usize;
+    if length == 0 || length > LONGEST {
+        return Err(Bad::Length(length));
+    }
+    if buffer.len() < 4 + length {
+        return Ok(None);
+    }
+    buffer.advance(4);
+    let body = buffer.split_to(length);
+    let (said, rest): (Said, _) = postcard::take_from_bytes(&body).map_err(|_| Bad::Garbled)?;
+    if !rest.is_empty() {
+        return Err(Bad::Garbled);
+    }
+    if sound(&said) { Ok(Some((said, 4 + length))) } else { Err(Bad::Unsound) }
+}
+
+/// Guards against numbers that are none: they would go into the decisions.
+fn sound(said: &Said) -> bool {
+    match said {
+        Said::Hello { site, .. } => !site.is_empty() && site.len() <= LONGEST_NAME,
+        Said::Forward(f) => {
+            let good = |x: f64| x.is_finite() && (0.0..=1e6).contains(&x);
+            let mut shards: Vec<u32> = f.parts.iter().map(|p| p.0).collect();
+            shards.sort_unstable();
+            shards.dedup();
+            f.number > 0
+                && !f.parts.is_empty()
+                && shards.len() == f.parts.len()
+                && f.parts.iter().all(|(_, weight, work)| good(*weight) && work.is_none_or(good))
+                && f.left <= Span::from_ms(24 * 3600 * 1000)
+                && f.crossed.iter().all(|s| s.len() <= LONGEST_NAME)
+        }
+        Said::End { how: How::Rejected { stay_away }, .. } => *stay_away >= Span::ZERO,
+        Said::Ask { numbers } => numbers.len() <= 10_000,
+        _ => true,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn forward() -> Forward {
+        Forward {
+            number: 7,
+            id: "q1".into(),
+            vertical: "view".into(),
+            left: Span::from_ms(800),
+            further: 1,
+            crossed: vec!["north".into()],
+            parts: vec![(3, 0.5, None), (4, 0.5, Some(0.01))],
+            text: "c41e".into(),
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        #[test]
+        fn frames_are_read_however_they_are_cut(cuts in proptest::collection::vec(1usize..30, 0..20), value in ".{0,300}") {
+            let all = [
+                Said::Hello { version: 1, site: "north".into(), instance: u64::MAX, lane: 1, credit: 9, can: 0 },
+                Said::Forward(forward()),
+                Said::Part { number: 7, shard: 3, value },
+                Said::End { number: 7, how: How::Rejected { stay_away: Span::from_ms(50) }, made: 2 },
+                Said::Ask { numbers: vec![1, 2, 3] },
+                Said::Pong { sent_us: -5, mine_us: i64::MAX },
+            ];
+            let bytes: Vec<u8> = all.iter().flat_map(encode).collect();
+            let (mut buffer, mut found, mut rest) = (BytesMut::new(), Vec::new(), &bytes[..]);
+            for cut in cuts.into_iter().chain([usize::MAX]) {
+                let (piece, after) = rest.split_at(cut.min(rest.len()));
+                buffer.extend_from_slice(piece);
+                rest = after;
+                while let Some((said, _)) = take(&mut buffer).unwrap() { found.push(said); }
+            }
+            prop_assert_eq!(found, all);
+        }
+
+        #[test]
+        fn noise_is_no_frame_or_a_sound_one(noise in proptest::collection::vec(any::<u8>(), 0..400)) {
+            let mut buffer = BytesMut::from(&noise[..]);
+            while let Ok(Some((said, _))) = take(&mut buffer) { prop_assert!(sound(&said)); }
+        }
+    }
+
+    #[test]
+    fn what_can_not_be_is_refused() {
+        let bad = |change: fn(&mut Forward)| {
+            let mut f = forward();
+            change(&mut f);
+            take(&mut BytesMut::from(&encode(&Said::Forward(f))[..]))
+        };
+        assert_eq!(bad(|f| f.number = 0), Err(Bad::Unsound));
+        assert_eq!(bad(|f| f.parts.clear()), Err(Bad::Unsound));
+        assert_eq!(bad(|f| f.parts[1].0 = 3), Err(Bad::Unsound), "a shard twice");
+        assert_eq!(bad(|f| f.parts[0].1 = f64::NAN), Err(Bad::Unsound));
+        assert_eq!(bad(|f| f.parts[0].2 = Some(-1.0)), Err(Bad::Unsound));
+        assert_eq!(bad(|f| f.left = Span::from_ms(i64::MAX / 2000)), Err(Bad::Unsound));
+        assert_eq!(take(&mut BytesMut::from(&[0u8; 4][..])), Err(Bad::Length(0)));
+        assert!(matches!(take(&mut BytesMut::from(&[255u8; 4][..])), Err(Bad::Length(_))));
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-gateway/src/route.rs
@@ -0,0 +1,342 @@
+//! Whether parts may go to a site, and what the hop costs: decided here for each site, from what its links say and what
+//! became of forwards. No I/O. What comes out is a narrowing: the decision module takes a site's cells as candidates at
+//! that cost, or not at all; it still chooses among what is left.
+//!
+//! ```text
+//! no link, no round trip known      -> closed
+//! nothing heard for too long        -> closed until something is
+//! told to stay away                 -> closed until then; no mark against the site (it is overloaded, not broken)
+//! FAILS forwards in a row failed    -> held out, twice as long each time, then on trial: one forward at a time
+//! GOOD trials answered              -> open
+//! else                              -> open, at round trip + SPREADS spreads + what near ones are preferred by
+//! ```
+
+use std::collections::BTreeMap;
+
+use pipitcrank::time::{At, Span};
+
+/// Failed forwards in a row that hold a site out: one may be a leaf's fault.
+const FAILS: u32 = 3;
+/// Answered trials in a row that let it in again.
+const GOOD: u32 = 3;
+/// How long it is held out at first, and at most: the first is some round trips of any link that is of use, the last is
+/// short against an outage, so that an end of it is seen soon.
+const HELD_OUT: Span = Span::from_ms(500);
+const HELD_OUT_MOST: Span = Span::from_ms(8000);
+/// Weight of the newest round trip in the mean and of the newest distance in the spread (RFC 6298, section 2: 1/8, 1/4).
+const NEWEST: f64 = 0.125;
+const NEWEST_SPREAD: f64 = 0.25;
+/// Spreads on top of the mean, as there.
+const SPREADS: f64 = 4.0;
+/// Heartbeats are sent so often; so many round trips, and so many heartbeats, without a word close the site.
+pub const HEARTBEAT: Span = Span::from_ms(50);
+const SILENT_BEATS: f64 = 3.0;
+/// Longest time that a site can have us stay away.
+const AWAY_MOST: Span = Span::from_ms(2000);
+/// A site that pings well but has answered no forward for so many of its usual times (and at least so long) is closed until it does: it accepts
+/// and is silent. Usual times scatter threefold.
+const STUCK_TIMES: f64 = 6.0;
+const STUCK_LEAST: Span = Span::from_ms(300);
+
+/// How a forward ended, as the route sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ended {
+    Answered,
+    /// Told to stay away for so long.
+    Rejected(Span),
+    /// It could not have been back in time, or was given up by us: says nothing of the site.
+    Neither,
+    /// Failed, lost with its link, or not answered by its time.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trust {
+    Good { fails: u32 },
+    HeldOut { until: At, times: u32 },
+    Trial { good: u32, times: u32 },
+}
+
+pub struct Route {
+    /// What near leaves are preferred by.
+    prefer_near: Span,
+    /// Links up.
+    links: u32,
+    /// Round trip and its spread, in seconds.
+    trip: Option<(f64, f64)>,
+    heard: At,
+    away_until: At,
+    trust: Trust,
+    /// Forwards out, by when they were sent; each leaves with its end.
+    out: BTreeMap<u64, At>,
+    /// When a forward was last answered, in whole or part, and how long they usually take in seconds.
+    answered: At,
+    usual: Option<f64>,
+    next: u64,
+}
+
+impl Route {
+    pub fn new(prefer_near: Span) -> Route {
+        let never = At::from_us(i64::MIN / 4);
+        Route {
+            prefer_near,
+            links: 0,
+            trip: None,
+            heard: never,
+            away_until: never,
+            trust: Trust::Good { fails: 0 },
+            out: BTreeMap::new(),
+            answered: never,
+            usual: None,
+            next: 0,
+        }
+    }
+
+    pub fn linked(&mut self, now: At) {
+        self.links += 1;
+        self.heard = now;
+    }
+
+    pub fn unlinked(&mut self) {
+        self.links = self.links.saturating_sub(1);
+        if self.links == 0 {
+            // The next way may be another.
+            self.trip = None;
+        }
+    }
+
+    pub fn heard(&mut self, now: At) {
+        self.heard = now;
+    }
+
+    /// A heartbeat came back after so long.
+    pub fn tripped(&mut self, now: At, took: Span) {
+        self.heard = now;
+        let took = took.s().max(0.0);
+        self.trip = Some(match self.trip {
+            None => (took, took / 2.0),
+            Some((mean, spread)) => {
+                let spread = spread + NEWEST_SPREAD * ((took - mean).abs() - spread);
+                // Guards against a way that turns slow at once under load: the mean would take a second to see it.
+                let newest = if took > mean + SPREADS * spread { 0.5 } else { NEWEST };
+                (mean + newest * (took - mean), spread)
+            }
+        });
+    }
+
+    /// Round trip with its spreads: what the way there and back takes, all but always.
+    pub fn trip(&self) -> Option<Span> {
+        self.trip.map(|(mean, spread)| Span::from_s(mean + SPREADS * spread))
+    }
+
+    pub fn mean_trip(&self) -> Option<Span> {
+        self.trip.map(|(mean, _)| Span::from_s(mean))
+    }
+
+    /// A forward goes out; its mark here.
+    pub fn sent(&mut self, now: At) -> u64 {
+        self.next += 1;
+        if self.out.is_empty() {
+            self.answered = now;
+        }
+        self.out.insert(self.next, now);
+        self.next
+    }
+
+    /// Part of a forward was answered.
+    pub fn part(&mut self, now: At) {
+        self.answered = now;
+    }
+
+    pub fn ended(&mut self, now: At, mark: u64, how: Ended) {
+        let Some(sent) = self.out.remove(&mark) else { return };
+        match how {
+            Ended::Answered => {
+                self.answered = now;
+                let took = (now - sent).s();
+                self.usual = Some(self.usual.map_or(took, |u| u + NEWEST * (took - u)));
+                self.trust = match self.trust {
+                    Trust::Trial { good, times } if good + 1 < GOOD => Trust::Trial { good: good + 1, times },
+                    Trust::HeldOut { .. } => self.trust,
+                    _ => Trust::Good { fails: 0 },
+                };
+            }
+            Ended::Rejected(stay_away) => {
+                self.answered = now;
+                self.away_until = self.away_until.max(now + stay_away.min(AWAY_MOST));
+            }
+            Ended::Neither => {}
+            Ended::Failed => {
+                self.trust = match self.trust {
+                    Trust::Good { fails } if fails + 1 < FAILS => Trust::Good { fails: fails + 1 },
+                    Trust::Good { .. } => Trust::HeldOut { until: now + HELD_OUT, times: 1 },
+                    Trust::Trial { times, .. } => {
+                        let longer = HELD_OUT * f64::from(1u32 << times.min(10));
+                        Trust::HeldOut { until: now + longer.min(HELD_OUT_MOST), times: times + 1 }
+                    }
+                    held => held,
+                };
+            }
+        }
+    }
+
+    /// The cost of the hop while parts may go there.
+    pub fn hop(&mut self, now: At) -> Option<Span> {
+        if let Trust::HeldOut { until, times } = self.trust
+            && now >= until
+        {
+            self.trust = Trust::Trial { good: 0, times };
+        }
+        let trip = self.trip().filter(|_| self.links > 0)?;
+        let silent = HEARTBEAT * SILENT_BEATS + trip * 2.0;
+        let trusted = match self.trust {
+            Trust::Good { .. } => true,
+            Trust::HeldOut { .. } => false,
+            Trust::Trial { .. } => self.out.is_empty(),
+        };
+        let open = trusted && now - self.heard <= silent && now >= self.away_until && !self.stuck(now);
+        open.then(|| trip + self.prefer_near)
+    }
+
+    /// It has forwards of ours and answers none.
+    fn stuck(&self, now: At) -> bool {
+        let Some(&oldest) = self.out.values().min() else { return false };
+        let usual = Span::from_s(self.usual.unwrap_or(0.0)) * STUCK_TIMES;
+        let trip = self.mean_trip().unwrap_or(Span::ZERO);
+        now - oldest.max(self.answered) > usual.max(STUCK_LEAST + trip)
+    }
+
+    pub fn out(&self) -> usize {
+        self.out.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    const MS: Span = Span::from_ms(1);
+
+    fn open() -> (Route, At) {
+        let (mut route, now) = (Route::new(Span::from_ms(20)), At::from_us(1_000_000));
+        assert_eq!(route.hop(now), None, "no link");
+        route.linked(now);
+        assert_eq!(route.hop(now), None, "no round trip known");
+        (0..40).for_each(|_| route.tripped(now, Span::from_ms(10)));
+        assert!(route.hop(now).is_some_and(|h| h >= Span::from_ms(30) && h < Span::from_ms(32)));
+        (route, now)
+    }
+
+    fn fail(route: &mut Route, now: At) {
+        let mark = route.sent(now);
+        route.ended(now, mark, Ended::Failed);
+    }
+
+    #[test]
+    fn a_site_that_fails_is_held_out_longer_each_time_and_comes_back_by_small_trials() {
+        let (mut route, mut now) = open();
+        fail(&mut route, now);
+        fail(&mut route, now);
+        assert!(route.hop(now).is_some(), "two may be chance");
+        fail(&mut route, now);
+        assert_eq!(route.hop(now), None);
+        for wait in [500, 1000, 2000, 4000, 8000, 8000] {
+            now = now + Span::from_ms(wait) - MS;
+            route.heard(now);
+            assert_eq!(route.hop(now), None, "held out for {wait} ms");
+            now = now + MS;
+            assert!(route.hop(now).is_some(), "on trial");
+            let mark = route.sent(now);
+            assert_eq!(route.hop(now), None, "one at a time");
+            route.ended(now, mark, Ended::Failed);
+        }
+        now = now + Span::from_ms(8000);
+        for _ in 0..GOOD {
+            route.heard(now);
+            assert!(route.hop(now).is_some());
+            let mark = route.sent(now);
+            assert_eq!(route.hop(now), None);
+            route.ended(now, mark, Ended::Answered);
+        }
+        let (_a, _b) = (route.sent(now), route.sent(now));
+        assert!(route.hop(now).is_some(), "trusted again");
+    }
+
+    #[test]
+    fn overload_is_respected_and_no_mark_against_the_site() {
+        let (mut route, now) = open();
+        for _ in 0..9 {
+            let mark = route.sent(now);
+            route.ended(now, mark, Ended::Rejected(Span::from_ms(300)));
+        }
+        assert_eq!(route.hop(now + Span::from_ms(100)), None);
+        route.heard(now + Span::from_ms(300));
+        assert!(route.hop(now + Span::from_ms(300)).is_some(), "no trial is needed");
+        let mark = route.sent(now);
+        route.ended(now, mark, Ended::Rejected(Span::from_ms(1_000_000)));
+        route.heard(now + AWAY_MOST);
+        assert!(route.hop(now + AWAY_MOST).is_some(), "not for as long as it likes");
+    }
+
+    #[test]
+    fn a_silent_link_closes_it_within_some_heartbeats_and_a_word_opens_it() {
+        let (mut route, now) = open();
+        let late = now + Span::from_ms(300);
+        assert_eq!(route.hop(late), None);
+        route.heard(late);
+        assert!(route.hop(late).is_some());
+        route.unlinked();
+        assert_eq!(route.hop(late), None);
+    }
+
+    #[test]
+    fn one_that_pings_and_answers_nothing_is_closed_until_it_does() {
+        let (mut route, now) = open();
+        let mark = route.sent(now);
+        let (early, late) = (now + Span::from_ms(250), now + Span::from_ms(400));
+        route.heard(early);
+        assert!(route.hop(early).is_some());
+        route.heard(late);
+        assert_eq!(route.hop(late), None);
+        route.part(late);
+        assert!(route.hop(late).is_some());
+        route.ended(late, mark, Ended::Answered);
+    }
+
+    #[test]
+    fn a_way_that_turns_slow_costs_more_within_a_few_heartbeats() {
+        let (mut route, now) = open();
+        (0..5).for_each(|_| route.tripped(now, Span::from_ms(400)));
+        assert!(route.trip().is_some_and(|t| t >= Span::from_ms(400)), "{:?}", route.trip());
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Whatever happened: a site is never closed for good while its link lives and its forwards end, and never open
+        /// without a link.
+        #[test]
+        fn trust_always_returns(steps in proptest::collection::vec((0u8..8, 1i64..2000), 0..200)) {
+            let (mut route, mut now) = open();
+            let mut out = Vec::new();
+            for (kind, ms) in steps {
+                match kind {
+                    0 => now = now + Span::from_ms(ms),
+                    1 => { if route.hop(now).is_some() { out.push(route.sent(now)); } }
+                    2 | 3 => if let Some(mark) = out.pop() { route.ended(now, mark, Ended::Failed) },
+                    4 => if let Some(mark) = out.pop() { route.ended(now, mark, Ended::Answered) },
+                    5 => if let Some(mark) = out.pop() { route.ended(now, mark, Ended::Rejected(Span::from_ms(ms))) },
+                    6 => { route.unlinked(); prop_assert!(route.hop(now).is_none()); route.linked(now); }
+                    _ => route.tripped(now, Span::from_ms(ms % 200)),
+                }
+                prop_assert!(route.out() == out.len());
+            }
+            out.into_iter().for_each(|mark| route.ended(now, mark, Ended::Neither));
+            now = now + HELD_OUT_MOST + AWAY_MOST;
+            route.tripped(now, Span::from_ms(10));
+            prop_assert!(route.hop(now).is_some());
+        }
+    }
+}
--- a/crates/pipitcrank-handover/src/division.rs
+++ b/crates/pipitcrank-handover/src/division.rs
@@ -123,13 +123,12 @@
                 let at = now - age + skew;
                 if further { new.spend(at) } else { new.take(at) }
             }
-            new.lend(f64::from(purse.further));
+            new.lend(1, purse.further, until + skew);
             let mut settled = false;
             for (n, step) in after.into_iter().enumerate() {
                 if n == old_gone_at && !settled {
                     settled = true;
-                    new.lend(0.0);
-                    (0..purse.further - purse_left).for_each(|_| new.spend(now + skew));
+                    new.settle(now + skew, 1, purse.further - purse_left);
                 }
                 match step {
                     Step::Wait(ms) => now = now + Span::from_ms(ms),
--- a/crates/pipitcrank-handover/src/snapshot.rs
+++ b/crates/pipitcrank-handover/src/snapshot.rs
@@ -24,8 +24,8 @@
     pub rev: Option<u64>,
     pub leaves: Vec<SeenLeaf>,
     pub known: Known,
-    /// Further calls that stay with the giver.
-    pub lent: u32,
+    /// Further calls that stay with the giver, and for how long.
+    pub lent: (u32, Span),
 }
 
 /// One leaf of the list; its place is the index by which `known` names it.
@@ -129,7 +129,13 @@
         );
         let mut fresh = root.known(pipitcrank::time::At::default());
         fresh.taken = known.taken;
-        Snapshot { taken_us: 5, rev: Some(7), leaves: (0..4).map(leaf).collect(), known: fresh, lent: 2 }
+        Snapshot {
+            taken_us: 5,
+            rev: Some(7),
+            leaves: (0..4).map(leaf).collect(),
+            known: fresh,
+            lent: (2, Span::from_ms(9)),
+        }
     }
 
     #[test]
--- a/crates/pipitcrank-node/src/charter.rs
+++ b/crates/pipitcrank-node/src/charter.rs
@@ -112,6 +112,11 @@
         limits.try_fold(Span::ZERO, |most, next| Ok(most.max(next?)))
     }
 
+    /// Cells that a site's leaves stand in.
+    pub fn cells(&self) -> Result<u32, Faulty> {
+        self.settings()?.count("/domain/sets")
+    }
+
     pub fn shards(&self) -> Result<u32, Faulty> {
         self.settings()?.count("/domain/shards")
     }
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -4,6 +4,7 @@
 //! Whatever happens is put into the inbox as it comes. `turn` hands all of it to the module, then what is due by
 //! the clock, lets the module place what waits, and passes on what it wants done. Nothing is decided here.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -55,6 +56,32 @@
 /// What a query leaves behind for its final answer.
 pub type Then = Box<dyn FnOnce(Final)>;
 
+/// What a query of another site's leaves behind for each part's answer: shard and value. It may only note them down: it
+/// is called within a turn.
+pub type AsIn = Box<dyn FnMut(u32, &str)>;
+
+/// What comes with a query of another site's: further calls lent, how many were made, where answers go as they are in.
+pub struct Lent {
+    pub further: u32,
+    pub made: Rc<Cell<u32>>,
+    pub as_in: AsIn,
+}
+
+/// Parts of one query on their way to another site.
+pub struct Going {
+    pub calls: Vec<(u32, CallNo)>,
+    pub id: String,
+    pub vertical: Vertical,
+    pub until: At,
+    /// Shard, weight, work in seconds.
+    pub parts: Vec<(u32, f64, Option<f64>)>,
+    pub text: Arc<str>,
+    pub repeatable: bool,
+    /// Further calls lent with it, under that number.
+    pub who: u64,
+    pub further: u32,
+}
+
 /// One entry of discovery's list.
 pub struct Listed {
     pub uid: String,
@@ -81,7 +108,7 @@
 }
 
 enum Happened {
-    Asked(u64, Asked, Then),
+    Asked(u64, Asked, Then, Option<Lent>),
     Gone(u64),
     Ended(Leaf, CallNo, Ending, Option<String>, Option<Report>),
     Probed(Leaf, Ending, Option<Report>),
@@ -93,12 +120,16 @@
     then: Option<Then>,
     /// In the order asked.
     parts: Vec<u32>,
+    vertical: Vertical,
+    lent: Option<Lent>,
 }
 
 struct HeldPart {
     id: Rc<str>,
     query: u32,
     shard: u32,
+    weight: f64,
+    work: Option<f64>,
     text: Arc<str>,
     value: Option<String>,
     calls: u32,
@@ -108,6 +139,8 @@
     address: Option<SocketAddr>,
     cell: u32,
     started: Option<At>,
+    /// It stands for a cell of that site, as numbered at start.
+    site: Option<u16>,
     /// When this co-ordinator was told that it drains or is gone, until it is listed as up again.
     off: Option<At>,
 }
@@ -178,6 +211,10 @@
         let held = self.held_parts.get_mut(&part.0).expect("called parts are held");
         let call = (part, held.calls);
         held.calls += 1;
+        let lent = self.held_queries.get(&held.query).and_then(|q| q.lent.as_ref());
+        if let Some(lent) = lent.filter(|_| call.1 > 0) {
+            lent.made.set(lent.made.get() + 1);
+        }
         self.out.insert(call, Out { leaf, until });
         self.untils.insert((until, call));
         self.wishes.push(Wish::Call(leaf, call));
@@ -250,6 +287,9 @@
     open_elsewhere: usize,
     call_size: usize,
     drain_grace: Span,
+    /// Further calls lent with parts that went to another site; each leaves when they come back or their time is over.
+    lent: BTreeMap<u64, (Vec<Part>, u32, At)>,
+    next_lent: u64,
 }
 
 impl Exchange {
@@ -262,14 +302,29 @@
     ) -> Exchange {
         let desk = Desk { counters, ..Desk::default() };
         let call_size = call_size.max(1);
-        Exchange { root, desk, inbox: Vec::new(), most_open, open_elsewhere: 0, call_size, drain_grace }
+        Exchange {
+            root,
+            desk,
+            inbox: Vec::new(),
+            most_open,
+            open_elsewhere: 0,
+            call_size,
+            drain_grace,
+            lent: BTreeMap::new(),
+            next_lent: 0,
+        }
     }
 
     // What happens outside.
 
     /// A query came in; the ticket, which is never used again, stands for it until its final answer.
     pub fn asked(&mut self, ticket: u64, asked: Asked, then: Then) {
-        self.inbox.push(Happened::Asked(ticket, asked, then));
+        self.inbox.push(Happened::Asked(ticket, asked, then, None));
+    }
+
+    /// The same of a query that another site forwards.
+    pub fn asked_by_site(&mut self, ticket: u64, asked: Asked, lent: Lent, then: Then) {
+        self.inbox.push(Happened::Asked(ticket, asked, then, Some(lent)));
     }
 
     pub fn client_gone(&mut self, ticket: u64) {
@@ -296,7 +351,7 @@
 
     /// Whether a query taken now could be served: some leaf is listed as up.
     pub fn able(&self) -> bool {
-        self.desk.held_leaves.values().any(|l| l.off.is_none())
+        self.desk.held_leaves.values().any(|l| l.off.is_none() && l.site.is_none())
     }
 
     /// Whether nothing is held that a client waits for.
@@ -310,7 +365,7 @@
 
     /// Whether a query of that id is held.
     pub fn holds(&self, id: &str) -> bool {
-        let waits = |h: &Happened| matches!(h, Happened::Asked(_, asked, _) if asked.id == id);
+        let waits = |h: &Happened| matches!(h, Happened::Asked(_, asked, ..) if asked.id == id);
         self.desk.queries.find(id).is_some() || self.inbox.iter().any(waits)
     }
 
@@ -351,6 +406,73 @@
         going
     }
 
+    // Other sites.
+
+    /// Another site's leaves, one for each cell; nothing goes there before a hop is known.
+    pub fn add_site(&mut self, site: u16, name: &str, cells: u32) -> Vec<Leaf> {
+        self.root.list_begin(false);
+        let mut leaves = Vec::new();
+        for cell in 0..cells {
+            // No name of discovery's has a blank.
+            let leaf = Leaf(self.desk.leaves.enter(&format!("site {name} {cell}")));
+            let held = HeldLeaf { address: None, cell, started: None, site: Some(site), off: None };
+            self.desk.held_leaves.insert(leaf.0, held);
+            self.root.leaf(leaf, cell, true, None);
+            self.root.far(leaf, None);
+            leaves.push(leaf);
+        }
+        self.root.list_end(&mut self.desk);
+        leaves
+    }
+
+    /// What the way to the site costs from now on; none closes it.
+    pub fn set_hop(&mut self, site: u16, hop: Option<Span>) {
+        for (&leaf, _) in self.desk.held_leaves.iter().filter(|(_, l)| l.site == Some(site)) {
+            self.root.far(Leaf(leaf), hop);
+        }
+    }
+
+    /// The last look before a forward's first byte, as `release` is for a leaf's: what of it may still go, by query.
+    pub fn forward(&mut self, now: At, leaf: Leaf, parts: &mut Vec<CallNo>) -> Vec<Going> {
+        self.release(now, leaf, parts);
+        self.lent.retain(|_, (.., until)| *until > now);
+        let mut by_query: BTreeMap<u32, Vec<CallNo>> = BTreeMap::new();
+        for &call in parts.iter() {
+            by_query.entry(self.desk.held_parts[&call.0.0].query).or_default().push(call);
+        }
+        let mut all = Vec::new();
+        for (query, calls) in by_query {
+            let held = &self.desk.held_queries[&query];
+            let until = calls.iter().map(|c| self.desk.out[c].until).min().unwrap_or(now);
+            self.next_lent += 1;
+            let ours: Vec<Part> = calls.iter().map(|c| c.0).collect();
+            let further = self.root.lend(now, self.next_lent, &ours, until);
+            self.lent.insert(self.next_lent, (ours, further, until));
+            let part = |c: &CallNo| &self.desk.held_parts[&c.0.0];
+            all.push(Going {
+                id: self.desk.queries.name(query).to_string(),
+                vertical: held.vertical,
+                until,
+                parts: calls.iter().map(|c| (part(c).shard, part(c).weight, part(c).work)).collect(),
+                text: calls.first().map_or_else(|| "".into(), |c| part(c).text.clone()),
+                repeatable: self.root.may_repeat(held.vertical),
+                who: self.next_lent,
+                further,
+                calls: calls.iter().map(|c| (part(c).shard, *c)).collect(),
+            });
+        }
+        all
+    }
+
+    /// Of the further calls lent with parts so many were made.
+    pub fn came_back(&mut self, now: At, who: u64, made: u32) {
+        if let Some((parts, lent, until)) = self.lent.remove(&who)
+            && now < until
+        {
+            self.root.came_back(now, who, &parts, lent, made);
+        }
+    }
+
     // Turns.
 
     pub fn turn(&mut self, now: At, leaf_side: &mut dyn LeafSide) {
@@ -373,7 +495,7 @@
 
     fn hand_in(&mut self, now: At, happened: Happened) {
         match happened {
-            Happened::Asked(ticket, asked, then) => self.take(now, ticket, asked, then),
+            Happened::Asked(ticket, asked, then, lent) => self.take(now, ticket, asked, then, lent),
             Happened::Gone(ticket) => {
                 if let Some(&query) = self.desk.tickets.get(&ticket) {
                     self.desk.counters.add("queries", "client_gone");
@@ -393,7 +515,7 @@
         }
     }
 
-    fn take(&mut self, now: At, ticket: u64, asked: Asked, then: Then) {
+    fn take(&mut self, now: At, ticket: u64, asked: Asked, then: Then, lent: Option<Lent>) {
         let Asked { id, vertical, ends, parts, text } = asked;
         let ids: Vec<Rc<str>> = parts.iter().map(|p| format!("{id}.{}", p.shard).into()).collect();
         let desk = &mut self.desk;
@@ -408,18 +530,31 @@
             return then(Final::Rejected { stay_away: Span::ZERO });
         }
         desk.counters.add("queries", "taken");
+        let further = lent.as_ref().map(|l| l.further);
         let query = Query(desk.queries.enter(&id));
         let indices: Vec<u32> = ids.iter().map(|p| desk.parts.enter(p)).collect();
         desk.tickets.insert(ticket, query.0);
-        desk.held_queries.insert(query.0, HeldQuery { ticket, then: Some(then), parts: indices.clone() });
+        desk.held_queries
+            .insert(query.0, HeldQuery { ticket, then: Some(then), parts: indices.clone(), vertical, lent });
         let works: Option<Vec<f64>> = parts.iter().map(|p| p.work).collect();
         let work = works.map(|w| w.iter().sum());
         for ((&index, id), part) in indices.iter().zip(ids).zip(&parts) {
-            let held =
-                HeldPart { id, query: query.0, shard: part.shard, text: text.clone(), value: None, calls: 0 };
+            let held = HeldPart {
+                id,
+                query: query.0,
+                shard: part.shard,
+                weight: part.weight,
+                work: part.work,
+                text: text.clone(),
+                value: None,
+                calls: 0,
+            };
             desk.held_parts.insert(index, held);
         }
         self.root.query(&mut self.desk, now, query, vertical, ends - now, work, parts.len() as f64);
+        if let Some(further) = further {
+            self.root.lent_to(query, further);
+        }
         for (index, part) in indices.into_iter().zip(parts) {
             self.root.part(&mut self.desk, now, Part(index), query, part.shard, part.weight, part.work);
         }
@@ -429,6 +564,10 @@
         self.desk.counters.add("leaf_calls", ending_name(ending));
         let Some(part) = self.desk.held_parts.get_mut(&call.0.0) else { return };
         if ending == Ending::Pass && part.value.is_none() {
+            let lent = self.desk.held_queries.get_mut(&part.query).and_then(|q| q.lent.as_mut());
+            if let (Some(lent), Some(value)) = (lent, &value) {
+                (lent.as_in)(part.shard, value);
+            }
             part.value = value;
         }
         self.root.ended(&mut self.desk, now, call.0, call.1, ending);
@@ -450,7 +589,8 @@
         let (free, share, span) = self.root.budget_terms();
         let purse = division::divide(free, share, span, longest, &mut known);
         self.root.finish_with(purse.further, now + purse.within);
-        let leaves = self.desk.held_leaves.iter().map(|(&index, held)| SeenLeaf {
+        let near = self.desk.held_leaves.iter().filter(|(_, l)| l.site.is_none());
+        let leaves = near.map(|(&index, held)| SeenLeaf {
             index,
             uid: self.desk.leaves.name(index).to_string(),
             address: held.address,
@@ -458,7 +598,7 @@
             started: held.started.map(|t| now - t),
             off: held.off.map(|t| now - t),
         });
-        Snapshot { taken_us, rev, leaves: leaves.collect(), known, lent: purse.further }
+        Snapshot { taken_us, rev, leaves: leaves.collect(), known, lent: (purse.further, purse.within) }
     }
 
     /// Goes on from what another process knew `passed` ago.
@@ -483,12 +623,13 @@
         let leaves = std::mem::take(&mut known.leaves);
         known.leaves = leaves.into_iter().filter_map(|(i, l)| Some((*indices.get(&i)?, l))).collect();
         self.root.learn_from(now, passed, known);
-        self.root.lend(snapshot.lent);
+        let (further, within) = snapshot.lent;
+        self.root.lend_to_old(further, now - passed + within);
     }
 
     /// The other process has ended, and made so many further calls of those lent.
     pub fn settle(&mut self, now: At, further: u32) {
-        self.root.settle(now, further);
+        self.root.settle_with_old(now, further);
         self.open_elsewhere = 0;
     }
 
@@ -531,11 +672,16 @@
         self.desk.counters.add("discovery", if whole { "whole_list" } else { "changes" });
         self.root.list_begin(whole);
         if whole {
-            self.desk.held_leaves.values_mut().for_each(|l| l.off = l.off.or(Some(at)));
+            let near = self.desk.held_leaves.values_mut().filter(|l| l.site.is_none());
+            near.for_each(|l| l.off = l.off.or(Some(at)));
+            // Other sites are not discovery's to name.
+            for (&leaf, held) in self.desk.held_leaves.iter().filter(|(_, l)| l.site.is_some()) {
+                self.root.leaf(Leaf(leaf), held.cell, true, None);
+            }
         }
         for Listed { uid, address, cell, up, started } in rows {
             let leaf = Leaf(self.desk.leaves.enter(&uid));
-            let fresh = HeldLeaf { address: None, cell, started, off: Some(at) };
+            let fresh = HeldLeaf { address: None, cell, started, site: None, off: Some(at) };
             let held = self.desk.held_leaves.entry(leaf.0).or_insert(fresh);
             (held.cell, held.started) = (cell, started);
             held.off = if up { None } else { held.off.or(Some(at)) };
--- a/crates/pipitcrank-node/src/hall.rs
+++ b/crates/pipitcrank-node/src/hall.rs
@@ -107,7 +107,7 @@
 
     /// Takes turns for ever. What happens within one `tick` shares a turn, as the module is used to: the first
     /// event after a pause is handled at once.
-    pub async fn take_turns(&self, tick: Span, leaf_side: &RefCell<impl LeafSide>) {
+    pub async fn take_turns(&self, tick: Span, leaf_side: &RefCell<dyn LeafSide>) {
         let mut earliest = At::default();
         loop {
             let due =
--- a/crates/pipitcrank-node/src/serve.rs
+++ b/crates/pipitcrank-node/src/serve.rs
@@ -1,12 +1,13 @@
 //! The co-ordinator on sockets: starts what it is made of, joins it, and ends in order.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::os::unix::net::UnixStream as StdStream;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
+use pipitcrank::time::Span;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -16,7 +17,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::discovery;
-use crate::exchange::Exchange;
+use crate::exchange::{Exchange, LeafSide};
 use crate::front::{self, Door, Knock};
 use crate::gate::{self, Order};
 use crate::hall::{Hall, Sockets};
@@ -32,9 +33,28 @@
     Ok((path, text))
 }
 
+/// What stands beside the near leaf side is made of.
+pub struct Ground {
+    pub hall: Rc<Hall>,
+    pub leaves: Rc<RefCell<Leaves>>,
+    pub verticals: Vec<String>,
+    pub shards: u32,
+    pub cells: u32,
+    /// How long a query may be held.
+    pub longest: Span,
+    pub tickets: Arc<AtomicU64>,
+}
+
+/// Makes a leaf side that also reaches what near leaves are not, such as other sites.
+pub type Beside = Box<dyn FnOnce(Ground) -> Rc<RefCell<dyn LeafSide>>>;
+
 /// Serves until asked to end, or until all has passed to another process. Under a keeper its link comes along; the
 /// listener then is the keeper's.
-pub async fn serve(clock: Clock, keeper: Option<StdStream>) -> Result<(), Box<dyn Error>> {
+pub async fn serve(
+    clock: Clock,
+    keeper: Option<StdStream>,
+    beside: Option<Beside>,
+) -> Result<(), Box<dyn Error>> {
     // Before all else: unheeded, the signal ends the process.
     let hangups = signal(SignalKind::hangup())?;
     let (path, text) = charter_text()?;
@@ -50,6 +70,7 @@
     let (knocks, knocked) = unbounded_channel();
     let (call_end, end_called) = watch::channel(None);
     let tickets = Arc::new(AtomicU64::new(0));
+    let door_tickets = tickets.clone();
     let verticals = charter.verticals()?;
     let worker_verticals = verticals.len();
     let router = front::router(Door {
@@ -120,9 +141,21 @@
         std::future::pending::<()>().await;
     });
     tokio::task::spawn_local(hear(hall.clone(), relay.clone(), knocked));
+    let leaf_side: Rc<RefCell<dyn LeafSide>> = match beside {
+        None => leaves,
+        Some(beside) => beside(Ground {
+            hall: hall.clone(),
+            leaves,
+            verticals: charter.verticals()?,
+            shards: charter.shards()?,
+            cells: charter.cells()?,
+            longest: charter.longest()?,
+            tickets: door_tickets,
+        }),
+    };
     let quiet = || hall.ask(Exchange::quiet) && relay.quiet();
     tokio::select! {
-        () = hall.take_turns(tick, &leaves) => {}
+        () = hall.take_turns(tick, &leaf_side) => {}
         () = gate::keep(ordered, router, for_clients, counters.clone(), gate::STAY, end_called, quiet) => {}
     }
     tracing::info!("counters at exit:\n{}", counters.show());
--- a/crates/pipitcrank-node/src/worker.rs
+++ b/crates/pipitcrank-node/src/worker.rs
@@ -234,7 +234,7 @@
     fn hand_over(&self, new: &mut New) {
         let now = self.hall.clock.now();
         let snapshot = self.hall.tell(|e| e.hand_over(now, mono_us(), self.rev.get(), self.longest));
-        new.kept = snapshot.lent;
+        new.kept = snapshot.lent.0;
         let bytes = snapshot.encode().unwrap_or_else(|e| {
             tracing::error!("what is known can't be handed over: {e}");
             Vec::new()
@@ -321,7 +321,7 @@
                 );
                 self.first_list.take();
                 self.rev.set(snapshot.rev);
-                let lent = snapshot.lent;
+                let lent = snapshot.lent.0;
                 self.hall.tell(|e| e.go_on_from(now, passed, snapshot));
                 (self.list_known)();
                 lent
--- a/crates/pipitcrank-node/tests/leaves.rs
+++ b/crates/pipitcrank-node/tests/leaves.rs
@@ -69,7 +69,7 @@
         let hall = Rc::new(Hall::new(clock, counters, Sockets::new(sockets), exchange));
         let leaves = Leaves::new(hall.clone(), streams, way, idle);
         let (turns, side) = (hall.clone(), leaves.clone());
-        tokio::task::spawn_local(async move { turns.take_turns(TICK, &side).await });
+        tokio::task::spawn_local(async move { turns.take_turns(TICK, &*side).await });
         Stage { hall, leaves, accepted, asked: 0 }
     }
 
--- a/crates/pipitcrank-operators/src/lib.rs
+++ b/crates/pipitcrank-operators/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! Absent as a whole, all of it is off.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -21,9 +22,25 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operators {
     pub upgrade: Option<Upgrade>,
+    pub gateway: Option<Gateway>,
     pub logs: Logs,
 }
 
+/// Gateway between sites.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Gateway {
+    /// This site's own name.
+    pub site: String,
+    /// Where other sites' links are taken.
+    pub listen: SocketAddr,
+    /// Other sites: name and where their links are taken.
+    pub sites: Vec<(String, SocketAddr)>,
+    /// Connections kept to each.
+    pub connections: u16,
+    /// What near leaves are preferred by, beside the way's own time.
+    pub prefer_near: Duration,
+}
+
 /// Upgrade under load: how long its steps may take.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Upgrade {
@@ -50,6 +67,7 @@
 #[serde(deny_unknown_fields)]
 struct File {
     upgrade: Option<UpgradeForm>,
+    gateway: Option<GatewayForm>,
     logs: Option<LogsForm>,
 }
 
@@ -62,6 +80,23 @@
     finish_s: f64,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GatewayForm {
+    site: String,
+    listen: String,
+    sites: Vec<SiteForm>,
+    connections: u16,
+    prefer_near_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SiteForm {
+    name: String,
+    address: String,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct LogsForm {
@@ -111,8 +146,62 @@
 impl File {
     fn checked(self) -> Result<Operators, Faulty> {
         let upgrade = self.upgrade.map(UpgradeForm::checked).transpose()?;
+        let gateway = self.gateway.map(GatewayForm::checked).transpose()?;
         let logs = self.logs.map_or(Logs::default(), |l| Logs { json: l.json, levels: l.levels });
-        Ok(Operators { upgrade, logs })
+        Ok(Operators { upgrade, gateway, logs })
+    }
+}
+
+/// Longest name of a site, as the link has it.
+const LONGEST_NAME: usize = 64;
+
+fn name(key: &str, name: &str) -> Result<(), Faulty> {
+    let good = !name.is_empty() && name.len() <= LONGEST_NAME && name.bytes().all(|b| b.is_ascii_graphic());
+    let what = || format!("is '{name}', not 1 to {LONGEST_NAME} visible ASCII characters");
+    if good { Ok(()) } else { Err(Faulty { key: key.to_string(), what: what() }) }
+}
+
+/// Links are not encrypted yet, so they stay on the machine.
+fn address(key: &str, address: &str) -> Result<SocketAddr, Faulty> {
+    let wrong = |what: &str| Faulty { key: key.to_string(), what: format!("is '{address}', {what}") };
+    let found: SocketAddr = address.parse().map_err(|_| wrong("no address and port"))?;
+    if found.ip().is_loopback() {
+        Ok(found)
+    } else {
+        Err(wrong("not on loopback, and links are not encrypted yet"))
+    }
+}
+
+impl GatewayForm {
+    fn checked(self) -> Result<Gateway, Faulty> {
+        name("/gateway/site", &self.site)?;
+        let mut sites: Vec<(String, SocketAddr)> = Vec::new();
+        for (n, site) in self.sites.iter().enumerate() {
+            let key = format!("/gateway/sites/{n}/name");
+            name(&key, &site.name)?;
+            if site.name == self.site || sites.iter().any(|(known, _)| *known == site.name) {
+                return Err(Faulty { key, what: format!("'{}' stands there twice", site.name) });
+            }
+            sites.push((site.name.clone(), address(&format!("/gateway/sites/{n}/address"), &site.address)?));
+        }
+        // Each has a candidate a cell and a task a connection.
+        if sites.len() > 16 {
+            return Err(Faulty {
+                key: "/gateway/sites".into(),
+                what: format!("are {}, over 16", sites.len()),
+            });
+        }
+        if !(1..=8).contains(&self.connections) {
+            let what = format!("is {}, not from 1 to 8", self.connections);
+            return Err(Faulty { key: "/gateway/connections".into(), what });
+        }
+        Ok(Gateway {
+            site: self.site,
+            listen: address("/gateway/listen", &self.listen)?,
+            sites,
+            connections: self.connections,
+            prefer_near: time("/gateway/prefer_near_s", self.prefer_near_s, 0.0, 10.0)?,
+        })
     }
 }
 
@@ -166,6 +255,28 @@
         }
     }
 
+    const GATEWAY: &str = "{ gateway = Some { site = \"north\", listen = \"127.0.0.1:7001\", connections = 2
+        , prefer_near_s = 0.02, sites = [ { name = \"south\", address = \"127.0.0.1:7002\" } ] } }";
+
+    #[test]
+    fn a_gateway_stays_on_loopback_and_each_site_has_a_name_of_its_own() {
+        let read = Operators::parse(GATEWAY).unwrap().gateway.unwrap();
+        assert_eq!(read.sites, [("south".to_string(), "127.0.0.1:7002".parse().unwrap())]);
+        for (from, to, key) in [
+            ("127.0.0.1:7002", "192.0.2.1:7002", "/gateway/sites/0/address"),
+            ("127.0.0.1:7001", "0.0.0.0:7001", "/gateway/listen"),
+            ("127.0.0.1:7001", "here", "/gateway/listen"),
+            ("south", "north", "/gateway/sites/0/name"),
+            ("south", "", "/gateway/sites/0/name"),
+            ("north", "no rth", "/gateway/site"),
+            ("connections = 2", "connections = 0", "/gateway/connections"),
+            ("0.02", "-0.02", "/gateway/prefer_near_s"),
+        ] {
+            let wrong = Operators::parse(&GATEWAY.replace(from, to)).unwrap_err();
+            assert_eq!(wrong.key, key, "{wrong}");
+        }
+    }
+
     #[test]
     fn a_file_that_is_not_there_is_named() {
         let wrong = Operators::read(Path::new("/nowhere/operators.dhall")).unwrap_err();
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -11,6 +11,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 pub mod known;
+mod lending;
+mod sites;
 
 use crate::chance::Chance;
 use crate::ids::{Effect, Ending, Leaf, Part, Query, Vertical};
@@ -134,9 +136,10 @@
     /// Times of arrivals and of further calls; emptied as they leave the window.
     taken: VecDeque<At>,
     further: VecDeque<At>,
-    /// Where two processes are one co-ordinator: calls lent to the other; or all that this one may make, and until
-    /// when; none before `shut`.
-    lent: f64,
+    /// Calls that others may make for this co-ordinator until then, by who; each ends when that is told, or counts as
+    /// made when its time is over.
+    lent: BTreeMap<u64, (u32, At)>,
+    /// Where another process has the budget: all that this one may make, and until when; none before `shut`.
     purse: Option<(f64, At)>,
     shut: At,
 }
@@ -147,8 +150,12 @@
         Budget { share, free, span, shut: At::from_us(i64::MIN), ..Budget::default() }
     }
 
-    /// Further calls that may be made now.
+    /// Further calls that may be made now. What is lent may be made at any time until it ends, so only arrivals count
+    /// that still do then. Guards against two who spend in turn more than one window allows.
     pub fn left(&mut self, now: At) -> f64 {
+        for (_, (n, until)) in self.lent.extract_if(.., |_, l| l.1 <= now) {
+            (0..n).for_each(|_| self.further.push_back(until));
+        }
         // An arrival on the window's edge is taken as out, a further call on it as in.
         self.taken.retain(|&t| now - t < self.span);
         self.further.retain(|&t| now - t <= self.span);
@@ -164,7 +171,7 @@
                     0.0
                 }
             }
-            None => self.free + self.share * self.taken.len() as f64 - self.further.len() as f64 - self.lent,
+            None => self.lasting(self.lent.values().map(|l| l.1).max().unwrap_or(now)),
         }
     }
 
@@ -178,11 +185,6 @@
         self.left(now);
         self.taken.push_back(now);
     }
-
-    /// So many may be made by another process.
-    pub fn lend(&mut self, further: f64) {
-        self.lent = further;
-    }
 }
 
 /// Rule 4: what this co-ordinator may send to a leaf that has just started.
@@ -255,6 +257,9 @@
     probed: Option<(At, bool)>,
     /// Left out as faulty, and to be tried again from then on.
     trial_at: Option<At>,
+    /// It stands for the leaves of one cell at another site: the time that the hop there and back costs, none while
+    /// nothing may go there.
+    far: Option<Option<Span>>,
     /// Work sent while cold; emptied as it leaves the fail-back window.
     sent_cold: VecDeque<(At, f64)>,
 }
@@ -284,7 +289,12 @@
     /// (ie11df8); what is out and not back shows one before any answer does.
     fn lag_now(&self, now: At, rate: f64, usual: f64) -> f64 {
         let heard = if now - self.lag.1 < Self::KNOWN { drained(self.lag, now) } else { usual };
-        self.out.values().map(|o| (now - o.at).s() - rate * o.ahead).fold(heard, f64::max)
+        self.out.values().map(|o| (now - o.at - self.hop()).s() - rate * o.ahead).fold(heard, f64::max)
+    }
+
+    /// What of an answer's time is the way, and not the leaf's.
+    fn hop(&self) -> Span {
+        self.far.flatten().unwrap_or(Span::ZERO)
     }
 
     /// Own calls out; parts that share a call count once.
@@ -313,9 +323,15 @@
     sent: Vec<Sent>,
     waits: bool,
     done: bool,
+    /// Leaf calls that another site made for it, or may make.
+    elsewhere: u32,
 }
 
 impl PartState {
+    fn tried(&self) -> u32 {
+        self.sent.len() as u32 + self.elsewhere
+    }
+
     fn out(&self) -> usize {
         self.sent.iter().filter(|s| s.out).count()
     }
@@ -339,6 +355,8 @@
     /// 0 in the first step, 1 in the second; whether the first was whole.
     step: u8,
     first_whole: bool,
+    /// Asked by another site: further calls left of those it lends, and made.
+    lent: Option<(u32, u32)>,
 }
 
 #[derive(Default)]
@@ -440,7 +458,7 @@
         for (&id, state) in self.leaves.iter().filter(|(_, l)| l.listed) {
             self.cover.by_cell[(state.cell % self.cover.cells) as usize].push(id);
         }
-        self.listed = self.leaves.values().filter(|l| l.listed).count();
+        self.listed = self.leaves.values().filter(|l| l.listed && l.far.is_none()).count();
         let gone = self.leaves.iter().filter(|(_, l)| !l.listed && l.out.is_empty()).map(|(&id, _)| id);
         for id in gone.collect::<Vec<_>>() {
             self.drop_leaf(port, id);
@@ -512,8 +530,10 @@
         weight: f64,
         work: Option<f64>,
     ) {
-        self.budget.take(now);
         let Some(open) = self.queries.get_mut(&query) else { return port.let_go_part(id) };
+        if open.lent.is_none() {
+            self.budget.take(now);
+        }
         open.parts.push(id);
         // Hints compare a query's parts well, but queries badly: a part's work is the usual of its vertical,
         // by its share of the query's hint.
@@ -521,12 +541,26 @@
         let share = work.zip(open.a_part).map_or(1.0, |(part, mean)| (part / mean).clamp(0.2, 5.0));
         let work = usual * share * open.size;
         let vertical = open.vertical;
-        let part =
-            PartState { query, vertical, shard, weight, work, sent: Vec::new(), waits: true, done: false };
+        let part = PartState {
+            query,
+            vertical,
+            shard,
+            weight,
+            work,
+            sent: Vec::new(),
+            waits: true,
+            done: false,
+            elsewhere: 0,
+        };
         self.parts.insert(id, part);
         self.moved = true;
     }
 
+    /// Whether a leaf can be meant for parts of that query at all.
+    fn reached(&self, leaf: Leaf, lent: bool) -> bool {
+        self.leaves[&leaf].far.is_none_or(|hop| hop.is_some() && !lent)
+    }
+
     fn terms(&self, open: &Open) -> &Terms {
         &self.trades[open.vertical.0 as usize].terms
     }
@@ -650,7 +684,10 @@
 
     /// Rules 1, 2 and 6 for one more leaf call of the part.
     fn may_go(&mut self, now: At, id: Part) -> bool {
-        self.could_go(now, id) && (self.parts[&id].sent.is_empty() || self.budget.left(now) >= 1.0)
+        let lent = self.queries.get(&self.parts[&id].query).and_then(|q| q.lent);
+        let further =
+            |root: &mut Root| lent.map_or_else(|| root.budget.left(now), |(n, _)| f64::from(n)) >= 1.0;
+        self.could_go(now, id) && (self.parts[&id].sent.is_empty() || further(self))
     }
 
     /// Rules 1 and 2 alone: an exhausted budget refills.
@@ -667,16 +704,18 @@
         effect_ok
             && !part.done
             && now < open.ends - self.tick
-            && (part.sent.len() as u32) < self.tries.limit
+            && part.tried() < self.tries.limit
             && (part.out() == 0 || self.tries.may_duplicate)
     }
 
     fn leaf_call(&mut self, port: &mut dyn Port, now: At, id: Part, leaf: Leaf) {
         let part = self.parts.get_mut(&id).expect("sent parts are held");
-        let open = &self.queries[&part.query];
+        let open = self.queries.get_mut(&part.query).expect("parts that may go have open queries");
         let nth = part.sent.len() as u32;
-        if nth > 0 {
-            self.budget.spend(now);
+        match open.lent.as_mut().filter(|_| nth > 0) {
+            Some((left, made)) => (*left, *made) = (left.saturating_sub(1), *made + 1),
+            None if nth > 0 => self.budget.spend(now),
+            None => {}
         }
         part.sent.push(Sent { leaf, at: now, out: true, never_ran: false });
         part.waits = false;
@@ -718,6 +757,14 @@
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
         let Out { at, work, ahead, .. } = state.out.remove(&(part, nth)).expect("calls out are listed");
         match ending {
+            // What a far site takes beside its hop is its lag; it tells nothing of how leaves work.
+            Ending::Pass if state.far.is_some() => {
+                let took = (now - at - state.hop()).s().max(0.0);
+                state.faults *= 1.0 - LeafState::NEWEST;
+                let lag = (took - self.rate.0.unwrap_or(1.0) * ahead).max(0.0);
+                state.lag = (state.lag.0 + LeafState::NEWEST * (lag - state.lag.0), now);
+                state.trial_at = state.trial_at.filter(|_| state.faults >= LeafState::FAULTY);
+            }
             Ending::Pass => {
                 let took = (now - at).s().max(1e-6);
                 let pace = (took / ahead.max(1e-3)).min(20.0);
@@ -813,7 +860,9 @@
     /// against others' load, slow and silent leaves, which one co-ordinator of many sees too rarely.
     fn scouted(&mut self, port: &mut dyn Port, now: At, parts: &[Part]) -> bool {
         let (mut sent, mut all) = (false, true);
-        for leaf in self.holders(parts) {
+        // Far sites are measured on their links.
+        let near = |l: &Leaf| self.leaves[l].far.is_none();
+        for leaf in self.holders(parts).into_iter().filter(near).collect::<Vec<_>>() {
             let state = self.leaves.get_mut(&leaf).expect("holders are held");
             if state.probed.is_none_or(|(at, _)| now - at >= Self::FRESH) {
                 state.probed = Some((now, true));
@@ -954,7 +1003,9 @@
 
     /// When all holders of the parts would have answered if the work could be spread evenly over them.
     fn level(&self, now: At, parts: &[Part]) -> Span {
-        let usable = self.holders(parts).into_iter().filter(|l| self.leaves[l].trial_at.is_none());
+        let lent = parts.first().is_some_and(|p| self.queries[&self.parts[p].query].lent.is_some());
+        let reached = |l: &Leaf| self.reached(*l, lent) && self.leaves[l].trial_at.is_none();
+        let usable = self.holders(parts).into_iter().filter(reached);
         let mut ready: Vec<f64> = usable.map(|l| self.expected(now, l, &Plan::new(), 0.0).s()).collect();
         ready.sort_by(f64::total_cmp);
         let (mut sum, mut level) = (self.work(parts) * self.rate.0.unwrap_or(1.0), f64::INFINITY);
@@ -975,7 +1026,7 @@
         let usual = drained(self.lag, now);
         let planned = plan.get(&leaf).map_or(0.0, |b| self.work(b) + self.cover.call_cost);
         let ahead = state.work_out(self.cover.call_cost) + planned + self.cover.call_cost + work;
-        Span::from_s(state.lag_now(now, rate, usual) + rate * ahead)
+        Span::from_s(state.lag_now(now, rate, usual) + rate * ahead) + state.hop()
     }
 
     /// Parts that the leaf would take along with `first`, within its room for work.
@@ -1000,7 +1051,8 @@
     fn candidates(&self, now: At, id: Part, plan: &Plan) -> Vec<(Leaf, f64)> {
         let part = &self.parts[&id];
         let mut who: Vec<Leaf> = self.cover.holders(part.shard).collect();
-        who.retain(|l| !part.sent.iter().any(|s| s.leaf == *l && s.out));
+        let lent = self.queries[&part.query].lent.is_some();
+        who.retain(|l| self.reached(*l, lent) && !part.sent.iter().any(|s| s.leaf == *l && s.out));
         let narrow = |who: &mut Vec<Leaf>, keep: &dyn Fn(&Leaf) -> bool| {
             if who.iter().any(keep) {
                 who.retain(keep);
@@ -1066,7 +1118,8 @@
             let Some(nth) = state.sent.iter().rposition(|s| s.out) else { continue };
             let out = &self.leaves[&state.sent[nth].leaf].out[&(part, nth as u32)];
             let late = now - out.at
-                > (Span::from_s(out.ahead * self.overdue.0.unwrap_or(1.0)) + Self::GRACE).min(latest);
+                > (Span::from_s(out.ahead * self.overdue.0.unwrap_or(1.0)) + Self::GRACE).min(latest)
+                    + self.leaves[&state.sent[nth].leaf].hop();
             if late && !state.waits && self.may_go(now, part) {
                 self.parts.get_mut(&part).expect("open queries hold their parts").waits = true;
             }
--- a/crates/pipitcrank/src/decide/known.rs
+++ b/crates/pipitcrank/src/decide/known.rs
@@ -145,17 +145,19 @@
         self.fail_back.shut = At::from_us(i64::MAX);
     }
 
-    /// Another process may make so many further calls.
-    pub fn lend(&mut self, further: u32) {
-        self.budget.lend(f64::from(further));
+    /// The process that hands over may make so many further calls, until then.
+    pub fn lend_to_old(&mut self, further: u32, until: At) {
+        self.budget.lend(Self::OLD, further, until);
     }
 
-    /// The other process is gone and made so many.
-    pub fn settle(&mut self, now: At, further: u32) {
-        self.budget.lent = 0.0;
-        (0..further).for_each(|_| self.budget.spend(now));
+    /// It is gone and made so many.
+    pub fn settle_with_old(&mut self, now: At, further: u32) {
+        self.budget.settle(now, Self::OLD, further);
     }
 
+    /// The old process, among those that further calls are lent to.
+    const OLD: u64 = u64::MAX;
+
     /// How many of those lent to this process are left.
     pub fn purse_left(&self) -> u32 {
         self.budget.purse.map_or(0, |(n, _)| n.max(0.0) as u32)
@@ -164,7 +166,8 @@
     /// Alone again, and what the other process did is not known: it is held to have used all it might, so nothing
     /// of a kind goes until the longest window in which that counts has passed.
     pub fn alone_again(&mut self, now: At) {
-        (self.budget.purse, self.budget.lent) = (None, 0.0);
+        self.budget.purse = None;
+        self.budget.lent.clear();
         self.budget.shut = now + self.budget.span;
         self.fail_back.shut = now + self.fail_back.window;
         self.moved = true;
--- /dev/null
+++ b/crates/pipitcrank/src/decide/lending.rs
@@ -0,0 +1,42 @@
+//! Further calls lent to others: to the old process of an upgrade, to another site for the parts it was sent. Whoever has
+//! them may make them at any time until they end, so both together have to keep rule 6 whenever that is.
+
+use super::Budget;
+use crate::time::{At, Span};
+
+impl Budget {
+    /// The same with those arrivals alone that count at that time.
+    pub(super) fn lasting(&self, by: At) -> f64 {
+        let taken = self.taken.iter().filter(|&&t| by - t < self.span).count();
+        let lent: u32 = self.lent.values().map(|l| l.0).sum();
+        self.free + self.share * taken as f64 - self.further.len() as f64 - f64::from(lent)
+    }
+
+    /// Most of what is left that is lent at once: others' parts may need further calls as well.
+    const LENT_SHARE: f64 = 0.25;
+
+    /// Lends up to so many until then, which has to come within the window; how many.
+    pub fn lend_some(&mut self, now: At, who: u64, most: u32, until: At) -> u32 {
+        if self.span == Span::ZERO {
+            return most;
+        }
+        let by = self.lent.values().map(|l| l.1).max().unwrap_or(until).max(until);
+        let left = if self.left(now) < 1.0 || until - now > self.span { 0.0 } else { self.lasting(by) };
+        let n = ((left * Self::LENT_SHARE).floor().max(0.0) as u32).min(most);
+        if n > 0 {
+            self.lent.insert(who, (n, until));
+        }
+        n
+    }
+
+    pub fn lend(&mut self, who: u64, n: u32, until: At) {
+        self.lent.insert(who, (n, until));
+    }
+
+    /// Whoever it was lent to made so many; nothing where its time is over, as then all count.
+    pub fn settle(&mut self, now: At, who: u64, made: u32) {
+        if let Some((n, _)) = self.lent.remove(&who) {
+            (0..made.min(n)).for_each(|_| self.further.push_back(now));
+        }
+    }
+}
--- a/deploy/operators.dhall
+++ b/deploy/operators.dhall
@@ -14,6 +14,19 @@
       , default = { start_s = 10.0, settle_s = 5.0, silent_s = 2.0, finish_s = 30.0 }
       }
 
+let Site = { name : Text, address : Text }
+
+let Gateway =
+      { Type =
+          { site : Text -- this site's name
+          , listen : Text -- where other sites' links are taken; loopback alone until links are encrypted
+          , sites : List Site -- the others, and where they take links
+          , connections : Natural -- kept to each of them
+          , prefer_near_s : Double -- what near leaves are preferred by, beside the way's own time
+          }
+      , default = { sites = [] : List Site, connections = 2, prefer_near_s = 0.02 }
+      }
+
 let Logs =
       { Type =
           { json : Bool -- one JSON object a line, else plain lines
@@ -22,8 +35,10 @@
       , default = { json = False, levels = "info" }
       }
 
-in  { Type = { upgrade : Optional Upgrade.Type, logs : Optional Logs.Type }
-    , default = { upgrade = None Upgrade.Type, logs = None Logs.Type }
+in  { Type = { upgrade : Optional Upgrade.Type, gateway : Optional Gateway.Type, logs : Optional Logs.Type }
+    , default = { upgrade = None Upgrade.Type, gateway = None Gateway.Type, logs = None Logs.Type }
     , Upgrade
+    , Site
+    , Gateway
     , Logs
     }
