Gateway trial on three sites; indices used again no longer mix up calls or lent further calls

Need: the gateway had no trial, and its parts were proved one by one only. The first runs of its tests in a debug build panicked: further calls lent with a part were settled after that part's index had another part, which wrapped unnoticed in a release build. The same could happen to a call queued for a connection: given up, its number taken by another part, it could go out or be ended in that one's place.

Change: lent calls are settled by part and id; a call is released once and to its own leaf, and ended as never begun only if it is still that leaf's. The rig has a link that delays, stalls in one direction, breaks, cuts within frames. Tests: one trouble each, the far side on a socket against a peer cut at each byte, the budget of both ends by proptest, what is known from one exchange to the next.

--- /dev/null
+++ b/crates/pipitcrank-cli/tests/gateway.rs
@@ -0,0 +1,65 @@
+//! Three sites of the whole program, one trouble of the way or of the other side a test, on stand-ins from the rig. Each
+//! asks that no query is lost, no side-effecting part runs twice at any site, and near and far together keep the budget.
+
+use std::path::Path;
+use std::time::Duration;
+
+use pipitcrank_rig::trial::gateway::{Trouble, through};
+use pipitcrank_rig::trial::on_one_thread;
+
+fn survives(seed: u64, trouble: Trouble) {
+    let program = Path::new(env!("CARGO_BIN_EXE_pipitcrank"));
+    let outcome = on_one_thread(Duration::from_secs(90), through(program, seed, trouble)).unwrap();
+    assert!(outcome.broken.is_empty(), "{:?} {:?}", outcome.broken, outcome.figures);
+}
+
+#[test]
+fn a_far_site_that_accepts_and_goes_silent() {
+    survives(201, Trouble::Stalls);
+}
+
+#[test]
+fn answers_that_do_not_come_back() {
+    survives(202, Trouble::StallsBack);
+}
+
+#[test]
+fn a_link_that_flaps() {
+    survives(203, Trouble::Flaps);
+}
+
+#[test]
+fn links_cut_within_frames() {
+    survives(204, Trouble::CutWithin);
+}
+
+#[test]
+fn a_round_trip_that_goes_up_under_load() {
+    survives(205, Trouble::SlowWay);
+}
+
+#[test]
+fn a_far_site_that_is_killed_and_one_that_is_restarted() {
+    survives(206, Trouble::Killed);
+    survives(207, Trouble::Restarted);
+}
+
+#[test]
+fn both_sites_forwarding_to_each_other() {
+    survives(208, Trouble::Mutual);
+}
+
+#[test]
+fn two_far_sites_of_which_the_better_one_changes() {
+    survives(209, Trouble::Swapped);
+}
+
+#[test]
+fn clients_that_leave() {
+    survives(210, Trouble::Leavers);
+}
+
+#[test]
+fn a_far_site_that_is_full() {
+    survives(211, Trouble::FarFull);
+}
--- a/crates/pipitcrank-gateway/src/near.rs
+++ b/crates/pipitcrank-gateway/src/near.rs
@@ -142,7 +142,7 @@
             None => {
                 let hall = self.side.hall.clone();
                 // Not at once: the exchange is in its turn.
-                tokio::task::spawn_local(async move { never_ran(&hall, parts) });
+                tokio::task::spawn_local(async move { never_began(&hall, leaf, parts) });
             }
         }
     }
@@ -169,8 +169,8 @@
     }
 }
 
-fn never_ran(hall: &Hall, parts: Vec<CallNo>) {
-    hall.tell(|e| parts.into_iter().for_each(|call| e.ended(call, Ending::NoRoute, None, None)));
+fn never_began(hall: &Hall, leaf: Leaf, parts: Vec<CallNo>) {
+    hall.tell(|e| parts.into_iter().for_each(|call| e.never_began(leaf, call)));
 }
 
 /// Tells the exchange what the route says, as often as heartbeats come.
@@ -278,9 +278,9 @@
 }
 
 fn refuse(side: &Side, lane: &Lane, job: Job) {
-    if let Job::Call(_, parts) = job {
+    if let Job::Call(leaf, parts) = job {
         lane.queued.set(lane.queued.get() - 1);
-        never_ran(&side.hall, parts);
+        never_began(&side.hall, leaf, parts);
     }
 }
 
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -148,6 +148,8 @@
 struct Out {
     leaf: Leaf,
     until: At,
+    /// Its frame is being written, or was.
+    released: bool,
 }
 
 /// What the module asked for, until the turn is over.
@@ -183,7 +185,7 @@
 impl Desk {
     /// Ends a call for the outside, and says at which leaf it was out; none if it has ended before.
     fn close(&mut self, call: CallNo) -> Option<Leaf> {
-        let Out { leaf, until } = self.out.remove(&call)?;
+        let Out { leaf, until, .. } = self.out.remove(&call)?;
         self.untils.remove(&(until, call));
         Some(leaf)
     }
@@ -215,7 +217,7 @@
         if let Some(lent) = lent.filter(|_| call.1 > 0) {
             lent.made.set(lent.made.get() + 1);
         }
-        self.out.insert(call, Out { leaf, until });
+        self.out.insert(call, Out { leaf, until, released: false });
         self.untils.insert((until, call));
         self.wishes.push(Wish::Call(leaf, call));
     }
@@ -277,6 +279,9 @@
     }
 }
 
+/// Parts that went, by index and id, how many further calls with them, and until when.
+type LentOut = (Vec<(Part, Rc<str>)>, u32, At);
+
 pub struct Exchange {
     root: Root,
     desk: Desk,
@@ -288,7 +293,7 @@
     call_size: usize,
     drain_grace: Span,
     /// Further calls lent with parts that went to another site; each leaves when they come back or their time is over.
-    lent: BTreeMap<u64, (Vec<Part>, u32, At)>,
+    lent: BTreeMap<u64, LentOut>,
     next_lent: u64,
 }
 
@@ -392,7 +397,14 @@
         let drained = held.is_none_or(|l| l.off.is_some_and(|at| now - at >= self.drain_grace));
         let mut going = Vec::new();
         parts.retain(|&call| {
-            let Some(Out { until, .. }) = self.desk.out.get(&call) else { return false };
+            // Guards against a call given up while it was queued, whose number another part's call has by now: that
+            // is its own leaf's, and goes out once.
+            let Some(Out { until, released, .. }) =
+                self.desk.out.get_mut(&call).filter(|out| out.leaf == leaf && !out.released)
+            else {
+                return false;
+            };
+            *released = true;
             let part = &self.desk.held_parts[&call.0.0];
             let open = self.desk.held_queries.contains_key(&part.query);
             if drained || !open || now >= *until {
@@ -406,6 +418,21 @@
         going
     }
 
+    /// A call queued for that leaf was never begun, and won't be. Guards against ending another part's call that has its
+    /// number by now and may be out: it would go out a second time.
+    pub fn never_began(&mut self, leaf: Leaf, call: CallNo) {
+        if self.desk.out.get(&call).is_some_and(|out| out.leaf == leaf && !out.released) {
+            self.ended(call, Ending::NoRoute, None, None);
+        }
+    }
+
+    /// Nothing of these has been written after all.
+    pub fn take_back(&mut self, parts: &[CallNo]) {
+        for call in parts {
+            self.desk.out.get_mut(call).into_iter().for_each(|out| out.released = false);
+        }
+    }
+
     // Other sites.
 
     /// Another site's leaves, one for each cell; nothing goes there before a hop is known.
@@ -447,7 +474,8 @@
             self.next_lent += 1;
             let ours: Vec<Part> = calls.iter().map(|c| c.0).collect();
             let further = self.root.lend(now, self.next_lent, &ours, until);
-            self.lent.insert(self.next_lent, (ours, further, until));
+            let named = calls.iter().map(|c| (c.0, self.desk.held_parts[&c.0.0].id.clone()));
+            self.lent.insert(self.next_lent, (named.collect(), further, until));
             let part = |c: &CallNo| &self.desk.held_parts[&c.0.0];
             all.push(Going {
                 id: self.desk.queries.name(query).to_string(),
@@ -469,6 +497,11 @@
         if let Some((parts, lent, until)) = self.lent.remove(&who)
             && now < until
         {
+            // Guards against a part that is over, whose index another has by now.
+            let held = |(part, id): &(Part, Rc<str>)| {
+                self.desk.held_parts.get(&part.0).is_some_and(|h| Rc::ptr_eq(&h.id, id))
+            };
+            let parts: Vec<Part> = parts.into_iter().filter(held).map(|(part, _)| part).collect();
             self.root.came_back(now, who, &parts, lent, made);
         }
     }
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -202,6 +202,7 @@
             for c in wire.carried.borrow_mut().iter_mut().filter(|c| parts.contains(&c.call)) {
                 c.id = None;
             }
+            hall.tell(|e| e.take_back(&parts));
             return Ok(Writing::Next(Job::Call(parts)));
         }
         Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/crates/pipitcrank-node/tests/exchange.rs
+++ b/crates/pipitcrank-node/tests/exchange.rs
@@ -1,6 +1,6 @@
 //! The exchange driven by hand: no socket, no clock but the one in the test.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,8 +8,9 @@
 use pipitcrank::ids::{Ending, Leaf, Vertical};
 use pipitcrank::time::{At, Span};
 use pipitcrank::told::Told;
+use pipitcrank_handover::snapshot::Snapshot;
 use pipitcrank_node::counters::Counters;
-use pipitcrank_node::exchange::{Asked, AskedPart, CallNo, Exchange, Final, LeafSide, Listed};
+use pipitcrank_node::exchange::{Asked, AskedPart, CallNo, Exchange, Final, LeafSide, Lent, Listed};
 use pipitcrank_node::frames::Report;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -436,3 +437,173 @@
         prop_assert!(stage.exchange.quiet());
     }
 }
+
+#[test]
+fn a_call_still_queued_under_a_number_that_another_has_now_neither_goes_nor_ends_that_one() {
+    let mut stage = Stage::set();
+    let ticket = stage.ask("first", 2, 0..1, 4000);
+    stage.turn(10);
+    let (leaf, queued) = stage.ledger.calls.remove(0);
+    // Its client leaves while it waits for its first byte; the next query's part gets its number.
+    stage.exchange.client_gone(ticket);
+    stage.turn(20);
+    stage.ask("second", 2, 0..1, 4000);
+    stage.turn(30);
+    let (now_at, calls) = stage.ledger.calls.remove(0);
+    assert_eq!(calls, queued, "the number is used again");
+    assert_eq!(stage.exchange.release(at(31), now_at, &mut calls.clone()).len(), 1);
+    assert!(stage.exchange.release(at(32), leaf, &mut queued.clone()).is_empty(), "once, to its own leaf");
+    stage.exchange.never_began(leaf, queued[0]);
+    stage.turn(33);
+    assert!(stage.ledger.calls.is_empty(), "a sale that is out is not sent again");
+    stage.exchange.ended(calls[0], Ending::Pass, Some("v".into()), None);
+    stage.turn(34);
+    assert_eq!(stage.answers.borrow().len(), 1);
+}
+
+/// What is known goes from one exchange to another, as it passes between processes.
+fn handed_over(stage: &mut Stage, ms: i64, longest: Span) -> Stage {
+    let snapshot = stage.exchange.hand_over(at(ms), 0, Some(9), longest);
+    let bytes = snapshot.encode().unwrap();
+    let mut new = Stage::set();
+    // The new one's clock began half a second ago.
+    new.exchange.go_on_from(at(500), Span::from_ms(100), Snapshot::decode(&bytes).unwrap());
+    new
+}
+
+#[test]
+fn a_drain_told_just_before_is_kept_by_who_goes_on() {
+    let mut stage = Stage::set();
+    stage.exchange.list(at(900), false, vec![listed(1, false)]);
+    // Not looked at yet when it hands over.
+    let mut new = handed_over(&mut stage, 1000, Span::from_ms(4000));
+    for n in 0..9 {
+        new.ask(&format!("q{n}"), 0, 0..1, 4000);
+    }
+    new.turn(510);
+    let drained: Vec<Leaf> =
+        new.ledger.met.iter().filter(|(_, a)| a.port() == 5001).map(|(l, _)| *l).collect();
+    assert!(!new.ledger.calls.is_empty());
+    assert!(new.ledger.calls.iter().all(|(leaf, _)| !drained.contains(leaf)), "no new work");
+}
+
+#[test]
+fn a_leaf_left_out_as_faulty_stays_so_for_who_goes_on() {
+    let mut stage = Stage::set();
+    let shunned = stage.ledger.met.iter().find(|(_, a)| a.port() == 5000).map(|(l, _)| *l).unwrap();
+    for n in 0..40 {
+        stage.ask(&format!("q{n}"), 0, 0..1, 3000 + n * 10);
+        stage.turn(n * 10);
+        for (leaf, calls) in std::mem::take(&mut stage.ledger.calls) {
+            let ending = if leaf == shunned { Ending::Fault } else { Ending::Pass };
+            calls.into_iter().for_each(|c| {
+                stage.exchange.ended(c, ending, (ending == Ending::Pass).then(|| "v".into()), None)
+            });
+        }
+        stage.turn(n * 10 + 5);
+    }
+    let mut new = handed_over(&mut stage, 401, Span::from_ms(4000));
+    let shunned = new.ledger.met.iter().find(|(_, a)| a.port() == 5000).map(|(l, _)| *l).unwrap();
+    for n in 0..8 {
+        new.ask(&format!("q{n}"), 0, 0..1, 4000);
+    }
+    new.turn(505);
+    assert!(
+        new.ledger.calls.iter().all(|(leaf, _)| *leaf != shunned),
+        "two in a row were seen by the old one"
+    );
+    let mut fresh = Stage::set();
+    for n in 0..8 {
+        fresh.ask(&format!("q{n}"), 0, 0..1, 4000);
+    }
+    fresh.turn(505);
+    assert!(fresh.ledger.calls.iter().any(|(leaf, _)| *leaf == shunned), "who knows nothing asks it");
+}
+
+#[test]
+fn who_hands_over_sends_nothing_to_a_cold_leaf_any_more() {
+    let mut stage = Stage::set();
+    let cold = |n| Listed { started: Some(at(990)), ..listed(n, true) };
+    stage.exchange.list(at(1000), true, (0..3).map(cold).collect());
+    stage.turn(1000);
+    stage.exchange.hand_over(at(1001), 0, None, Span::from_ms(4000));
+    stage.ask("q", 0, 0..1, 4000);
+    (1002..1050).step_by(5).for_each(|ms| stage.turn(ms));
+    assert!(stage.ledger.calls.is_empty(), "the allowance is the new one's");
+    stage.exchange.alone_again(at(1050));
+    (1055..2500).step_by(5).for_each(|ms| stage.turn(ms));
+    assert!(stage.ledger.calls.is_empty(), "what the other sent is not known for a window");
+    stage.ask("r", 0, 0..1, 5000);
+    (2551..2600).step_by(5).for_each(|ms| stage.turn(ms));
+    assert!(!stage.ledger.calls.is_empty(), "then it is as before");
+}
+
+#[test]
+fn a_far_site_gets_parts_only_at_a_known_cost_and_near_leaves_go_first() {
+    let mut stage = Stage::set();
+    let far = stage.exchange.add_site(0, "south", 3);
+    let asked_of = |stage: &mut Stage, name: &str, ms: i64| {
+        stage.ask(name, 0, 0..1, ms + 3000);
+        stage.turn(ms);
+        let calls = std::mem::take(&mut stage.ledger.calls);
+        calls.iter().flat_map(|(_, calls)| calls).for_each(|c| stage.pass(*c, "v"));
+        stage.turn(ms + 1);
+        calls.iter().map(|(leaf, _)| *leaf).collect::<Vec<_>>()
+    };
+    let near_gone: Vec<Listed> = (0..3).map(|n| listed(n, false)).collect();
+    assert!(asked_of(&mut stage, "a", 10).iter().all(|l| !far.contains(l)), "closed");
+    stage.exchange.set_hop(0, Some(Span::from_ms(100)));
+    for n in 0..5 {
+        assert!(
+            asked_of(&mut stage, &format!("b{n}"), 20 + 2 * n).iter().all(|l| !far.contains(l)),
+            "near ones are free"
+        );
+    }
+    stage.exchange.list(at(40), false, near_gone);
+    stage.turn(41);
+    assert!(!stage.exchange.able(), "a far site alone is not ours to be up by");
+    let (leaf, mut calls) = {
+        stage.ask("c", 0, 0..1, 3000);
+        stage.turn(50);
+        stage.ledger.calls.remove(0)
+    };
+    assert!(far.contains(&leaf));
+    let going = stage.exchange.forward(at(51), leaf, &mut calls);
+    assert_eq!((going.len(), &going[0].id[..], going[0].repeatable), (1, "c", true));
+    // Discovery's next whole list does not name sites: they stay.
+    stage.exchange.list(at(60), true, (0..3).map(|n| listed(n, false)).collect());
+    stage.turn(61);
+    assert!(far.contains(&asked_of(&mut stage, "d", 70)[0]));
+    stage.exchange.set_hop(0, None);
+    assert!(asked_of(&mut stage, "e", 80).is_empty(), "closed again, and nobody near");
+}
+
+#[test]
+fn another_sites_query_goes_to_no_third_and_makes_no_more_calls_than_lent() {
+    for further in [0, 1, 2] {
+        let mut stage = Stage::set();
+        let far = stage.exchange.add_site(0, "west", 3);
+        stage.exchange.set_hop(0, Some(Span::from_ms(1)));
+        let parts = vec![AskedPart { shard: 0, weight: 1.0, work: None }];
+        let asked =
+            Asked { id: "q@n".into(), vertical: Vertical(0), ends: at(3000), parts, text: "t".into() };
+        let (made, seen) = (Rc::new(Cell::new(0)), Rc::new(RefCell::new(Vec::new())));
+        let noted = seen.clone();
+        let as_in =
+            Box::new(move |shard: u32, value: &str| noted.borrow_mut().push((shard, value.to_string())));
+        stage.exchange.asked_by_site(1, asked, Lent { further, made: made.clone(), as_in }, Box::new(|_| ()));
+        let mut calls = 0;
+        for ms in (0..2000).step_by(5) {
+            stage.turn(ms);
+            for (leaf, parts) in std::mem::take(&mut stage.ledger.calls) {
+                assert!(!far.contains(&leaf), "hops are bounded");
+                calls += parts.len() as u32;
+                let ending = if calls <= further { Ending::Fault } else { Ending::Pass };
+                let value = (ending == Ending::Pass).then(|| "v".to_string());
+                parts.into_iter().for_each(|c| stage.exchange.ended(c, ending, value.clone(), None));
+            }
+        }
+        assert_eq!((calls, made.get()), (1 + further, further));
+        assert_eq!(seen.borrow()[..], [(0, "v".to_string())], "told as it was in");
+    }
+}
--- a/crates/pipitcrank-rig/src/client.rs
+++ b/crates/pipitcrank-rig/src/client.rs
@@ -103,7 +103,7 @@
     /// Asks, waits for the answer, and keeps the connection where it goes on.
     pub async fn ask(&self, question: Question) -> Option<Answer> {
         let begun = Instant::now();
-        self.ledger.asked(&question.id);
+        self.ledger.asked(&question.id, question.shards.len());
         let (answer, how) = match tokio::time::timeout(question.wait + SLACK, self.exchange(&question)).await
         {
             Ok(Ok(answer)) => {
@@ -117,6 +117,14 @@
         answer
     }
 
+    /// Asks, and leaves after a while without having read anything.
+    pub async fn ask_and_leave(&self, question: Question, after: Duration) {
+        if let Ok(mut stream) = connect(self.address).await {
+            let _ = stream.write_all(question.request().as_bytes()).await;
+            tokio::time::sleep(after).await;
+        }
+    }
+
     async fn exchange(&self, question: &Question) -> Result<Answer, Ended> {
         let kept = self.kept.borrow_mut().pop();
         let mut stream = match kept {
@@ -153,7 +161,7 @@
 
     /// Asks in pieces, cut at these bytes, waiting as told before each but the first.
     pub async fn ask_in_pieces(&mut self, question: Question, cuts: &[(usize, Duration)]) -> Ended {
-        self.ledger.asked(&question.id);
+        self.ledger.asked(&question.id, question.shards.len());
         let request = question.request();
         let mut from = 0;
         let mut how = None;
--- a/crates/pipitcrank-rig/src/fleet.rs
+++ b/crates/pipitcrank-rig/src/fleet.rs
@@ -14,7 +14,7 @@
 use crate::client::{Clients, Question};
 use crate::discovery::{Discovery, row};
 use crate::leaf::{Leaf, Work};
-use crate::ledger::Ledger;
+use crate::ledger::{Ended, Ledger};
 
 /// Cells, and leaves a cell; a shard is held by two cells.
 const CELLS: u32 = 6;
@@ -29,7 +29,11 @@
 
 impl Fleet {
     pub async fn start(seed: u64, work: Work) -> Result<Fleet> {
-        let ledger = Ledger::default();
+        Fleet::start_with(seed, work, Ledger::default()).await
+    }
+
+    /// With what its leaves run entered in a ledger that others share.
+    pub async fn start_with(seed: u64, work: Work, ledger: Ledger) -> Result<Fleet> {
         let (mut leaves, mut rows) = (Vec::new(), Vec::new());
         for n in 0..CELLS * LEAVES_A_CELL {
             let leaf = Leaf::start(seed ^ u64::from(n) << 32, work, ledger.clone()).await?;
@@ -69,6 +73,26 @@
     }
 }
 
+/// Utility of a vertical's whole answer, and its SLO time as the charter has it.
+fn utility(vertical: &str) -> (f64, Duration) {
+    match vertical {
+        "rank" => (3.0, Duration::from_secs(1)),
+        "sale" => (1.0, Duration::from_secs(3)),
+        _ => (1.0, Duration::from_secs(1)),
+    }
+}
+
+/// What a query earned, and might have: whole within the SLO time all, in part nine tenths of the least share, late 0.3.
+pub fn worth(id: &str, how: Ended, took: Duration) -> (f64, f64) {
+    let (all, slo) = utility(id.split('-').next().unwrap_or(""));
+    let share = match how {
+        Ended::Merged => 1.0,
+        Ended::MergedInPart => 0.9 * 0.8,
+        _ => 0.0,
+    };
+    (all * share * if took <= slo { 1.0 } else { 0.3 }, all)
+}
+
 /// An address that nobody else gets meanwhile: on a loopback address of this process's own, which no client's
 /// connection is made from.
 pub fn free_address() -> Result<SocketAddr> {
--- a/crates/pipitcrank-rig/src/ledger.rs
+++ b/crates/pipitcrank-rig/src/ledger.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
 
@@ -22,8 +22,12 @@
     Lost,
 }
 
-#[derive(Default)]
 struct Books {
+    start: Instant,
+    /// When each query was asked, and of how many parts.
+    asked: Vec<(Duration, usize)>,
+    /// When parts ran that had run before.
+    further: Vec<Duration>,
     /// By query: how it ended. One that is here without an end is open.
     queries: BTreeMap<String, Option<Ended>>,
     /// Queries answered more than once.
@@ -34,14 +38,41 @@
     /// What merged answers took.
     merged: Vec<Duration>,
     longest: Duration,
+    /// Utility earned and asked for.
+    worth: (f64, f64),
 }
 
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Ledger(Rc<RefCell<Books>>);
 
+impl Default for Ledger {
+    fn default() -> Ledger {
+        Ledger(Rc::new(RefCell::new(Books {
+            start: Instant::now(),
+            asked: Vec::new(),
+            further: Vec::new(),
+            queries: BTreeMap::new(),
+            answered_twice: 0,
+            runs: BTreeMap::new(),
+            took: None,
+            merged: Vec::new(),
+            longest: Duration::ZERO,
+            worth: (0.0, 0.0),
+        })))
+    }
+}
+
 impl Ledger {
-    pub fn asked(&self, id: &str) {
-        self.0.borrow_mut().queries.insert(id.to_string(), None);
+    pub fn asked(&self, id: &str, parts: usize) {
+        let mut books = self.0.borrow_mut();
+        let at = books.start.elapsed();
+        books.asked.push((at, parts));
+        books.queries.insert(id.to_string(), None);
+    }
+
+    /// A client that went away: nothing of its query counts.
+    pub fn left(&self, id: &str) {
+        self.0.borrow_mut().queries.remove(id);
     }
 
     pub fn ended(&self, id: &str, how: Ended, took: Duration) {
@@ -50,6 +81,8 @@
             Some(end @ None) => *end = Some(how),
             _ => books.answered_twice += 1,
         }
+        let (earned, all) = crate::fleet::worth(id, how, took);
+        books.worth = (books.worth.0 + earned, books.worth.1 + all);
         if matches!(how, Ended::Refused | Ended::Lost) {
             return;
         }
@@ -62,9 +95,37 @@
         let _ = histogram.record(took.as_micros() as u64);
     }
 
-    /// A leaf begins to work on the part.
+    /// A leaf begins to work on the part. What another site names `q@site....1` is part 1 of `q`.
     pub fn ran(&self, part: &str) {
-        *self.0.borrow_mut().runs.entry(part.to_string()).or_default() += 1;
+        let name = match (part.split_once('@'), part.rsplit_once('.')) {
+            (Some((query, _)), Some((_, shard))) => format!("{query}.{shard}"),
+            _ => part.to_string(),
+        };
+        let mut books = self.0.borrow_mut();
+        let runs = books.runs.entry(name).or_default();
+        *runs += 1;
+        if *runs > 1 {
+            let at = books.start.elapsed();
+            books.further.push(at);
+        }
+    }
+
+    /// The most by which further runs in any window were more than `free` and `share` of what was asked in it: nought
+    /// or below where the budget was kept. A run may lag its sending by `slack`.
+    pub fn over_budget(&self, free: f64, share: f64, window: Duration, slack: Duration) -> f64 {
+        let books = self.0.borrow();
+        let within = |times: &[Duration], from: Duration, to: Duration| {
+            times.partition_point(|t| *t <= to) - times.partition_point(|t| *t < from)
+        };
+        let mut asked = Vec::new();
+        for (at, parts) in &books.asked {
+            asked.extend(std::iter::repeat_n(*at, 1 + parts));
+        }
+        let over = books.further.iter().map(|&t| {
+            let made = within(&books.further, t.saturating_sub(window), t);
+            made as f64 - free - share * within(&asked, t.saturating_sub(window + slack), t) as f64
+        });
+        over.fold(-free, f64::max)
     }
 
     pub fn count(&self, how: Ended) -> u64 {
@@ -108,6 +169,12 @@
         soon as f64 / books.queries.len().max(1) as f64
     }
 
+    /// Utility in time over utility asked.
+    pub fn service(&self) -> f64 {
+        let (earned, all) = self.0.borrow().worth;
+        earned / all.max(1e-9)
+    }
+
     pub fn longest(&self) -> f64 {
         self.0.borrow().longest.as_secs_f64() * 1000.0
     }
@@ -121,7 +188,7 @@
     fn each_end_is_entered_once_and_second_ones_are_seen() {
         let ledger = Ledger::default();
         for id in ["a", "b", "c"] {
-            ledger.asked(id);
+            ledger.asked(id, 1);
         }
         ledger.ended("a", Ended::Merged, Duration::from_millis(5));
         ledger.ended("b", Ended::Lost, Duration::ZERO);
@@ -131,6 +198,11 @@
         for part in ["a.1", "a.1", "b.1"] {
             ledger.ran(part);
         }
-        assert_eq!((ledger.ran_again("a"), ledger.ran_again("b"), ledger.runs()), (1, 0, 3));
+        ledger.ran("c@north.7f.0.12.4");
+        ledger.ran("c.4");
+        assert_eq!(ledger.ran_again("c"), 1, "the same part, at another site");
+        assert!(ledger.over_budget(0.0, 0.0, Duration::from_secs(9), Duration::ZERO) >= 2.0);
+        assert!(ledger.over_budget(2.0, 0.0, Duration::from_secs(9), Duration::ZERO) <= 0.0);
+        assert_eq!((ledger.ran_again("a"), ledger.ran_again("b"), ledger.runs()), (1, 0, 5));
     }
 }
--- a/crates/pipitcrank-rig/src/lib.rs
+++ b/crates/pipitcrank-rig/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod fleet;
 pub mod leaf;
 pub mod ledger;
+pub mod link;
 pub mod process;
 pub mod trial;
--- a/crates/pipitcrank-rig/src/process.rs
+++ b/crates/pipitcrank-rig/src/process.rs
@@ -52,10 +52,20 @@
     pub finish: f64,
 }
 
+impl Steps {
+    /// An operators' file that turns upgrades on.
+    pub fn file(self) -> Option<String> {
+        let Steps { start, settle, silent, finish } = self;
+        Some(format!(
+            "{{ upgrade = Some {{ start_s = {start:?}, settle_s = {settle:?}, silent_s = {silent:?}, finish_s = {finish:?} }} }}"
+        ))
+    }
+}
+
 impl Process {
-    /// Starts a copy of the program. `told` is the charter; `steps` turns upgrades on. What it logs goes to `log` in its
+    /// Starts a copy of the program. `told` is the charter; `operators` is the operators' file, if there is one. What it logs goes to `log` in its
     /// folder.
-    pub async fn start(program: &Path, told: Value, steps: Option<Steps>) -> Result<Process> {
+    pub async fn start(program: &Path, told: Value, operators: Option<String>) -> Result<Process> {
         let folder = Folder::new("serve")?;
         let own = folder.path().join("pipitcrank");
         std::fs::copy(program, &own).context("the program can't be copied")?;
@@ -63,21 +73,18 @@
         let address: SocketAddr = told["listen"].as_str().context("/listen")?.parse()?;
         let process_told = told.clone();
         std::fs::write(&charter, told.to_string())?;
-        let child = Process::spawn(&own, &charter, folder.path(), steps)?;
+        let child = Process::spawn(&own, &charter, folder.path(), operators)?;
         let process = Process { child, address, program: own, charter, folder, told: process_told };
         process.up().await?;
         Ok(process)
     }
 
-    fn spawn(program: &Path, charter: &Path, folder: &Path, steps: Option<Steps>) -> Result<Child> {
+    fn spawn(program: &Path, charter: &Path, folder: &Path, operators: Option<String>) -> Result<Child> {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(folder.join("log"))?;
         let mut command = Command::new(program);
         command.arg("serve").env("NODE_CONFIG", charter).stdin(Stdio::null()).stderr(log);
-        if let Some(Steps { start, settle, silent, finish }) = steps {
+        if let Some(text) = operators {
             let path = folder.join("operators.dhall");
-            let text = format!(
-                "{{ upgrade = Some {{ start_s = {start:?}, settle_s = {settle:?}, silent_s = {silent:?}, finish_s = {finish:?} }} }}"
-            );
             std::fs::write(&path, text)?;
             command.arg("--operators").arg(path);
         }
@@ -94,8 +101,8 @@
     }
 
     /// Starts it anew after its end, as it was.
-    pub async fn start_again(&mut self, steps: Option<Steps>) -> Result<()> {
-        self.child = Process::spawn(&self.program, &self.charter, self.folder.path(), steps)?;
+    pub async fn start_again(&mut self, operators: Option<String>) -> Result<()> {
+        self.child = Process::spawn(&self.program, &self.charter, self.folder.path(), operators)?;
         self.up().await
     }
 
@@ -124,6 +131,21 @@
         self.child.try_wait().ok().flatten()
     }
 
+    /// Killed outright, with what it held.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Processor time used by it alone, in seconds.
+    pub fn processor_s(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid())).unwrap_or_default();
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        // The 14th and 15th field (proc(5)) in ticks of a hundredth of a second; two stand before the bracket.
+        let ticks: u64 = [11, 12].iter().filter_map(|&n| fields.get(n)?.parse::<u64>().ok()).sum();
+        ticks as f64 / 100.0
+    }
+
     pub async fn end(&mut self, within: Duration) -> Option<ExitStatus> {
         let until = Instant::now() + within;
         while Instant::now() < until {
--- a/crates/pipitcrank-rig/src/trial/mod.rs
+++ b/crates/pipitcrank-rig/src/trial/mod.rs
@@ -1,6 +1,7 @@
 //! Named scenarios on loopback. The same seed plays the same script; each is bounded in time and says by its exit code
 //! whether its promise held.
 
+pub mod gateway;
 pub mod upgrade;
 
 use std::path::Path;
@@ -67,6 +68,8 @@
     })
 }
 
+pub const NAMES: &str = "upgrade, upgrade-overloaded, upgrade-known, gateway, gateway-table";
+
 /// What of a trial can be told: the same seed plays the same script.
 pub struct Terms<'a> {
     pub seed: u64,
@@ -84,7 +87,9 @@
         "upgrade" => on_one_thread(limit, upgrade::play(program, seed, rounds, only, !json))?,
         "upgrade-overloaded" => on_one_thread(limit, upgrade::overloaded(program, seed, rounds))?,
         "upgrade-known" => on_one_thread(limit, upgrade::known(program, seed))?,
-        _ => bail!("no trial is named '{name}'; there are: upgrade, upgrade-overloaded, upgrade-known"),
+        "gateway" => on_one_thread(limit, gateway::play(program, seed, !json))?,
+        "gateway-table" => on_one_thread(limit * 3, gateway::table(program, seed))?,
+        _ => bail!("no trial is named '{name}'; there are: {NAMES}"),
     };
     outcome.show(json)?;
     Ok(if outcome.broken.is_empty() { 0 } else { 1 })
--- a/crates/pipitcrank-rig/src/trial/upgrade.rs
+++ b/crates/pipitcrank-rig/src/trial/upgrade.rs
@@ -189,7 +189,7 @@
     let mut chance = Pcg64::seed_from_u64(seed ^ 5);
     let rounds = script.len() as u32;
     let fleet = Fleet::start(seed, work).await?;
-    let mut process = Process::start(program, fleet.charter(seed, 1024, 3000)?, Some(STEPS)).await?;
+    let mut process = Process::start(program, fleet.charter(seed, 1024, 3000)?, STEPS.file()).await?;
     let quiet = {
         let clients = Clients::new(process.address, Ledger::default());
         let load = Load::start("quiet", seed ^ 1, rate, SLOW_SALES, clients.clone());
@@ -446,11 +446,11 @@
 /// knows the list alone.
 pub async fn known(program: &Path, seed: u64) -> Result<Outcome> {
     let mut outcome = Outcome::default();
-    for (name, steps) in [("an upgrade", Some(STEPS)), ("a restart", None)] {
+    for (name, steps) in [("an upgrade", STEPS.file()), ("a restart", None)] {
         let fleet = Fleet::start(seed, USUAL).await?;
         fleet.leaves[2].turns(Manner::Slow(60.0));
         fleet.leaves[7].turns(Manner::Fails);
-        let mut process = Process::start(program, fleet.charter(seed, 1024, 3000)?, steps).await?;
+        let mut process = Process::start(program, fleet.charter(seed, 1024, 3000)?, steps.clone()).await?;
         let clients = Clients::new(process.address, Ledger::default());
         let load = Load::start("warm", seed ^ 1, RATE, 0.0, clients.clone());
         tokio::time::sleep(Duration::from_secs_f64(QUIET_S)).await;
