A far site can be upgraded: it begins nothing new, answers what it has, frees its address

Need: while a site's program is upgraded, peers' links and the port they are taken at were the old process's until its end, and forwards went on coming to it; what was lent to far sites was not known to the process that takes over, and the old one could lend beyond its purse.

Change: who hands over, or was asked to end, tells so to the far side: new forwards are late at once (never begun), the link ends with the last answer, the address is free. Trouble `Upgraded` in the trial, a test of its own, a test of leaving and staying on a socket.

--- a/crates/pipitcrank-cli/tests/gateway.rs
+++ b/crates/pipitcrank-cli/tests/gateway.rs
@@ -44,6 +44,11 @@
     survives(207, Trouble::Restarted);
 }
 
+#[test]
+fn a_far_site_that_is_upgraded() {
+    survives(212, Trouble::Upgraded);
+}
+
 #[test]
 fn both_sites_forwarding_to_each_other() {
     survives(208, Trouble::Mutual);
--- a/crates/pipitcrank-gateway/src/far.rs
+++ b/crates/pipitcrank-gateway/src/far.rs
@@ -72,6 +72,7 @@
     connections: RefCell<BTreeMap<Lane, (u64, Say)>>,
     generation: Cell<u64>,
     open: Cell<usize>,
+    leaving: watch::Receiver<bool>,
 }
 
 impl Far {
@@ -89,24 +90,37 @@
             connections: RefCell::default(),
             generation: Cell::default(),
             open: Cell::default(),
+            leaving: ground.leaving.clone(),
         })
     }
 
-    /// Takes peers' links for ever.
+    /// Takes peers' links, but while leaving: then the address is free for the process that takes over, and links end as
+    /// soon as nothing of theirs is in hand.
     pub async fn listen(self: Rc<Far>, address: SocketAddr) {
+        let mut leaving = self.leaving.clone();
         let mut said = false;
-        let listener = loop {
+        loop {
+            let _ = leaving.wait_for(|l| !l).await;
             match TcpListener::bind(address).await {
-                Ok(listener) => break listener,
-                Err(e) if !said => {
-                    said = true;
-                    tracing::warn!("/gateway/listen: {address}: {e}; trying again");
+                Ok(listener) => {
+                    tracing::info!("links of other sites are taken at {address}");
+                    tokio::select! {
+                        () = self.clone().accept(listener) => {}
+                        _ = leaving.wait_for(|l| *l) => tracing::info!("no more links are taken"),
+                    }
+                    said = false;
+                }
+                Err(e) => {
+                    if !std::mem::replace(&mut said, true) {
+                        tracing::warn!("/gateway/listen: {address}: {e}; trying again");
+                    }
+                    tokio::time::sleep(LISTEN_AGAIN).await;
                 }
-                Err(_) => {}
             }
-            tokio::time::sleep(LISTEN_AGAIN).await;
-        };
-        tracing::info!("links of other sites are taken at {address}");
+        }
+    }
+
+    async fn accept(self: Rc<Far>, listener: TcpListener) {
         loop {
             let Ok((stream, from)) = listener.accept().await else {
                 tokio::time::sleep(LISTEN_AGAIN).await;
@@ -128,6 +142,12 @@
         }
     }
 
+    /// Whether something of that lane is in hand.
+    fn has_of(&self, lane: &Lane) -> bool {
+        let ledger = self.ledger.borrow();
+        self.in_hand.borrow().keys().any(|mark| ledger.lane_of(*mark).is_some_and(|(l, _)| l == *lane))
+    }
+
     async fn serve(self: Rc<Far>, stream: TcpStream) -> &'static str {
         let _ = stream.set_nodelay(true);
         let (mut from, to) = stream.into_split();
@@ -183,6 +203,7 @@
         credit_in: watch::Sender<u64>,
     ) -> &'static str {
         let mut giving = Giving::new();
+        let mut since = None;
         loop {
             loop {
                 let newest = self.connections.borrow().get(lane).map(|(g, _)| *g);
@@ -225,7 +246,17 @@
                     }
                 }
             }
-            match tokio::time::timeout(SILENT, from.read_buf(read)).await {
+            let leaving = *self.leaving.borrow();
+            since = if leaving { since.or_else(|| Some(tokio::time::Instant::now())) } else { None };
+            // What was on its way when it began to leave is answered yet.
+            let long = since.is_some_and(|s| s.elapsed() >= LISTEN_AGAIN);
+            if long && say.waiting.get() == 0 && !self.has_of(lane) {
+                return "leaving";
+            }
+            // While leaving it looks again soon: the last answer ends the link.
+            let wait = if leaving { LISTEN_AGAIN } else { SILENT };
+            match tokio::time::timeout(wait, from.read_buf(read)).await {
+                Err(_) if leaving => {}
                 Ok(Ok(0)) => return "closed",
                 Ok(Ok(_)) => {}
                 Ok(Err(_)) => return "reset",
@@ -238,6 +269,15 @@
         let vertical = self.verticals.iter().position(|v| *v == forward.vertical);
         let known = vertical.is_some() && forward.parts.iter().all(|(shard, ..)| *shard < self.shards);
         let now = self.hall.clock.now();
+        if *self.leaving.borrow() {
+            // Nothing of it was begun, and it may go elsewhere at once. A repeat is known by the ledger as ever.
+            let known = self.ledger.borrow_mut().asked(now, lane, forward.number).is_some();
+            if !known {
+                self.hall.counters.add("forwarded", "leaving");
+                say.send(Said::End { number: forward.number, how: How::Late, made: 0 });
+                return;
+            }
+        }
         let verdict = self.ledger.borrow_mut().came(now, lane, &forward, known);
         match verdict {
             Verdict::Begin(mark) => {
@@ -381,12 +421,12 @@
             }
         }
         let bytes = encode(&next);
-        waiting.set(waiting.get() - 1);
         if next.costs_credit() {
             spending.spend(bytes.len());
         }
         if to.write_all(&bytes).await.is_err() {
             return;
         }
+        waiting.set(waiting.get() - 1);
     }
 }
--- a/crates/pipitcrank-gateway/tests/link.rs
+++ b/crates/pipitcrank-gateway/tests/link.rs
@@ -23,6 +23,7 @@
 use proptest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 const TOLD: &str = r#"{"allowed":{"cancel":true,"probing":false,"may_duplicate":true,"retry_after":false,
   "try_limit":4},"classes":[{"aim_s":5.0,"hard_limit_s":6.0,"idempotency":"safe","name":"view"},
@@ -58,6 +59,7 @@
     address: SocketAddr,
     hall: Rc<Hall>,
     ran: Rc<RefCell<Vec<CallNo>>>,
+    leave: watch::Sender<bool>,
 }
 
 fn play(answers: bool, scene: impl AsyncFnOnce(Scene)) {
@@ -73,6 +75,7 @@
         exchange.list(clock.now(), true, vec![row]);
         let hall = Rc::new(Hall::new(clock, counters, Sockets::new(9), exchange));
         let (second, ran) = (Duration::from_secs(1), Rc::default());
+        let (leave, left) = watch::channel(false);
         let ground = Ground {
             hall: hall.clone(),
             leaves: Leaves::new(hall.clone(), 8, second, second),
@@ -81,6 +84,7 @@
             cells: 1,
             longest: Span::from_ms(6000),
             tickets: Arc::new(AtomicU64::new(0)),
+            leaving: left.clone(),
         };
         let far = Far::new(&ground, "south", 77, vec!["north".into()]);
         tokio::task::spawn_local(far.listen(address));
@@ -88,7 +92,9 @@
             Rc::new(RefCell::new(Runs { hall: hall.clone(), ran: Rc::clone(&ran), answers }));
         let turns = hall.clone();
         tokio::task::spawn_local(async move { turns.take_turns(Span::from_ms(1), &*side).await });
-        tokio::time::timeout(Duration::from_secs(30), scene(Scene { address, hall, ran })).await.unwrap();
+        tokio::time::timeout(Duration::from_secs(30), scene(Scene { address, hall, ran, leave }))
+            .await
+            .unwrap();
     });
 }
 
@@ -305,6 +311,27 @@
     });
 }
 
+#[test]
+fn a_site_that_leaves_begins_nothing_new_answers_what_it_has_and_frees_its_address() {
+    play(true, async |scene| {
+        let mut peer = Peer::greeted(&scene, 1).await;
+        peer.say(&forward(1, "sale")).await;
+        assert_eq!(peer.told().await.1, How::Done);
+        scene.leave.send_replace(true);
+        peer.say(&forward(2, "sale")).await;
+        peer.say(&forward(1, "sale")).await;
+        assert_eq!(peer.told().await, (vec![], How::Late), "it may go elsewhere");
+        assert_eq!(peer.told().await.1, How::Done, "a repeat is known");
+        while peer.hear().await.is_some() {}
+        assert_eq!(scene.ran.borrow().len(), 2);
+        drop(std::net::TcpListener::bind(scene.address).expect("the address is free"));
+        scene.leave.send_replace(false);
+        let mut peer = Peer::greeted(&scene, 2).await;
+        peer.say(&forward(1, "view")).await;
+        assert_eq!(peer.told().await.1, How::Done, "it stays after all");
+    });
+}
+
 #[test]
 fn an_old_link_of_the_same_lane_is_not_heard_any_more() {
     play(true, async |scene| {
--- a/crates/pipitcrank-handover/src/division.rs
+++ b/crates/pipitcrank-handover/src/division.rs
@@ -33,11 +33,14 @@
     if span <= Span::ZERO {
         return Purse { further: 0, within: longest };
     }
-    let within = longest.min(span);
+    // What is out at other sites may still be spent until its own time is over: arrivals have to last until then too.
+    let out = known.lent.iter().map(|(_, left)| *left).max().unwrap_or(Span::ZERO);
+    let within = longest.max(out).min(span);
     known.taken.retain(|&age| age + within + CLOCKS_APART < span);
     known.taken.iter_mut().for_each(|age| *age = *age + CLOCKS_APART);
     known.further.iter_mut().for_each(|age| *age = (*age - CLOCKS_APART).max(Span::ZERO));
-    let left = free + share * known.taken.len() as f64 - known.further.len() as f64;
+    let elsewhere: u32 = known.lent.iter().map(|(n, _)| n).sum();
+    let left = free + share * known.taken.len() as f64 - known.further.len() as f64 - f64::from(elsewhere);
     let further = (left * OLD_SHARE).floor().max(0.0) as u32;
     Purse { further, within }
 }
@@ -160,6 +163,15 @@
         let mut known = Known::default();
         assert_eq!(divide(0.0, 0.0, Span::ZERO, Span::from_ms(5), &mut known).further, 0);
         known.further = vec![Span::ZERO; 3];
+        known.further.clear();
+        known.lent = vec![(3, Span::from_ms(5))];
+        assert_eq!(
+            divide(3.0, 0.1, Span::from_ms(900), Span::from_ms(5), &mut known).further,
+            0,
+            "it is out already"
+        );
+        known.lent.clear();
+        known.further = vec![Span::ZERO; 3];
         assert_eq!(divide(3.0, 0.1, Span::from_ms(900), Span::from_ms(5), &mut known).further, 0);
     }
 }
--- a/crates/pipitcrank-node/src/serve.rs
+++ b/crates/pipitcrank-node/src/serve.rs
@@ -43,6 +43,8 @@
     /// How long a query may be held.
     pub longest: Span,
     pub tickets: Arc<AtomicU64>,
+    /// Whether no new work of others is to be taken: another process takes over, or the end was called.
+    pub leaving: watch::Receiver<bool>,
 }
 
 /// Makes a leaf side that also reaches what near leaves are not, such as other sites.
@@ -91,6 +93,8 @@
         tokio::task::spawn_local(watch);
     };
     tokio::task::spawn_local(reload::heed(hangups, path.into(), clock, counters.clone(), move_watch));
+    let (leave, leaving) = watch::channel(false);
+    let leave = Rc::new(leave);
     let relay = Relay::new(hall.clone());
     let (gate, ordered) = unbounded_channel();
     let ended = call_end.clone();
@@ -117,6 +121,7 @@
                 shards: charter.shards()?,
                 longest: charter.longest()?,
                 end_called: call_end.clone(),
+                leave: leave.clone(),
             });
             tokio::task::spawn_local(async move {
                 if let Err(wrong) = worker.obey(keeper).await {
@@ -137,6 +142,7 @@
             _ = int.recv() => {}
         }
         ended.send_replace(Some(clock.now()));
+        leave.send_replace(true);
         // Kept: a closed channel would read as a second call.
         std::future::pending::<()>().await;
     });
@@ -151,6 +157,7 @@
             cells: charter.cells()?,
             longest: charter.longest()?,
             tickets: door_tickets,
+            leaving,
         }),
     };
     let quiet = || hall.ask(Exchange::quiet) && relay.quiet();
--- a/crates/pipitcrank-node/src/worker.rs
+++ b/crates/pipitcrank-node/src/worker.rs
@@ -50,6 +50,8 @@
     /// How long a query may be held.
     pub longest: Span,
     pub end_called: watch::Sender<Option<pipitcrank::time::At>>,
+    /// Told to those who take work of others.
+    pub leave: Rc<watch::Sender<bool>>,
 }
 
 /// The process that hands over, and what goes to it.
@@ -243,6 +245,7 @@
         new.to.send(&ToNew::Known(bytes), None);
         self.tell_room(new);
         self.relay.begin(new.to.clone());
+        self.leave.send_replace(true);
     }
 
     /// What is held here is not the new one's; it only shrinks.
@@ -260,6 +263,7 @@
             tracing::warn!("going on alone; {stranded} queries were with the new process");
             self.hall.tell(|e| e.alone_again(self.hall.clock.now()));
             self.hall.sockets.set_all();
+            self.leave.send_replace(false);
         }
         if new.passing {
             let _ = self.gate.send(Order::Stay);
--- a/crates/pipitcrank-rig/src/process.rs
+++ b/crates/pipitcrank-rig/src/process.rs
@@ -131,15 +131,21 @@
         self.child.try_wait().ok().flatten()
     }
 
-    /// Killed outright, with what it held.
+    /// Killed outright, with what it held, and its workers with it.
     pub fn kill(&mut self) {
+        let workers = self.workers();
         let _ = self.child.kill();
         let _ = self.child.wait();
+        workers.into_iter().for_each(|pid| signal_worker(pid, Signal::KILL));
     }
 
-    /// Processor time used by it alone, in seconds.
+    /// Processor time used by it and its workers that live, in seconds.
     pub fn processor_s(&self) -> f64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid())).unwrap_or_default();
+        self.workers().into_iter().chain([self.pid()]).map(|pid| self.processor_of(pid)).sum()
+    }
+
+    fn processor_of(&self, pid: i32) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
         let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
         // The 14th and 15th field (proc(5)) in ticks of a hundredth of a second; two stand before the bracket.
         let ticks: u64 = [11, 12].iter().filter_map(|&n| fields.get(n)?.parse::<u64>().ok()).sum();
--- a/crates/pipitcrank-rig/src/trial/gateway.rs
+++ b/crates/pipitcrank-rig/src/trial/gateway.rs
@@ -51,6 +51,8 @@
     CutWithin,
     Killed,
     Restarted,
+    /// Its program is started anew and takes over.
+    Upgraded,
     /// The other far site is the better one for a while.
     Swapped,
     /// Clients go away while their parts are out.
@@ -61,7 +63,7 @@
     FarFull,
 }
 
-const ALL: [Trouble; 13] = [
+const ALL: [Trouble; 14] = [
     Trouble::Calm,
     Trouble::SlowWay,
     Trouble::Flaps,
@@ -71,6 +73,7 @@
     Trouble::CutWithin,
     Trouble::Killed,
     Trouble::Restarted,
+    Trouble::Upgraded,
     Trouble::Swapped,
     Trouble::Leavers,
     Trouble::Mutual,
@@ -112,11 +115,14 @@
         format!("[ {} ]", sites.join(", "))
     };
     format!(
-        "{{ gateway = Some {{ site = \"{}\", listen = \"{listen}\", connections = 2, prefer_near_s = {prefer_near:?}, sites = {sites} }} }}",
+        "{{ gateway = Some {{ site = \"{}\", listen = \"{listen}\", connections = 2, prefer_near_s = {prefer_near:?}, sites = {sites} }}, {UPGRADE} }}",
         NAMES[site]
     )
 }
 
+/// Far sites can be upgraded.
+const UPGRADE: &str = "upgrade = Some { start_s = 3.0, settle_s = 0.6, silent_s = 0.5, finish_s = 8.0 }";
+
 impl Scene {
     async fn start(program: &Path, seed: u64, reach: Reach, trips: [Duration; 2]) -> Result<Scene> {
         let ledger = Ledger::default();
@@ -210,6 +216,16 @@
                 south.process.start_again(south.file.clone()).await?;
                 tokio::time::sleep(TROUBLE / 2).await;
             }
+            Trouble::Upgraded => {
+                let south = &self.sites[1].process;
+                let before = south.count("upgrades done").await.context("its counters")?;
+                south.signal(Signal::USR2)?;
+                let until = tokio::time::Instant::now() + Duration::from_secs(15);
+                while south.count("upgrades done").await != Some(before + 1) {
+                    anyhow::ensure!(tokio::time::Instant::now() < until, "no upgrade: {}", south.log());
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
             Trouble::Swapped => {
                 self.links[0].turns(Way::of(Duration::from_millis(200)));
                 self.links[1].turns(Way::of(Duration::from_millis(5)));
--- a/crates/pipitcrank/src/decide/known.rs
+++ b/crates/pipitcrank/src/decide/known.rs
@@ -16,6 +16,8 @@
     /// Ages of what counts against the budget of further calls, oldest first.
     pub taken: Vec<Span>,
     pub further: Vec<Span>,
+    /// Further calls lent with parts to other sites, and for how long yet: what comes back of them is not told here.
+    pub lent: Vec<(u32, Span)>,
     overdue: Option<f64>,
     rate: Option<f64>,
     fill: f64,
@@ -59,7 +61,8 @@
                 && l.faults <= 1.0
                 && since(&l.lag)
                 && l.sent_cold.iter().all(|(s, w)| past(s) && good(w))
-        }) && self.taken.iter().chain(&self.further).all(past)
+        }) && self.lent.iter().all(|(_, s)| past(s))
+            && self.taken.iter().chain(&self.further).all(past)
             && [&self.overdue, &self.rate].into_iter().all(mark)
             && (Root::FILL.0..=Root::FILL.1).contains(&self.fill)
             && since(&self.carried)
@@ -88,6 +91,7 @@
             leaves: self.leaves.iter().map(|(id, l)| (id.0, leaf(l))).collect(),
             taken: ages(&self.budget.taken),
             further: ages(&self.budget.further),
+            lent: self.budget.lent.values().map(|&(n, until)| (n, until - now)).collect(),
             overdue: self.overdue.0,
             rate: self.rate.0,
             fill: self.fill,
@@ -122,6 +126,9 @@
         }
         self.budget.taken = known.taken.into_iter().map(at).collect();
         self.budget.further = known.further.into_iter().map(at).collect();
+        for (n, (lent, left)) in known.lent.into_iter().enumerate() {
+            self.budget.lend(Self::OLD - 1 - n as u64, lent, now - passed + left);
+        }
         (self.overdue, self.rate) = (Mark(known.overdue.or(self.overdue.0)), Mark(known.rate));
         self.fill = known.fill;
         (self.carried, self.lag) = ((known.carried.0, at(known.carried.1)), (known.lag.0, at(known.lag.1)));
@@ -167,7 +174,7 @@
     /// of a kind goes until the longest window in which that counts has passed.
     pub fn alone_again(&mut self, now: At) {
         self.budget.purse = None;
-        self.budget.lent.clear();
+        self.budget.lent.remove(&Self::OLD);
         self.budget.shut = now + self.budget.span;
         self.fail_back.shut = now + self.fail_back.window;
         self.moved = true;
--- a/crates/pipitcrank/src/decide/lending.rs
+++ b/crates/pipitcrank/src/decide/lending.rs
@@ -20,6 +20,10 @@
         if self.span == Span::ZERO {
             return most;
         }
+        // What a process that hands over keeps is its own parts' alone.
+        if self.purse.is_some() {
+            return 0;
+        }
         let by = self.lent.values().map(|l| l.1).max().unwrap_or(until).max(until);
         let left = if self.left(now) < 1.0 || until - now > self.span { 0.0 } else { self.lasting(by) };
         let n = ((left * Self::LENT_SHARE).floor().max(0.0) as u32).min(most);
