--- a/crates/pipitcrank-cli/src/main.rs
+++ b/crates/pipitcrank-cli/src/main.rs
@@ -184,23 +184,26 @@
 
 /// All faults that there are, one a line: the charter's first, then the operators' file's.
 fn check(operators: Option<PathBuf>, no_charter: bool) -> i32 {
-    let charter = || -> Result<()> {
-        let (_, text) = serve::charter_text().map_err(|e| anyhow!(e))?;
-        Ok(Charter::read(&text, |name| std::env::var(name).ok())?.check(&Clock::start())?)
-    };
     let mut code = 0;
-    let mut look = |what: &str, found: Result<()>| match found {
-        Ok(()) => println!("{what} is good"),
-        Err(wrong) => {
-            eprintln!("ERROR {wrong:#}");
+    let mut look = |what: &str, faults: Vec<String>| {
+        if faults.is_empty() {
+            println!("{what} is good");
+        }
+        for fault in faults {
+            eprintln!("ERROR {fault}");
             code = 2;
         }
     };
     if !no_charter {
-        look("the charter", charter());
+        let read = serve::charter_text().and_then(|(_, text)| {
+            Charter::read(&text, |name| std::env::var(name).ok()).map_err(|e| e.to_string())
+        });
+        let faults = read.map(|c| c.faults(&Clock::start()).iter().map(ToString::to_string).collect());
+        look("the charter", faults.unwrap_or_else(|wrong| vec![wrong]));
     }
     if let Some(path) = operators {
-        look(&path.display().to_string(), Operators::read(&path).map(drop).map_err(Into::into));
+        let faults = Operators::read(&path).err().map(|wrong| wrong.to_string());
+        look(&path.display().to_string(), faults.into_iter().collect());
     }
     code
 }
--- a/crates/pipitcrank-cli/tests/sockets.rs
+++ b/crates/pipitcrank-cli/tests/sockets.rs
@@ -571,3 +571,29 @@
     assert!(code == Some(2) && log.contains("NODE_CONFIG"), "{code:?} {log}");
     let _ = std::fs::remove_file(&path);
 }
+
+#[test]
+fn check_names_each_fault_by_its_key() {
+    let path = std::env::temp_dir().join(format!("pipitcrank-{}-check.json", std::process::id()));
+    let told = json!({"name":"n1","listen":"nowhere","discovery":"127.0.0.1:1","seed":"5",
+        "limits":{"sockets":2},"known":list(1, true, &[]),"settings":settings()});
+    std::fs::write(&path, told.to_string()).unwrap();
+    let check = |more: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_pipitcrank"));
+        let done = command.arg("check").args(more).env("NODE_CONFIG", &path).output().unwrap();
+        (done.status.code(), String::from_utf8(done.stderr).unwrap())
+    };
+    let (code, said) = check(&[]);
+    assert_eq!(code, Some(2));
+    assert!(said.contains("ERROR /listen ") && said.contains("ERROR /limits/sockets "), "{said}");
+    let file = path.with_extension("dhall");
+    std::fs::write(
+        &file,
+        "{ upgrade = Some { start_s = 1.0, settle_s = -1.0, silent_s = 1.0, finish_s = 1.0 } }",
+    )
+    .unwrap();
+    let (code, said) = check(&["--no-charter", "--operators", file.to_str().unwrap()]);
+    assert_eq!(code, Some(2));
+    assert!(said.contains("ERROR /upgrade/settle_s "), "{said}");
+    let _ = (std::fs::remove_file(&path), std::fs::remove_file(&file));
+}
--- a/crates/pipitcrank-node/src/charter.rs
+++ b/crates/pipitcrank-node/src/charter.rs
@@ -63,18 +63,34 @@
         if sound { Ok(address) } else { Err(wrong()) }
     }
 
+    /// What of it could not be started with: the first fault of each part, each key once.
+    pub fn faults(&self, clock: &Clock) -> Vec<Faulty> {
+        let parts = [
+            self.name().err(),
+            self.listen().err(),
+            self.discovery().err(),
+            self.known(clock).err(),
+            self.sockets().err(),
+            self.exchange(Counters::default()).err(),
+            self.shards().err(),
+            self.cells().err(),
+            self.tick().err(),
+            self.streams().err(),
+            self.idle_limit().err(),
+            self.longest().err(),
+        ];
+        let mut faults: Vec<Faulty> = Vec::new();
+        for fault in parts.into_iter().flatten() {
+            if faults.iter().all(|f| f.key != fault.key) {
+                faults.push(fault);
+            }
+        }
+        faults
+    }
+
     /// Whether all of it could be started with.
     pub fn check(&self, clock: &Clock) -> Result<(), Faulty> {
-        self.name()?;
-        self.listen()?;
-        self.discovery()?;
-        self.known(clock)?;
-        self.sockets()?;
-        self.exchange(Counters::default())?;
-        self.shards()?;
-        self.tick()?;
-        self.streams()?;
-        self.idle_limit().map(drop)
+        self.faults(clock).into_iter().next().map_or(Ok(()), Err)
     }
 
     /// The list of leaves as last held, and its version.
--- a/crates/pipitcrank-rig/src/client.rs
+++ b/crates/pipitcrank-rig/src/client.rs
@@ -156,7 +156,11 @@
 
 impl Lone {
     pub async fn connect(address: SocketAddr, ledger: Ledger) -> std::io::Result<Lone> {
-        Ok(Lone { stream: BufReader::new(connect(address).await?), ledger })
+        Ok(Lone::on(connect(address).await?, ledger))
+    }
+
+    pub fn on(stream: TcpStream, ledger: Ledger) -> Lone {
+        Lone { stream: BufReader::new(stream), ledger }
     }
 
     /// Asks in pieces, cut at these bytes, waiting as told before each but the first.
