--- a/crates/pipitcrank-cli/src/logs.rs
+++ b/crates/pipitcrank-cli/src/logs.rs
@@ -3,7 +3,7 @@
 use pipitcrank_operators::Logs;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
-use tracing_subscriber::fmt::time::uptime;
+use tracing_subscriber::fmt::time::SystemTime;
 
 /// Lines that wait to be written, at most: a quarter of a megabyte. What comes on top is dropped.
 const WAITING: usize = 1024;
@@ -24,7 +24,7 @@
     let filter = filter.unwrap_or_else(|_| EnvFilter::new("info"));
     let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_timer(uptime())
+        .with_timer(SystemTime)
         .with_ansi(false)
         .with_writer(out);
     if logs.json {
--- /dev/null
+++ b/crates/pipitcrank-cost/src/stage.rs
@@ -0,0 +1,140 @@
+//! The exchange with the decision module in it, driven by hand: leaves that answer when told, and a note of all that is
+//! asked of them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use pipitcrank::ids::{Ending, Leaf, Vertical};
+use pipitcrank::time::{At, Span};
+use pipitcrank::told::Told;
+use pipitcrank_node::counters::Counters;
+use pipitcrank_node::exchange::{Asked, AskedPart, CallNo, Exchange, Final, LeafSide, Listed};
+use serde_json::json;
+
+/// What the exchange asked for, in order.
+#[derive(Default)]
+pub struct Noted {
+    pub calls: Vec<(Leaf, Vec<CallNo>)>,
+    pub given_up: Vec<(Leaf, CallNo)>,
+    pub probes: Vec<Leaf>,
+}
+
+impl LeafSide for Noted {
+    fn meet(&mut self, _: Leaf, _: SocketAddr) {}
+    fn let_go(&mut self, _: Leaf) {}
+    fn call(&mut self, leaf: Leaf, parts: Vec<CallNo>) {
+        self.calls.push((leaf, parts));
+    }
+    fn give_up(&mut self, leaf: Leaf, call: CallNo) {
+        self.given_up.push((leaf, call));
+    }
+    fn probe(&mut self, leaf: Leaf) {
+        self.probes.push(leaf);
+    }
+}
+
+pub struct Stage {
+    pub exchange: Exchange,
+    pub noted: Noted,
+    pub now: At,
+    pub finals: Rc<RefCell<BTreeMap<&'static str, u64>>>,
+    cells: u32,
+    shards: u32,
+    asked: u64,
+}
+
+impl Stage {
+    pub fn set(leaves: u32, cells: u32, shards: u32, most_open: usize) -> Stage {
+        let vertical = |name: &str, kind: &str| json!({"name": name, "aim_s": 2.0, "hard_limit_s": 6.0, "idempotency": kind});
+        let told = json!({
+            "allowed": {"cancel": true, "probing": false, "may_duplicate": true, "retry_after": false, "try_limit": 4},
+            "classes": [vertical("view", "safe"), vertical("rank", "safe"), vertical("sale", "unsafe")],
+            "domain": {"call_cost_s": 0.001, "complete_from": [1.0, 1.0, 1.0], "floor_by_class": [1.0, 0.8, 1.0],
+                "follow_up": [0, 0, 0], "parts_a_call": 8, "sets": cells, "shards": shards, "span": 3},
+            "rules": {"cold_from": 0.3, "cold_s": 9.0, "fall_s": 1.5, "overload_factor": 4.0, "repeat_ratio": 0.1,
+                "extra_free": 5, "budget_span_s": 10.0},
+            "tick_s": 0.005
+        });
+        let root = Told::new(&told).root(11).expect("a charter of our own is good");
+        let mut exchange = Exchange::new(root, most_open, 8, Span::from_ms(2000), Counters::default());
+        exchange.list(At::default(), true, (0..leaves).map(|n| row(n, cells, true)).collect());
+        let (noted, finals) = (Noted::default(), Rc::default());
+        let mut stage = Stage { exchange, noted, now: At::default(), finals, cells, shards, asked: 0 };
+        stage.turn(5);
+        stage
+    }
+
+    /// Time passes, and a turn is taken.
+    pub fn turn(&mut self, ms: i64) {
+        self.now = self.now + Span::from_ms(ms);
+        self.exchange.turn(self.now, &mut self.noted);
+    }
+
+    pub fn leaf_changes(&mut self, n: u32, up: bool) {
+        let row = row(n, self.cells, up);
+        self.exchange.list(self.now, false, vec![row]);
+    }
+
+    pub fn ask(&mut self, vertical: u16, first: u32, parts: u32, wait_ms: i64) -> u64 {
+        self.asked += 1;
+        let weight = 1.0 / f64::from(parts);
+        let part = |n| AskedPart { shard: (first + n) % self.shards, weight, work: Some(0.01) };
+        let asked = Asked {
+            id: format!("q{}", self.asked),
+            vertical: Vertical(vertical),
+            ends: self.now + Span::from_ms(wait_ms),
+            parts: (0..parts).map(part).collect(),
+            text: "c41e".into(),
+        };
+        let finals = self.finals.clone();
+        let then = Box::new(move |last: Final| {
+            let word = match last {
+                Final::Merged { whole: true, .. } => "merged",
+                Final::Merged { whole: false, .. } => "merged in part",
+                Final::Rejected { .. } => "rejected",
+                Final::Aborted => "aborted",
+                Final::Repeated => "repeated",
+            };
+            *finals.borrow_mut().entry(word).or_default() += 1;
+        });
+        self.exchange.asked(self.asked, asked, then);
+        self.asked
+    }
+
+    /// All calls noted go, and their parts are out.
+    pub fn release(&mut self) -> Vec<CallNo> {
+        let mut out = Vec::new();
+        for (leaf, mut parts) in std::mem::take(&mut self.noted.calls) {
+            self.exchange.release(self.now, leaf, &mut parts);
+            out.extend(parts);
+        }
+        out
+    }
+
+    pub fn ended(&mut self, call: CallNo, ending: Ending) {
+        let value = (ending == Ending::Pass).then(|| "value".to_string());
+        self.exchange.ended(call, ending, value, None);
+    }
+
+    /// One query from its arrival to its answer, with leaves that answer within two turns.
+    pub fn serve_one(&mut self, vertical: u16, first: u32, parts: u32) {
+        self.ask(vertical, first, parts, 4000);
+        for _ in 0..400 {
+            self.turn(5);
+            for call in self.release() {
+                self.ended(call, Ending::Pass);
+            }
+            if self.exchange.quiet() {
+                return;
+            }
+        }
+        panic!("a query of {parts} parts was not answered");
+    }
+}
+
+fn row(n: u32, cells: u32, up: bool) -> Listed {
+    let address = Some(SocketAddr::from(([127, 0, 0, 1], 1000 + n as u16)));
+    Listed { uid: format!("leaf-{n}"), address, cell: n % cells, up, started: None }
+}
--- a/crates/pipitcrank-rig/src/trial/gateway.rs
+++ b/crates/pipitcrank-rig/src/trial/gateway.rs
@@ -323,6 +323,8 @@
     outcome.figure("service with the gateway, %", with.ledger.service() * 100.0);
     outcome.figure("service with the shortest way alone, %", shortest.ledger.service() * 100.0);
     outcome.figure("service without far sites, %", alone.ledger.service() * 100.0);
+    let more = (with.processor_s - alone.processor_s) * 1e6 / with.parts_over.max(1) as f64;
+    outcome.figure("processor time more than without far sites, a part over, microseconds", more);
     let lost = |shown: &Shown| shown.ledger.count(Ended::Lost) + shown.ledger.ran_again("sale-");
     outcome.nought("lost or run twice in the two others", lost(&shortest) + lost(&alone));
     outcome
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -8,10 +8,12 @@
 
 #![allow(clippy::too_many_arguments)] // a decoded field goes straight into a call
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 pub mod known;
 mod lending;
+mod seen;
 mod sites;
 
 use crate::chance::Chance;
@@ -260,6 +262,8 @@
     /// It stands for the leaves of one cell at another site: the time that the hop there and back costs, none while
     /// nothing may go there.
     far: Option<Option<Span>>,
+    /// Lag, work out and calls out as last worked out, and for when; void with each call or word.
+    seen: Cell<Option<((At, f64, f64), (f64, f64, usize))>>,
     /// Work sent while cold; emptied as it leaves the fail-back window.
     sent_cold: VecDeque<(At, f64)>,
 }
@@ -381,6 +385,8 @@
     alarms: BTreeMap<u64, Then>,
     marks: u64,
     turn: u64,
+    /// Queries, the oldest first, some part of which may wait; each leaves at a turn that finds none.
+    waiting: BTreeSet<(u64, Query)>,
     /// Time that most leaf calls end in, for a unit of work ahead.
     overdue: Mark,
     /// Leaves listed, and work a second merged of late, when last counted.
@@ -553,6 +559,7 @@
             elsewhere: 0,
         };
         self.parts.insert(id, part);
+        self.waiting.insert((self.queries[&query].serial, query));
         self.moved = true;
     }
 
@@ -728,6 +735,7 @@
         state.out.insert((id, nth), Out { at: now, work, ahead: 0.0, call });
         let ahead = state.work_out(self.cover.call_cost);
         state.out.get_mut(&(id, nth)).expect("just sent").ahead = ahead;
+        state.seen.take();
         if cold {
             let window = self.fail_back.window;
             state.sent_cold.retain(|(t, _)| now - *t <= window);
@@ -756,6 +764,7 @@
         let carried = self.carried_now(now);
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
         let Out { at, work, ahead, .. } = state.out.remove(&(part, nth)).expect("calls out are listed");
+        state.seen.take();
         match ending {
             // What a far site takes beside its hop is its lag; it tells nothing of how leaves work.
             Ending::Pass if state.far.is_some() => {
@@ -816,10 +825,11 @@
             return self.free_part(port, id);
         }
         if ending != Ending::Pass {
+            let query = part.query;
             if part.out() == 0 {
                 part.waits = true;
+                self.waiting.extend(self.queries.get(&query).map(|q| (q.serial, query)));
             }
-            let query = part.query;
             return self.check_hope(port, now, query);
         }
         (part.done, part.waits) = (true, false);
@@ -893,6 +903,7 @@
         let a_part = usual / self.trades.len().max(1) as f64 * self.rate.0.unwrap_or(1.0);
         let others = (held - state.out.len() as f64).max(0.0);
         // Reports that come with answers are older than the answer itself: only a probe's sets the lag.
+        state.seen.take();
         state.lag = if self.tries.may_probe { (others * a_part, now) } else { state.lag };
     }
 
@@ -904,12 +915,12 @@
             return;
         }
         self.turn += 1;
-        let mut order: Vec<(u64, Query)> = self.queries.iter().map(|(&id, q)| (q.serial, id)).collect();
-        order.sort();
-        for (_, query) in order {
-            let ours = self.queries[&query].parts.clone();
-            let waits: Vec<Part> = ours.into_iter().filter(|p| self.parts[p].waits).collect();
-            if !waits.is_empty() {
+        for (serial, query) in self.waiting.clone() {
+            let open = self.queries.get(&query).filter(|q| q.serial == serial).map_or(&[][..], |q| &q.parts);
+            let waits: Vec<Part> = open.iter().copied().filter(|p| self.parts[p].waits).collect();
+            if waits.is_empty() {
+                self.waiting.remove(&(serial, query));
+            } else {
                 self.place(port, now, query, waits);
             }
         }
@@ -942,6 +953,7 @@
         let due = if now < open.slo { open.slo } else { open.ends };
         let span = (due - now) * self.fill;
         let level = self.level(now, &uncovered).max(soon);
+        let (rate, usual) = (self.rate.0.unwrap_or(1.0), drained(self.lag, now));
         let mut plan = Plan::new();
         let mut stuck = 0.0;
         for _ in 0..Cover::ROUNDS {
@@ -953,17 +965,18 @@
             let span = oldest.map_or(span, |age| span.min(age * Self::COPY_SHARE));
             let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
             let mut who = self.candidates(now, first, &plan);
-            let ready = |l: Leaf| self.expected(now, l, &plan, 0.0);
+            let ready = |l: Leaf| self.expected(now, l, &plan)(0.0);
             let least = who.iter().map(|(l, _)| ready(*l)).min().unwrap_or_default();
             who.retain(|(l, _)| ready(*l) <= least + behind);
             for (leaf, room) in who {
                 let mut bundle = self.bundle(leaf, room, first, &uncovered);
-                let takes = |b: &[Part]| self.expected(now, leaf, &plan, self.work(b));
+                let takes = self.expected(now, leaf, &plan);
+                let sums = self.sums(&bundle);
                 // A query is as slow as its slowest bundle; a leaf late even for one part is left out.
-                while bundle.len() > 1 && takes(&bundle) > span.min(level) {
+                while bundle.len() > 1 && takes(sums[bundle.len() - 1]) > span.min(level) {
                     bundle.pop();
                 }
-                if takes(&bundle) <= span {
+                if takes(sums[bundle.len() - 1]) <= span {
                     covers.push((leaf, bundle));
                 }
             }
@@ -971,7 +984,7 @@
             covers.retain(|(_, b)| Some(b.len() + 1) >= best);
             let calls = |l: &Leaf| {
                 let planned = plan.get(l).map_or(0, |b| b.len().div_ceil(self.cover.call_size));
-                self.leaves[l].calls().len() + planned
+                self.leaves[l].seen(now, rate, usual, self.cover.call_cost).2 + planned
             };
             let Some(fewest) = covers.iter().map(|(l, _)| calls(l)).min() else {
                 // Nobody can take it now; it waits for a later turn.
@@ -997,16 +1010,12 @@
         }
     }
 
-    fn work(&self, parts: &[Part]) -> f64 {
-        parts.iter().map(|p| self.parts[p].work).sum()
-    }
-
     /// When all holders of the parts would have answered if the work could be spread evenly over them.
     fn level(&self, now: At, parts: &[Part]) -> Span {
         let lent = parts.first().is_some_and(|p| self.queries[&self.parts[p].query].lent.is_some());
         let reached = |l: &Leaf| self.reached(*l, lent) && self.leaves[l].trial_at.is_none();
         let usable = self.holders(parts).into_iter().filter(reached);
-        let mut ready: Vec<f64> = usable.map(|l| self.expected(now, l, &Plan::new(), 0.0).s()).collect();
+        let mut ready: Vec<f64> = usable.map(|l| self.expected(now, l, &Plan::new())(0.0).s()).collect();
         ready.sort_by(f64::total_cmp);
         let (mut sum, mut level) = (self.work(parts) * self.rate.0.unwrap_or(1.0), f64::INFINITY);
         for (n, at) in ready.into_iter().enumerate() {
@@ -1020,13 +1029,12 @@
     }
 
     /// When the leaf should have answered so much more work on top of what is planned for it.
-    fn expected(&self, now: At, leaf: Leaf, plan: &Plan, work: f64) -> Span {
-        let state = &self.leaves[&leaf];
+    fn expected(&self, now: At, leaf: Leaf, plan: &Plan) -> impl Fn(f64) -> Span + use<> {
+        let (state, cost) = (&self.leaves[&leaf], self.cover.call_cost);
         let rate = self.rate.0.unwrap_or(1.0);
-        let usual = drained(self.lag, now);
-        let planned = plan.get(&leaf).map_or(0.0, |b| self.work(b) + self.cover.call_cost);
-        let ahead = state.work_out(self.cover.call_cost) + planned + self.cover.call_cost + work;
-        Span::from_s(state.lag_now(now, rate, usual) + rate * ahead) + state.hop()
+        let (lag, out, _) = state.seen(now, rate, drained(self.lag, now), cost);
+        let (before, hop) = (out + plan.get(&leaf).map_or(0.0, |b| self.work(b) + cost) + cost, state.hop());
+        move |work| Span::from_s(lag + rate * (before + work)) + hop
     }
 
     /// Parts that the leaf would take along with `first`, within its room for work.
@@ -1121,6 +1129,7 @@
                 > (Span::from_s(out.ahead * self.overdue.0.unwrap_or(1.0)) + Self::GRACE).min(latest)
                     + self.leaves[&state.sent[nth].leaf].hop();
             if late && !state.waits && self.may_go(now, part) {
+                self.waiting.insert((serial, id));
                 self.parts.get_mut(&part).expect("open queries hold their parts").waits = true;
             }
         }
--- a/crates/pipitcrank/src/decide/known.rs
+++ b/crates/pipitcrank/src/decide/known.rs
@@ -120,6 +120,7 @@
             if !same {
                 continue;
             }
+            state.seen.take();
             (state.faults, state.lag) = (k.faults, (k.lag.0, at(k.lag.1)));
             state.trial_at = k.trial_in.map(|s| now + s - passed);
             state.sent_cold = k.sent_cold.into_iter().map(|(s, w)| (at(s), w)).collect();
--- a/crates/pipitcrank/src/decide/sites.rs
+++ b/crates/pipitcrank/src/decide/sites.rs
@@ -45,6 +45,7 @@
     pub fn far(&mut self, leaf: Leaf, hop: Option<Span>) {
         if let Some(state) = self.leaves.get_mut(&leaf) {
             self.moved |= state.far != Some(hop);
+            state.seen.take();
             state.far = Some(hop);
         }
     }
