--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -263,7 +263,7 @@
     /// nothing may go there.
     far: Option<Option<Span>>,
     /// Lag, work out and calls out as last worked out, and for when; void with each call or word.
-    seen: Cell<Option<((At, f64, f64), (f64, f64, usize))>>,
+    seen: Cell<Option<seen::Seen>>,
     /// Work sent while cold; emptied as it leaves the fail-back window.
     sent_cold: VecDeque<(At, f64)>,
 }
--- a/crates/pipitcrank/src/decide/seen.rs
+++ b/crates/pipitcrank/src/decide/seen.rs
@@ -5,6 +5,9 @@
 use crate::ids::Part;
 use crate::time::At;
 
+/// For when, at which rate and usual lag; then lag, work out and calls out.
+pub(super) type Seen = ((At, f64, f64), (f64, f64, usize));
+
 impl LeafState {
     /// Lag, work out and calls out: looked at for each part that waits, and the same for all of a turn.
     pub(super) fn seen(&self, now: At, rate: f64, usual: f64, call_cost: f64) -> (f64, f64, usize) {
