A far site with a stale list is a trouble of the trial and a test

Change: leaves of the far site die and its list does not know; in the trial's script and a test of its own.

--- a/crates/pipitcrank-cli/tests/gateway.rs
+++ b/crates/pipitcrank-cli/tests/gateway.rs
@@ -68,3 +68,8 @@
 fn a_far_site_that_is_full() {
     survives(211, Trouble::FarFull);
 }
+
+#[test]
+fn a_far_site_with_a_stale_list() {
+    survives(213, Trouble::FarStale);
+}
--- a/crates/pipitcrank-rig/src/trial/gateway.rs
+++ b/crates/pipitcrank-rig/src/trial/gateway.rs
@@ -61,9 +61,11 @@
     Mutual,
     /// The far site's leaves are all busy.
     FarFull,
+    /// Leaves of the far site are dead, and its list does not know.
+    FarStale,
 }
 
-const ALL: [Trouble; 14] = [
+const ALL: [Trouble; 15] = [
     Trouble::Calm,
     Trouble::SlowWay,
     Trouble::Flaps,
@@ -78,6 +80,7 @@
     Trouble::Leavers,
     Trouble::Mutual,
     Trouble::FarFull,
+    Trouble::FarStale,
 ];
 
 /// Who is reached from the first site.
@@ -249,12 +252,18 @@
                 load.stop().await?;
                 self.lacks(1, [3, 4], Manner::Answers);
             }
+            Trouble::FarStale => {}
             Trouble::FarFull => {
                 self.sites[1].fleet.leaves.iter().for_each(|l| l.turns(Manner::Busy));
                 tokio::time::sleep(TROUBLE).await;
                 self.sites[1].fleet.leaves.iter().for_each(|l| l.turns(Manner::Answers));
             }
         }
+        if trouble == Trouble::FarStale {
+            // They stay dead; each shard has holders in another cell.
+            [2, 8].into_iter().for_each(|n: usize| self.sites[1].fleet.leaves[n].kill());
+            tokio::time::sleep(TROUBLE).await;
+        }
         self.links[0].turns(near);
         tokio::time::sleep(REST).await;
         Ok(())
