--- a/crates/pipitcrank-cli/tests/ending.rs
+++ b/crates/pipitcrank-cli/tests/ending.rs
@@ -73,7 +73,7 @@
         // In its trial, and while it passes.
         for wait in [100, 900] {
             let fleet = Fleet::start(2, WORK).await?;
-            let steps = Steps { start: 3.0, settle: 0.6, silent: 1.5, finish: 8.0 };
+            let steps = Steps { start: 3.0, settle: 0.6, silent: 0.5, finish: 8.0 };
             let mut process = Process::start(program(), fleet.charter(2, 1024, 3000)?, steps.file()).await?;
             let clients = Clients::new(process.address, fleet.ledger.clone());
             let load = Load::start("load", 3, 100.0, 0.1, clients);
@@ -100,7 +100,7 @@
 fn a_worker_that_crashes_is_started_again_and_nobody_is_refused() {
     on_one_thread(LIMIT, async {
         let fleet = Fleet::start(4, WORK).await?;
-        let steps = Steps { start: 3.0, settle: 0.6, silent: 1.5, finish: 8.0 };
+        let steps = Steps { start: 3.0, settle: 0.6, silent: 0.5, finish: 8.0 };
         let process = Process::start(program(), fleet.charter(4, 1024, 3000)?, steps.file()).await?;
         let ledger = Ledger::default();
         for n in 0..2 {
--- a/crates/pipitcrank-rig/src/trial/gateway.rs
+++ b/crates/pipitcrank-rig/src/trial/gateway.rs
@@ -124,7 +124,7 @@
 }
 
 /// Far sites can be upgraded.
-const UPGRADE: &str = "upgrade = Some { start_s = 3.0, settle_s = 0.6, silent_s = 1.5, finish_s = 8.0 }";
+const UPGRADE: &str = "upgrade = Some { start_s = 3.0, settle_s = 0.6, silent_s = 0.5, finish_s = 8.0 }";
 
 impl Scene {
     async fn start(program: &Path, seed: u64, reach: Reach, trips: [Duration; 2]) -> Result<Scene> {
--- a/crates/pipitcrank-rig/src/trial/upgrade.rs
+++ b/crates/pipitcrank-rig/src/trial/upgrade.rs
@@ -34,7 +34,7 @@
 const SLOW_SALES: f64 = 0.03;
 /// Connections that were asked on once and stay, and go on being used once a round.
 const IDLE: usize = 200;
-const STEPS: Steps = Steps { start: 3.0, settle: 0.6, silent: 1.5, finish: 8.0 };
+const STEPS: Steps = Steps { start: 3.0, settle: 0.6, silent: 0.5, finish: 8.0 };
 /// Restarts beside it: each loses its queries in the same way.
 const RESTARTS: u32 = 2;
 const QUIET_S: f64 = 5.0;
