The book confirms a new process only after a sign of life since it settled

Need: with a settling time under the limit of silence, a process that stands still was confirmed before its silence was seen, and clients passed to it. Change: settled is not enough, it has to be heard of after that; else silence undoes it. Result: the book's nine tests, its proptest among them, and the whole program's test of one that stands still are green.

--- a/crates/pipitcrank-handover/src/book.rs
+++ b/crates/pipitcrank-handover/src/book.rs
@@ -172,7 +172,9 @@
             State::Trial { since, heard, drained, .. } => {
                 let settled = since
                     + if drained { self.times.settle } else { self.times.settle.max(self.times.finish) };
-                Some(settled.min(heard + self.times.silent))
+                // Guards against a process that stands still and is confirmed before its silence is seen: it has to be
+                // heard of after it settled.
+                Some(if heard >= settled { settled } else { heard + self.times.silent })
             }
             State::Passing { since, ended: false, .. } => Some(since + self.times.finish),
             State::Passing { .. } | State::Ending { .. } => None,
@@ -231,6 +233,7 @@
                     && who == new
                 {
                     *heard = now;
+                    self.tick(now, &mut wishes);
                 }
             }
             Event::Drained(who) => {
--- a/crates/pipitcrank-handover/tests/book.rs
+++ b/crates/pipitcrank-handover/tests/book.rs
@@ -226,6 +226,8 @@
     }
     assert_eq!(world.told.len(), 3, "on trial still");
     wait(&mut world, 20);
+    assert_eq!(world.told.len(), 3, "settled, and not heard of since");
+    world.on(Event::Beat(new));
     assert_eq!(world.told[3..], [Wish::Pass(old), Wish::Serve(new)]);
     world.on(Event::Passed(old));
     world.on(Event::Gone(old, Some(0)));
@@ -304,6 +306,7 @@
     }
     assert_eq!(world.told, [], "its own queries are open");
     wait(&mut world, 200);
+    world.on(Event::Beat(Worker(1)));
     assert_eq!(world.told, [Wish::Pass(Worker(0)), Wish::Serve(Worker(1))]);
     wait(&mut world, 2000);
     assert_eq!(world.told[2..], [Wish::End(Worker(0))]);
