What both trials promise and count of a ledger is written once

Need: the trials of upgrade and gateway had the same ten lines for one answer a query, one run a side-effecting part, and how queries ended. Change: `Outcome::once_each` and `Outcome::ends` serve both; figures, their order and what has to be nought are the same.

--- a/crates/pipitcrank-rig/src/trial/gateway.rs
+++ b/crates/pipitcrank-rig/src/trial/gateway.rs
@@ -354,19 +354,12 @@
     outcome.figure("queries", ledger.all() as f64);
     outcome.nought("lost", ledger.count(Ended::Lost) + ledger.open());
     outcome.nought("refused connections", ledger.count(Ended::Refused));
-    outcome.nought("answered twice", ledger.answered_twice());
-    outcome.nought("side-effecting parts run twice", ledger.ran_again("sale-"));
-    outcome.nought("odd answers", ledger.odd());
+    outcome.once_each(ledger);
     let (free, share, window) = BUDGET;
     let over = ledger.over_budget(free, share, window, SLACK);
     outcome.figure("further runs over the budget of any window", over);
     outcome.promise(over <= 0.0, "further calls, near and far together, stay within the budget");
-    outcome.figure("merged", ledger.count(Ended::Merged) as f64);
-    outcome.figure("merged in part", ledger.count(Ended::MergedInPart) as f64);
-    outcome.figure("rejected", ledger.count(Ended::Rejected) as f64);
-    outcome.figure("aborted", ledger.count(Ended::Aborted) as f64);
-    outcome
-        .figure("repeatable parts run again", (ledger.ran_again("view-") + ledger.ran_again("rank-")) as f64);
+    outcome.ends(ledger);
     outcome.figure("answer ms, half", ledger.within(0.5));
     outcome.figure("answer ms, 99 of 100", ledger.within(0.99));
     outcome.figure("parts answered by other sites", with.parts_over as f64);
--- a/crates/pipitcrank-rig/src/trial/mod.rs
+++ b/crates/pipitcrank-rig/src/trial/mod.rs
@@ -10,6 +10,8 @@
 use anyhow::{Result, bail};
 use serde::Serialize;
 
+use crate::ledger::{Ended, Ledger};
+
 /// No trial lasts longer, and a round more, whatever hangs.
 const LONGEST: Duration = Duration::from_secs(60);
 const A_ROUND: Duration = Duration::from_secs(12);
@@ -40,6 +42,25 @@
         }
     }
 
+    /// One final answer a query, one run a side-effecting part.
+    fn once_each(&mut self, ledger: &Ledger) {
+        self.nought("answered twice", ledger.answered_twice());
+        self.nought("side-effecting parts run twice", ledger.ran_again("sale-"));
+        self.nought("odd answers", ledger.odd());
+    }
+
+    /// How queries ended, and what ran again.
+    fn ends(&mut self, ledger: &Ledger) {
+        self.figure("merged", ledger.count(Ended::Merged) as f64);
+        self.figure("merged in part", ledger.count(Ended::MergedInPart) as f64);
+        self.figure("rejected", ledger.count(Ended::Rejected) as f64);
+        self.figure("aborted", ledger.count(Ended::Aborted) as f64);
+        self.figure(
+            "repeatable parts run again",
+            (ledger.ran_again("view-") + ledger.ran_again("rank-")) as f64,
+        );
+    }
+
     fn show(&self, json: bool) -> Result<()> {
         if json {
             let figures: serde_json::Map<String, serde_json::Value> =
--- a/crates/pipitcrank-rig/src/trial/upgrade.rs
+++ b/crates/pipitcrank-rig/src/trial/upgrade.rs
@@ -259,9 +259,7 @@
     }
     outcome.nought("refused connections", ledger.count(Ended::Refused));
     outcome.nought("tries to connect without an answer", if killed { 0 } else { accepts.refused.get() });
-    outcome.nought("answered twice", ledger.answered_twice());
-    outcome.nought("side-effecting parts run twice", ledger.ran_again("sale-"));
-    outcome.nought("odd answers", ledger.odd());
+    outcome.once_each(ledger);
     let closed = idle.iter().filter(|l| l.is_closed()).count() as u64;
     if killed {
         outcome.figure("idle connections closed by the kill", closed as f64);
@@ -269,12 +267,7 @@
         outcome.nought("idle connections closed", closed);
     }
     outcome.nought("kept connections closed", clients.closed.get());
-    outcome.figure("merged", ledger.count(Ended::Merged) as f64);
-    outcome.figure("merged in part", ledger.count(Ended::MergedInPart) as f64);
-    outcome.figure("rejected", ledger.count(Ended::Rejected) as f64);
-    outcome.figure("aborted", ledger.count(Ended::Aborted) as f64);
-    outcome
-        .figure("repeatable parts run again", (ledger.ran_again("view-") + ledger.ran_again("rank-")) as f64);
+    outcome.ends(ledger);
     for (name, of) in [("with upgrades", ledger), ("without", &quiet)] {
         outcome.figure(&format!("answer ms, half, {name}"), of.within(0.5));
         outcome.figure(&format!("answer ms, 99 of 100, {name}"), of.within(0.99));
