A vertical worth nothing late ends at its SLO time; a part cut off is not sent again

The users want a query that is given up on answered at once, with a time to come back. Checked and dropped: the trial wait after no_route (1 s) alone; the list's lateness (the collapse comes 16 s after the poison begins, not with a list).

Change: Terms has late_worth (told.rs, default 1.0 keeps the old way); tend gives up at the SLO time where it is 0. give_up always says when to come back (the patience, within allowed.max_retry_after_s; 0 where allowed.retry_after is false). A leaf call that ends in a cut makes its part unrepeatable.

--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -35,6 +35,8 @@
     pub dedup_window: Span,
     pub slo: Span,
     pub slo_stretch: f64,
+    /// Share of the utility that an answer after the SLO time still earns; at 0 a query ends there.
+    pub late_worth: f64,
     pub hard_limit: Span,
     pub whole_from: f64,
     pub floor: f64,
@@ -316,6 +318,8 @@
     at: At,
     out: bool,
     never_ran: bool,
+    /// Cut off under the part: its leaf may have died of it, and the next holder would too (poison).
+    cut: bool,
 }
 
 struct PartState {
@@ -599,23 +603,25 @@
             let parts = std::mem::take(&mut open.parts);
             self.drop_parts(port, parts);
             if last {
-                self.give_up(port, now, id, Span::ZERO);
+                self.give_up(port, now, id);
             }
             return;
         }
         self.end(port, id);
     }
 
-    /// Final: rejected where asking again is harmless, aborted otherwise (rule 2).
-    fn give_up(&mut self, port: &mut dyn Port, now: At, id: Query, stay_away: Span) {
+    /// Final, at once: rejected where asking again is harmless, with a time to come back where the settings
+    /// allow one; aborted otherwise (rule 2). Guards against a client that asks again at once into the same jam.
+    fn give_up(&mut self, port: &mut dyn Port, now: At, id: Query) {
         let open = &self.queries[&id];
+        let stay_away = self.stranded(open.vertical);
         // Guards against a time to stay held too short for any answer: then only rejections tell who stayed.
         self.trades[open.vertical.0 as usize].stayed(now - open.arrived);
         let effect = self.terms(open).effect;
         let unrun = |p: &Part| self.parts[p].sent.iter().all(|s| s.never_ran);
         let begun = open.parts.iter().any(|p| !self.parts[p].sent.is_empty());
         if effect == Effect::Repeatable || open.parts.iter().all(unrun) {
-            port.reject(id, self.tries.longest_stay_away.map_or(Span::ZERO, |most| stay_away.min(most)));
+            port.reject(id, stay_away.unwrap_or(self.waited(open.vertical)));
         } else {
             port.abort(id);
         }
@@ -628,10 +634,13 @@
     /// A query that another process of this co-ordinator held when it died; what of it ran is not known. The time to
     /// stay away where it is rejected, none where it is aborted (rule 2).
     pub fn stranded(&self, v: Vertical) -> Option<Span> {
-        let terms = &self.trades[v.0 as usize].terms;
-        let stay_away = terms.slo * Self::WAIT_SHARE;
+        (self.trades[v.0 as usize].terms.effect == Effect::Repeatable).then(|| self.waited(v))
+    }
+
+    /// When to come back: the patience for first calls, within what clients honour; none where not allowed.
+    fn waited(&self, v: Vertical) -> Span {
         let most = self.tries.longest_stay_away.unwrap_or(Span::ZERO);
-        (terms.effect == Effect::Repeatable).then(|| stay_away.min(most))
+        (self.trades[v.0 as usize].terms.slo * Self::WAIT_SHARE).min(most)
     }
 
     /// A leaf is given work that it should answer within a share of the time left, between what leaves room
@@ -709,6 +718,7 @@
             (Effect::SideEffecting, Some(_)) => false,
         };
         effect_ok
+            && !part.sent.iter().any(|s| s.cut)
             && !part.done
             && now < open.ends - self.tick
             && part.tried() < self.tries.limit
@@ -724,7 +734,7 @@
             None if nth > 0 => self.budget.spend(now),
             None => {}
         }
-        part.sent.push(Sent { leaf, at: now, out: true, never_ran: false });
+        part.sent.push(Sent { leaf, at: now, out: true, never_ran: false, cut: false });
         part.waits = false;
         let (work, ends) = (part.work, open.ends);
         let cold = self.fail_back.is_cold(self.leaves[&leaf].started, now);
@@ -821,6 +831,7 @@
         let sent = &mut part.sent[nth as usize];
         sent.out = false;
         sent.never_ran = matches!(ending, Ending::NoRoom | Ending::NoRoute | Ending::Stale);
+        sent.cut = ending == Ending::Cut;
         if part.done {
             return self.free_part(port, id);
         }
@@ -851,7 +862,7 @@
         let may_come = |p: &&Part| self.parts[p].done || self.parts[p].out() > 0 || self.could_go(now, **p);
         let hope: f64 = open.parts.iter().filter(may_come).map(|p| self.parts[p].weight).sum();
         if hope < self.bounds(open).0 {
-            self.give_up(port, now, query, Span::ZERO);
+            self.give_up(port, now, query);
         }
     }
 
@@ -1112,13 +1123,13 @@
         let few = open.in_parts as f64 >= open.parts.len() as f64 * Self::MOST_IN;
         let latest = (open.slo - open.arrived) * if few { Self::LATEST_SHARE } else { 1.0 };
         let unsent = |p: &Part| self.parts[p].sent.is_empty();
+        // Past the SLO time a vertical that earns nothing late is only work and a client held.
+        let worthless = self.terms(open).late_worth <= 0.0 && now >= open.slo;
         let (any, whole) = self.answer(open);
         if any && now >= answer_by {
             self.merge(port, now, id, whole, now >= end);
-        } else if now >= end {
-            self.give_up(port, now, id, Span::ZERO);
-        } else if now - open.arrived > patience && open.parts.iter().all(unsent) {
-            self.give_up(port, now, id, patience);
+        } else if now >= end || worthless || now - open.arrived > patience && open.parts.iter().all(unsent) {
+            self.give_up(port, now, id);
         }
         let Some(open) = self.queries.get(&id) else { return };
         for part in if now < open.slo { open.parts.clone() } else { Vec::new() } {
--- a/crates/pipitcrank/src/told.rs
+++ b/crates/pipitcrank/src/told.rs
@@ -145,6 +145,8 @@
             dedup_window: Span::from_s(self.number_or(&of("dedup_window_s"), 0.0)?),
             slo: self.span(&of("aim_s"))?,
             slo_stretch: self.number_or(&of("aim_stretch"), 0.0)?,
+            // Absent: some worth is left after the SLO time, as before the key was read.
+            late_worth: self.number_or(&of("late_worth"), 1.0)?,
             hard_limit: self.span(&of("hard_limit_s"))?,
             whole_from: self.number(&domain("complete_from"))?,
             floor: self.number(&domain("floor_by_class"))?,
--- a/crates/pipitcrank/tests/helper/mod.rs
+++ b/crates/pipitcrank/tests/helper/mod.rs
@@ -78,10 +78,17 @@
 pub const BUDGET_SPAN: Span = Span::from_ms(1000);
 pub const DEDUP: Span = Span::from_ms(700);
 /// Floor and need by vertical: repeatable whole, repeatable with a floor, deduplicated, side-effecting, and one
-/// with a second step.
-pub const FLOORS: [(f64, f64); 5] = [(1.0, 1.0), (0.6, 1.0), (1.0, 1.0), (1.0, 1.0), (0.5, 0.8)];
-pub const EFFECTS: [Effect; 5] =
-    [Effect::Repeatable, Effect::Repeatable, Effect::Deduplicated, Effect::SideEffecting, Effect::Repeatable];
+/// with a second step; a sixth, repeatable and whole, earns nothing after its SLO time.
+pub const FLOORS: [(f64, f64); 6] = [(1.0, 1.0), (0.6, 1.0), (1.0, 1.0), (1.0, 1.0), (0.5, 0.8), (1.0, 1.0)];
+pub const EFFECTS: [Effect; 6] = [
+    Effect::Repeatable,
+    Effect::Repeatable,
+    Effect::Deduplicated,
+    Effect::SideEffecting,
+    Effect::Repeatable,
+    Effect::Repeatable,
+];
+pub const LATE_WORTH: [f64; 6] = [0.3, 0.3, 0.3, 0.3, 0.3, 0.0];
 
 pub fn ms(n: i64) -> Span {
     Span::from_ms(n)
@@ -126,6 +133,7 @@
             dedup_window: DEDUP,
             slo: ms(1500),
             slo_stretch: 0.0,
+            late_worth: LATE_WORTH[n],
             hard_limit: ms(4000),
             whole_from,
             floor,
--- a/crates/pipitcrank/tests/rules.rs
+++ b/crates/pipitcrank/tests/rules.rs
@@ -37,7 +37,7 @@
 
 fn op() -> impl Strategy<Value = Op> {
     prop_oneof![
-        3 => (0..5usize, 0..12u32, 1..8u32, 30..4000i64)
+        3 => (0..6usize, 0..12u32, 1..8u32, 30..4000i64)
             .prop_map(|(vertical, first, count, left)| Op::Ask { vertical, first, count, left }),
         8 => (any::<usize>(), 0..10usize).prop_map(|(which, ending)| Op::End { which, ending }),
         5 => (1..400i64).prop_map(Op::Pass),
@@ -59,6 +59,7 @@
 
 struct Asked {
     vertical: usize,
+    arrived: At,
     ends: At,
     step: u8,
     first_whole: bool,
@@ -202,7 +203,7 @@
             Query((0..).find(|n| !self.asked.contains_key(&Query(*n)) && ids().all(|q| q.0 != *n)).unwrap());
         let ends = self.now + left;
         self.taken.push(self.now);
-        self.asked.insert(query, Asked { vertical, ends, step: 0, first_whole: true });
+        self.asked.insert(query, Asked { vertical, arrived: self.now, ends, step: 0, first_whole: true });
         self.event(|w, tape| {
             w.root.query(tape, w.now, query, Vertical(vertical as u16), left, Some(0.5), f64::from(count));
             for n in 0..count {
@@ -240,6 +241,10 @@
         self.now = until;
         let lost = self.asked.values().any(|a| self.now >= a.ends);
         prop_assert!(!lost, "a query has had no answer in its time");
+        // A query that can earn nothing more is not held: one look after its SLO time of 1.5 s at most.
+        let worthless = |a: &Asked| helper::LATE_WORTH[a.vertical] == 0.0;
+        let held = self.asked.values().any(|a| worthless(a) && self.now > a.arrived + ms(1500 + 50 + 5));
+        prop_assert!(!held, "a query worth nothing more is held past its SLO time");
         Ok(())
     }
 }
