--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -31,6 +31,8 @@
 
 /// One vertical as told at start.
 pub struct Terms {
+    /// What the vertical is called: what was learned of it is taken over under this name alone.
+    pub name: String,
     pub effect: Effect,
     pub dedup_window: Span,
     pub slo: Span,
@@ -62,7 +64,8 @@
         self.leaving += LeafState::NEWEST * (1.0 - self.leaving);
     }
 
-    /// Answered or rejected at that age: near the time to stay or past it, clients may stay longer than thought.
+    /// Answered or rejected at that age: near the time to stay or past it, clients may stay longer than
+    /// thought.
     /// Each answer speaks against leaving: one stray leaver and another a minute later were held for all.
     fn stayed(&mut self, age: Span) {
         let past = age > self.stay * 0.8;
@@ -140,7 +143,8 @@
     /// Times of arrivals and of further calls; emptied as they leave the window.
     taken: VecDeque<At>,
     further: VecDeque<At>,
-    /// Calls that others may make for this co-ordinator until then, by who; each ends when that is told, or counts as
+    /// Calls that others may make for this co-ordinator until then, by who; each ends when that is told, or
+    /// counts as
     /// made when its time is over.
     lent: BTreeMap<u64, (u32, At)>,
     /// Where another process has the budget: all that this one may make, and until when; none before `shut`.
@@ -154,7 +158,8 @@
         Budget { share, free, span, shut: At::from_us(i64::MIN), ..Budget::default() }
     }
 
-    /// Further calls that may be made now. What is lent may be made at any time until it ends, so only arrivals count
+    /// Further calls that may be made now. What is lent may be made at any time until it ends, so only
+    /// arrivals count
     /// that still do then. Guards against two who spend in turn more than one window allows.
     pub fn left(&mut self, now: At) -> f64 {
         for (_, (n, until)) in self.lent.extract_if(.., |_, l| l.1 <= now) {
@@ -236,6 +241,14 @@
     pub longest_stay_away: Option<Span>,
 }
 
+impl Tries {
+    /// Cuts under one part after which it is not sent again: one was the poison's mark, but on sockets a
+    /// garbled or
+    /// rude connection cuts innocent parts (rude+garble+fleet 0.97 to 0.90); twice at two leaves is the
+    /// poison's.
+    const CUTS: usize = 2;
+}
+
 /// A part out: its work, all own work ahead of its end as it went, and the call it shares.
 struct Out {
     at: At,
@@ -261,7 +274,8 @@
     probed: Option<(At, bool)>,
     /// Left out as faulty, and to be tried again from then on.
     trial_at: Option<At>,
-    /// It stands for the leaves of one cell at another site: the time that the hop there and back costs, none while
+    /// It stands for the leaves of one cell at another site: the time that the hop there and back costs, none
+    /// while
     /// nothing may go there.
     far: Option<Option<Span>>,
     /// Lag, work out and calls out as last worked out, and for when; void with each call or word.
@@ -611,7 +625,8 @@
     }
 
     /// Final, at once: rejected where asking again is harmless, with a time to come back where the settings
-    /// allow one; aborted otherwise (rule 2). Guards against a client that asks again at once into the same jam.
+    /// allow one; aborted otherwise (rule 2). Guards against a client that asks again at once into the same
+    /// jam.
     fn give_up(&mut self, port: &mut dyn Port, now: At, id: Query) {
         let open = &self.queries[&id];
         let stay_away = self.stranded(open.vertical);
@@ -631,7 +646,8 @@
         self.end(port, id);
     }
 
-    /// A query that another process of this co-ordinator held when it died; what of it ran is not known. The time to
+    /// A query that another process of this co-ordinator held when it died; what of it ran is not known. The
+    /// time to
     /// stay away where it is rejected, none where it is aborted (rule 2).
     pub fn stranded(&self, v: Vertical) -> Option<Span> {
         (self.trades[v.0 as usize].terms.effect == Effect::Repeatable).then(|| self.waited(v))
@@ -718,7 +734,7 @@
             (Effect::SideEffecting, Some(_)) => false,
         };
         effect_ok
-            && !part.sent.iter().any(|s| s.cut)
+            && part.sent.iter().filter(|s| s.cut).count() < Tries::CUTS
             && !part.done
             && now < open.ends - self.tick
             && part.tried() < self.tries.limit
--- a/crates/pipitcrank/src/decide/known.rs
+++ b/crates/pipitcrank/src/decide/known.rs
@@ -1,5 +1,7 @@
-//! What a `Root` has learned, in a form that another process can take over: every moment stands as an age, so that
-//! the taker places it on its own clock. Open queries and calls out are no part of it: they stay where they are.
+//! What a `Root` has learned, in a form that another process can take over: every moment stands as an age, so
+//! that
+//! the taker places it on its own clock. Open queries and calls out are no part of it: they stay where they
+//! are.
 
 use std::collections::BTreeMap;
 
@@ -16,7 +18,8 @@
     /// Ages of what counts against the budget of further calls, oldest first.
     pub taken: Vec<Span>,
     pub further: Vec<Span>,
-    /// Further calls lent with parts to other sites, and for how long yet: what comes back of them is not told here.
+    /// Further calls lent with parts to other sites, and for how long yet: what comes back of them is not
+    /// told here.
     pub lent: Vec<(u32, Span)>,
     overdue: Option<f64>,
     rate: Option<f64>,
@@ -27,6 +30,9 @@
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct KnownVertical {
+    /// Empty from a process that did not write it: then the verticals are taken in their order.
+    #[serde(default)]
+    name: String,
     work: Option<f64>,
     hint: Option<f64>,
     leaving: f64,
@@ -76,8 +82,13 @@
         self.budget.left(now);
         let ages = |times: &std::collections::VecDeque<At>| times.iter().map(|&t| now - t).collect();
         let trades = self.trades.iter();
-        let verticals =
-            trades.map(|t| KnownVertical { work: t.work.0, hint: t.hint, leaving: t.leaving, stay: t.stay });
+        let verticals = trades.map(|t| KnownVertical {
+            name: t.terms.name.clone(),
+            work: t.work.0,
+            hint: t.hint,
+            leaving: t.leaving,
+            stay: t.stay,
+        });
         let window = self.fail_back.window;
         let leaf = |l: &LeafState| KnownLeaf {
             started: l.started.map(|t| now - t),
@@ -100,12 +111,21 @@
         }
     }
 
-    /// Takes what another process had learned `passed` ago. Leaves are by the indices of this one. A leaf that has
-    /// started since is another process: of the old one nothing is taken.
+    /// Takes what another process had learned `passed` ago. Leaves are by the indices of this one. A leaf
+    /// that has
+    /// started since is another process: of the old one nothing is taken. A vertical is taken by its name, so
+    /// that after a move to other verticals none learns another's work (in their order from an older
+    /// process).
     pub fn learn_from(&mut self, now: At, passed: Span, known: Known) {
         let at = |age: Span| now - age - passed;
-        if known.verticals.len() == self.trades.len() {
-            for (trade, k) in self.trades.iter_mut().zip(known.verticals) {
+        let unnamed = known.verticals.iter().all(|k| k.name.is_empty());
+        let in_order = unnamed && known.verticals.len() == self.trades.len();
+        for (n, trade) in self.trades.iter_mut().enumerate() {
+            let same =
+                |(m, k): &(usize, &KnownVertical)| if unnamed { *m == n } else { k.name == trade.terms.name };
+            if let Some((_, k)) =
+                known.verticals.iter().enumerate().find(same).filter(|_| in_order || !unnamed)
+            {
                 trade.work = Mark(k.work);
                 (trade.hint, trade.leaving, trade.stay) = (k.hint, k.leaving, k.stay);
             }
@@ -141,12 +161,14 @@
 
     // Two processes as one co-ordinator: what each may spend is divided by `pipitcrank_handover::division`.
 
-    /// What the budget of further calls is: so many free, a share of what is taken, over a span; none is no budget.
+    /// What the budget of further calls is: so many free, a share of what is taken, over a span; none is no
+    /// budget.
     pub fn budget_terms(&self) -> (f64, f64, Span) {
         (self.budget.free, self.budget.share, self.budget.span)
     }
 
-    /// From now on at most so many further calls, none after `until`, and nothing to cold leaves: another process
+    /// From now on at most so many further calls, none after `until`, and nothing to cold leaves: another
+    /// process
     /// has the rest.
     pub fn finish_with(&mut self, further: u32, until: At) {
         self.budget.purse = Some((f64::from(further), until));
@@ -171,7 +193,8 @@
         self.budget.purse.map_or(0, |(n, _)| n.max(0.0) as u32)
     }
 
-    /// Alone again, and what the other process did is not known: it is held to have used all it might, so nothing
+    /// Alone again, and what the other process did is not known: it is held to have used all it might, so
+    /// nothing
     /// of a kind goes until the longest window in which that counts has passed.
     pub fn alone_again(&mut self, now: At) {
         self.budget.purse = None;
--- a/crates/pipitcrank/src/told.rs
+++ b/crates/pipitcrank/src/told.rs
@@ -136,6 +136,7 @@
         let of = |key: &str| format!("/classes/{n}/{key}");
         let domain = |key: &str| format!("/domain/{key}/{n}");
         Ok(Terms {
+            name: self.text(&of("name"))?.to_string(),
             effect: match self.text(&of("idempotency"))? {
                 "safe" => Effect::Repeatable,
                 "keyed" => Effect::Deduplicated,
@@ -146,7 +147,10 @@
             slo: self.span(&of("aim_s"))?,
             slo_stretch: self.number_or(&of("aim_stretch"), 0.0)?,
             // Absent: some worth is left after the SLO time, as before the key was read.
-            late_worth: self.number_or(&of("late_worth"), 1.0)?,
+            late_worth: match self.number_or(&of("late_worth"), 1.0)? {
+                share if (0.0..=1.0).contains(&share) => share,
+                _ => return Err(self.faulty(&of("late_worth"), "is no share from 0 to 1")),
+            },
             hard_limit: self.span(&of("hard_limit_s"))?,
             whole_from: self.number(&domain("complete_from"))?,
             floor: self.number(&domain("floor_by_class"))?,
