--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -241,14 +241,6 @@
     pub longest_stay_away: Option<Span>,
 }
 
-impl Tries {
-    /// Cuts under one part after which it is not sent again: one was the poison's mark, but on sockets a
-    /// garbled or
-    /// rude connection cuts innocent parts (rude+garble+fleet 0.97 to 0.90); twice at two leaves is the
-    /// poison's.
-    const CUTS: usize = 2;
-}
-
 /// A part out: its work, all own work ahead of its end as it went, and the call it shares.
 struct Out {
     at: At,
@@ -332,8 +324,6 @@
     at: At,
     out: bool,
     never_ran: bool,
-    /// Cut off under the part: its leaf may have died of it, and the next holder would too (poison).
-    cut: bool,
 }
 
 struct PartState {
@@ -734,7 +724,6 @@
             (Effect::SideEffecting, Some(_)) => false,
         };
         effect_ok
-            && part.sent.iter().filter(|s| s.cut).count() < Tries::CUTS
             && !part.done
             && now < open.ends - self.tick
             && part.tried() < self.tries.limit
@@ -750,7 +739,7 @@
             None if nth > 0 => self.budget.spend(now),
             None => {}
         }
-        part.sent.push(Sent { leaf, at: now, out: true, never_ran: false, cut: false });
+        part.sent.push(Sent { leaf, at: now, out: true, never_ran: false });
         part.waits = false;
         let (work, ends) = (part.work, open.ends);
         let cold = self.fail_back.is_cold(self.leaves[&leaf].started, now);
@@ -847,7 +836,6 @@
         let sent = &mut part.sent[nth as usize];
         sent.out = false;
         sent.never_ran = matches!(ending, Ending::NoRoom | Ending::NoRoute | Ending::Stale);
-        sent.cut = ending == Ending::Cut;
         if part.done {
             return self.free_part(port, id);
         }
