Review: give_up reads its stay-away once; learn_from matches a vertical plainly

What the re-reading of the whole change found: - give_up looked up stranded() and then fell back to waited() on None; in the rejecting branch both give waited(), so it now calls waited() alone. - learn_from matched verticals through an enumerate, a closure on index or name and a filter on order; now one match: by name, or by position where the old process wrote no names and the counts agree.

--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -64,8 +64,7 @@
         self.leaving += LeafState::NEWEST * (1.0 - self.leaving);
     }
 
-    /// Answered or rejected at that age: near the time to stay or past it, clients may stay longer than
-    /// thought.
+    /// Answered or rejected at that age: near or past the time to stay, clients may stay longer than thought.
     /// Each answer speaks against leaving: one stray leaver and another a minute later were held for all.
     fn stayed(&mut self, age: Span) {
         let past = age > self.stay * 0.8;
@@ -144,8 +143,7 @@
     taken: VecDeque<At>,
     further: VecDeque<At>,
     /// Calls that others may make for this co-ordinator until then, by who; each ends when that is told, or
-    /// counts as
-    /// made when its time is over.
+    /// counts as made when its time is over.
     lent: BTreeMap<u64, (u32, At)>,
     /// Where another process has the budget: all that this one may make, and until when; none before `shut`.
     purse: Option<(f64, At)>,
@@ -159,8 +157,7 @@
     }
 
     /// Further calls that may be made now. What is lent may be made at any time until it ends, so only
-    /// arrivals count
-    /// that still do then. Guards against two who spend in turn more than one window allows.
+    /// arrivals count that still do then. Guards against two who spend in turn more than one window allows.
     pub fn left(&mut self, now: At) -> f64 {
         for (_, (n, until)) in self.lent.extract_if(.., |_, l| l.1 <= now) {
             (0..n).for_each(|_| self.further.push_back(until));
@@ -267,8 +264,7 @@
     /// Left out as faulty, and to be tried again from then on.
     trial_at: Option<At>,
     /// It stands for the leaves of one cell at another site: the time that the hop there and back costs, none
-    /// while
-    /// nothing may go there.
+    /// while nothing may go there.
     far: Option<Option<Span>>,
     /// Lag, work out and calls out as last worked out, and for when; void with each call or word.
     seen: Cell<Option<seen::Seen>>,
@@ -614,19 +610,17 @@
         self.end(port, id);
     }
 
-    /// Final, at once: rejected where asking again is harmless, with a time to come back where the settings
-    /// allow one; aborted otherwise (rule 2). Guards against a client that asks again at once into the same
-    /// jam.
+    /// Final, at once: rejected where asking again is harmless, saying when to come back where allowed;
+    /// aborted otherwise (rule 2). Guards against a client asking again at once into the same jam.
     fn give_up(&mut self, port: &mut dyn Port, now: At, id: Query) {
         let open = &self.queries[&id];
-        let stay_away = self.stranded(open.vertical);
         // Guards against a time to stay held too short for any answer: then only rejections tell who stayed.
         self.trades[open.vertical.0 as usize].stayed(now - open.arrived);
         let effect = self.terms(open).effect;
         let unrun = |p: &Part| self.parts[p].sent.iter().all(|s| s.never_ran);
         let begun = open.parts.iter().any(|p| !self.parts[p].sent.is_empty());
         if effect == Effect::Repeatable || open.parts.iter().all(unrun) {
-            port.reject(id, stay_away.unwrap_or(self.waited(open.vertical)));
+            port.reject(id, self.waited(open.vertical));
         } else {
             port.abort(id);
         }
@@ -637,8 +631,7 @@
     }
 
     /// A query that another process of this co-ordinator held when it died; what of it ran is not known. The
-    /// time to
-    /// stay away where it is rejected, none where it is aborted (rule 2).
+    /// time to stay away where it is rejected, none where it is aborted (rule 2).
     pub fn stranded(&self, v: Vertical) -> Option<Span> {
         (self.trades[v.0 as usize].terms.effect == Effect::Repeatable).then(|| self.waited(v))
     }
--- a/crates/pipitcrank/src/decide/known.rs
+++ b/crates/pipitcrank/src/decide/known.rs
@@ -1,7 +1,5 @@
 //! What a `Root` has learned, in a form that another process can take over: every moment stands as an age, so
-//! that
-//! the taker places it on its own clock. Open queries and calls out are no part of it: they stay where they
-//! are.
+//! that the taker places it on its own clock. Open queries and calls out are not in it: they stay put.
 
 use std::collections::BTreeMap;
 
@@ -112,20 +110,18 @@
     }
 
     /// Takes what another process had learned `passed` ago. Leaves are by the indices of this one. A leaf
-    /// that has
-    /// started since is another process: of the old one nothing is taken. A vertical is taken by its name, so
-    /// that after a move to other verticals none learns another's work (in their order from an older
-    /// process).
+    /// that has started since is another process: of the old one nothing is taken. Verticals by name, so that
+    /// after a move none learns another's work; by their order from a process that wrote no names.
     pub fn learn_from(&mut self, now: At, passed: Span, known: Known) {
         let at = |age: Span| now - age - passed;
         let unnamed = known.verticals.iter().all(|k| k.name.is_empty());
-        let in_order = unnamed && known.verticals.len() == self.trades.len();
+        let in_order = known.verticals.len() == self.trades.len();
         for (n, trade) in self.trades.iter_mut().enumerate() {
-            let same =
-                |(m, k): &(usize, &KnownVertical)| if unnamed { *m == n } else { k.name == trade.terms.name };
-            if let Some((_, k)) =
-                known.verticals.iter().enumerate().find(same).filter(|_| in_order || !unnamed)
-            {
+            let k = match unnamed {
+                true => known.verticals.get(n).filter(|_| in_order),
+                false => known.verticals.iter().find(|k| k.name == trade.terms.name),
+            };
+            if let Some(k) = k {
                 trade.work = Mark(k.work);
                 (trade.hint, trade.leaving, trade.stay) = (k.hint, k.leaving, k.stay);
             }
@@ -168,8 +164,7 @@
     }
 
     /// From now on at most so many further calls, none after `until`, and nothing to cold leaves: another
-    /// process
-    /// has the rest.
+    /// process has the rest.
     pub fn finish_with(&mut self, further: u32, until: At) {
         self.budget.purse = Some((f64::from(further), until));
         self.fail_back.shut = At::from_us(i64::MAX);
@@ -194,8 +189,7 @@
     }
 
     /// Alone again, and what the other process did is not known: it is held to have used all it might, so
-    /// nothing
-    /// of a kind goes until the longest window in which that counts has passed.
+    /// nothing of a kind goes until the longest window in which that counts has passed.
     pub fn alone_again(&mut self, now: At) {
         self.budget.purse = None;
         self.budget.lent.remove(&Self::OLD);
