Leaves know their zone: the own one first, others dearer; what is seen of each zone

Need: the list names each leaf's zone and the settings the co-ordinator's own, and nothing read either; a crossing was paid blindly. What all copies will decide on zones needs a way into the cover. Change: zones as facts, checked by key at start (zone among zones, no name twice, the list's names among them), for both hosts; a leaf outside the zone that a query is meant for is held to come to work a tenth of the SLO time later, shares and shut zones as a narrowing, a share turned away by vertical; counts of answering, silent, failing, full and cold leaves of a zone.

--- a/crates/pipitcrank-cost/src/stage.rs
+++ b/crates/pipitcrank-cost/src/stage.rs
@@ -136,5 +136,5 @@
 
 fn row(n: u32, cells: u32, up: bool) -> Listed {
     let address = Some(SocketAddr::from(([127, 0, 0, 1], 1000 + n as u16)));
-    Listed { uid: format!("leaf-{n}"), address, cell: n % cells, up, started: None }
+    Listed { uid: format!("leaf-{n}"), address, cell: n % cells, zone: None, up, started: None }
 }
--- a/crates/pipitcrank-gateway/tests/link.rs
+++ b/crates/pipitcrank-gateway/tests/link.rs
@@ -71,7 +71,8 @@
         let (clock, counters) = (Clock::start(), Counters::default());
         let root = Told::new(&serde_json::from_str(TOLD).unwrap()).root(1).unwrap();
         let mut exchange = Exchange::new(root, 1000, 4, Span::from_ms(2000), counters.clone());
-        let row = Listed { uid: "l".into(), address: Some(address), cell: 0, up: true, started: None };
+        let row =
+            Listed { uid: "l".into(), address: Some(address), cell: 0, zone: None, up: true, started: None };
         exchange.list(clock.now(), true, vec![row]);
         let hall = Rc::new(Hall::new(clock, counters, Sockets::new(9), exchange));
         let (second, ran) = (Duration::from_secs(1), Rc::default());
--- a/crates/pipitcrank-handover/src/snapshot.rs
+++ b/crates/pipitcrank-handover/src/snapshot.rs
@@ -9,7 +9,7 @@
 
 const MAGIC: [u8; 4] = *b"pckn";
 /// Raised with each change of the body's form.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// Longest body: some twenty thousand leaves.
 pub const LONGEST: usize = 4 << 20;
 const HEAD: usize = 4 + 2 + 4 + 4;
@@ -35,6 +35,8 @@
     pub uid: String,
     pub address: Option<SocketAddr>,
     pub cell: u32,
+    /// Name of its zone, where discovery says.
+    pub zone: Option<String>,
     pub started: Option<Span>,
     /// How long ago it was told to drain or be gone.
     pub off: Option<Span>,
@@ -112,6 +114,7 @@
             uid: format!("s-{n}"),
             address: Some(([127, 0, 0, 1], n as u16).into()),
             cell: n,
+            zone: (n > 2).then(|| "a".to_string()),
             started: (n > 1).then(|| Span::from_ms(70)),
             off: (n == 3).then(|| Span::from_ms(5)),
         };
--- a/crates/pipitcrank-node/src/charter.rs
+++ b/crates/pipitcrank-node/src/charter.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use axum::http::uri::Authority;
+use pipitcrank::decide::zones::Zone;
 use pipitcrank::time::Span;
 use pipitcrank::told::{Faulty, Told};
 use serde::Deserialize;
@@ -98,7 +99,18 @@
         let wrong = |what: String| self.told().faulty("/known", &format!("is no list: {what}"));
         let known = self.all.get("known").ok_or_else(|| wrong("it is missing".to_string()))?;
         let known = News::deserialize(known).map_err(|e| wrong(e.to_string()))?;
-        Ok((known.rev, known.rows(clock).map_err(wrong)?.1))
+        let (rev, (_, rows)) = (known.rev, known.rows(clock).map_err(wrong)?);
+        // Guards against two parts of the platform that name zones otherwise: near would be nowhere.
+        let names = self.zones()?.map(|(_, names)| names);
+        for (n, row) in rows.iter().enumerate() {
+            if let (Some(names), Some(zone)) = (&names, &row.zone)
+                && !names.contains(zone)
+            {
+                let what = format!("is '{zone}', none of /settings/zones: {}", names.join(", "));
+                return Err(self.told().faulty(&format!("/known/targets/{n}/az"), &what));
+            }
+        }
+        Ok((rev, rows))
     }
 
     /// Sockets for leaves and for clients, at most. Leaves get a third: a few connections to each leaf carry all
@@ -149,15 +161,23 @@
                 return Err(settings.faulty(&key, "asks for a second step, which sockets don't have"));
             }
         }
+        let zones = self.zones()?.map_or(Vec::new(), |(_, names)| names);
         let seed = self.told().text("/seed")?;
         let wrong = |_| self.told().faulty("/seed", &format!("is '{seed}', not up to 16 hex digits"));
-        Ok(Exchange::new(
+        let mut exchange = Exchange::new(
             settings.root(u64::from_str_radix(seed, 16).map_err(wrong)?)?,
             settings.count("/allowed/max_open")? as usize,
             settings.count("/domain/parts_a_call")? as usize,
             settings.span("/rules/drain_grace_s")?,
             counters,
-        ))
+        );
+        exchange.name_zones(zones);
+        Ok(exchange)
+    }
+
+    /// This co-ordinator's zone, by its place, and the names of all; none where the platform says nothing.
+    pub fn zones(&self) -> Result<Option<(Zone, Vec<String>)>, Faulty> {
+        self.settings()?.zones()
     }
 
     /// Parts that a connection to a leaf carries at once.
--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -38,6 +38,8 @@
     uid: String,
     endpoint: Option<String>,
     pod_group: Option<u32>,
+    #[serde(default)]
+    az: Option<String>,
     state: State,
     #[serde(default)]
     boot_ms: i64,
@@ -64,6 +66,7 @@
                 uid: t.uid,
                 address,
                 cell: t.pod_group.unwrap_or(0),
+                zone: t.az,
                 up: t.state == State::Active,
                 started: (t.boot_ms != 0).then(|| clock.at_unix_ms(t.boot_ms)),
             })
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 
 use pipitcrank::decide::Root;
+use pipitcrank::decide::zones::{Seen, Shares, Zone};
 use pipitcrank::ids::{Ending, Leaf, Part, Query, Vertical};
 use pipitcrank::names::Names;
 use pipitcrank::port::Port;
@@ -87,6 +88,8 @@
     pub uid: String,
     pub address: Option<SocketAddr>,
     pub cell: u32,
+    /// The zone it stands in, by name; none where discovery does not say: then what was said before stands.
+    pub zone: Option<String>,
     pub up: bool,
     pub started: Option<At>,
 }
@@ -138,6 +141,7 @@
 struct HeldLeaf {
     address: Option<SocketAddr>,
     cell: u32,
+    zone: Option<String>,
     started: Option<At>,
     /// It stands for a cell of that site, as numbered at start.
     site: Option<u16>,
@@ -292,6 +296,8 @@
     open_elsewhere: usize,
     call_size: usize,
     drain_grace: Span,
+    /// Names of zones, by place; none where zones do not count.
+    zones: Vec<String>,
     /// Further calls lent with parts that went to another site; each leaves when they come back or their time is over.
     lent: BTreeMap<u64, LentOut>,
     next_lent: u64,
@@ -315,6 +321,7 @@
             open_elsewhere: 0,
             call_size,
             drain_grace,
+            zones: Vec::new(),
             lent: BTreeMap::new(),
             next_lent: 0,
         }
@@ -442,7 +449,8 @@
         for cell in 0..cells {
             // No name of discovery's has a blank.
             let leaf = Leaf(self.desk.leaves.enter(&format!("site {name} {cell}")));
-            let held = HeldLeaf { address: None, cell, started: None, site: Some(site), off: None };
+            let held =
+                HeldLeaf { address: None, cell, zone: None, started: None, site: Some(site), off: None };
             self.desk.held_leaves.insert(leaf.0, held);
             self.root.leaf(leaf, cell, true, None);
             self.root.far(leaf, None);
@@ -506,6 +514,29 @@
         }
     }
 
+    // Zones.
+
+    /// The zones that there are, by place. Leaves that stand elsewhere have none.
+    pub fn name_zones(&mut self, names: Vec<String>) {
+        self.zones = names;
+        for (&leaf, held) in &self.desk.held_leaves {
+            let place = held.zone.as_ref().and_then(|z| self.zones.iter().position(|known| known == z));
+            self.root.stands_in(Leaf(leaf), place.map(|p| Zone(p as u16)));
+        }
+    }
+
+    /// From now on queries are meant for zones by these shares.
+    pub fn set_shares(&mut self, shares: Shares) {
+        self.root.set_shares(shares);
+    }
+
+    /// What is seen of each zone's leaves from here, in the zones' order; and parts sent at home and across since this
+    /// was last asked.
+    pub fn zones_seen(&mut self, now: At) -> (Vec<Seen>, (u64, u64)) {
+        let seen = (0..self.zones.len()).map(|n| self.root.seen_of(now, Zone(n as u16))).collect();
+        (seen, self.root.sent_across())
+    }
+
     // Turns.
 
     pub fn turn(&mut self, now: At, leaf_side: &mut dyn LeafSide) {
@@ -628,6 +659,7 @@
             uid: self.desk.leaves.name(index).to_string(),
             address: held.address,
             cell: held.cell,
+            zone: held.zone.clone(),
             started: held.started.map(|t| now - t),
             off: held.off.map(|t| now - t),
         });
@@ -640,11 +672,11 @@
         let mut indices = BTreeMap::new();
         let mut rows = Vec::new();
         let mut offs = Vec::new();
-        for SeenLeaf { index, uid, address, cell, started, off } in snapshot.leaves {
+        for SeenLeaf { index, uid, address, cell, zone, started, off } in snapshot.leaves {
             let ours = self.desk.leaves.enter(&uid);
             indices.insert(index, ours);
             offs.extend(off.map(|off| (ours, at(off))));
-            rows.push(Listed { uid, address, cell, up: off.is_none(), started: started.map(at) });
+            rows.push(Listed { uid, address, cell, zone, up: off.is_none(), started: started.map(at) });
         }
         self.take_list(now, true, rows);
         for (leaf, off) in offs {
@@ -712,17 +744,23 @@
                 self.root.leaf(Leaf(leaf), held.cell, true, None);
             }
         }
-        for Listed { uid, address, cell, up, started } in rows {
+        for Listed { uid, address, cell, zone, up, started } in rows {
             let leaf = Leaf(self.desk.leaves.enter(&uid));
-            let fresh = HeldLeaf { address: None, cell, started, site: None, off: Some(at) };
+            let fresh = HeldLeaf { address: None, cell, zone: None, started, site: None, off: Some(at) };
             let held = self.desk.held_leaves.entry(leaf.0).or_insert(fresh);
             (held.cell, held.started) = (cell, started);
+            held.zone = zone.or(held.zone.take());
+            let place = held.zone.as_ref().and_then(|z| self.zones.iter().position(|known| known == z));
+            if place.is_none() && held.zone.is_some() && !self.zones.is_empty() {
+                self.desk.counters.add("discovery", "unknown_zone");
+            }
             held.off = if up { None } else { held.off.or(Some(at)) };
             if let Some(address) = address.filter(|a| held.address != Some(*a)) {
                 held.address = Some(address);
                 self.desk.wishes.push(Wish::Meet(leaf, address));
             }
             self.root.leaf(leaf, cell, up, started);
+            self.root.stands_in(leaf, place.map(|p| Zone(p as u16)));
         }
         self.root.list_end(&mut self.desk);
     }
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -322,7 +322,8 @@
 
         let (clock, counters) = (Clock::start(), Counters::default());
         let mut exchange = exchange(&counters);
-        let row = Listed { uid: "l".into(), address: Some(address), cell: 0, up: true, started: None };
+        let row =
+            Listed { uid: "l".into(), address: Some(address), cell: 0, zone: None, up: true, started: None };
         exchange.list(clock.now(), true, vec![row]);
         let parts = vec![AskedPart { shard: 0, weight: 1.0, work: None }];
         let ends = clock.now() + Span::from_ms(50_000);
--- a/crates/pipitcrank-node/tests/exchange.rs
+++ b/crates/pipitcrank-node/tests/exchange.rs
@@ -59,7 +59,7 @@
 
 fn listed(n: u32, up: bool) -> Listed {
     let address = Some(SocketAddr::from(([127, 0, 0, 1], 5000 + n as u16)));
-    Listed { uid: format!("leaf-{n}"), address, cell: n, up, started: None }
+    Listed { uid: format!("leaf-{n}"), address, cell: n, zone: None, up, started: None }
 }
 
 type Answers = Rc<RefCell<Vec<(String, Final)>>>;
--- a/crates/pipitcrank-node/tests/leaves.rs
+++ b/crates/pipitcrank-node/tests/leaves.rs
@@ -64,7 +64,14 @@
         let counters = Counters::default();
         let root = Told::new(&serde_json::from_str(TOLD).unwrap()).root(1).unwrap();
         let mut exchange = Exchange::new(root, 1000, 4, Span::from_ms(500), counters.clone());
-        let row = Listed { uid: "leaf".into(), address: Some(address), cell: 0, up: true, started: None };
+        let row = Listed {
+            uid: "leaf".into(),
+            address: Some(address),
+            cell: 0,
+            zone: None,
+            up: true,
+            started: None,
+        };
         exchange.list(clock.now(), true, vec![row]);
         let hall = Rc::new(Hall::new(clock, counters, Sockets::new(sockets), exchange));
         let leaves = Leaves::new(hall.clone(), streams, way, idle);
--- a/crates/pipitcrank-simhost/src/door.rs
+++ b/crates/pipitcrank-simhost/src/door.rs
@@ -4,6 +4,7 @@
 use std::io::{self, Write};
 
 use pipitcrank::decide::Root;
+use pipitcrank::decide::zones::Zone;
 use pipitcrank::ids::{Ending, Leaf, Part, Query, Vertical};
 use pipitcrank::names::Names;
 use pipitcrank::port::Port;
@@ -16,6 +17,7 @@
 /// One row of a list of replicas, kept until its list's number is used again.
 pub struct Row {
     replica: String,
+    zone: Option<String>,
     cell: u32,
     up: bool,
     started: Option<At>,
@@ -33,6 +35,7 @@
         let started = line.amount_or("start_time_s", 0.0)?;
         Ok(Row {
             replica: line.field("replica")?.to_string(),
+            zone: line.field("zone").ok().map(str::to_string),
             cell: if state == "D" { line.number_or("cell", 0)? } else { line.number("cell")? },
             up: state == "U",
             started: (started != 0.0).then(|| At::from_s(started)),
@@ -125,6 +128,7 @@
     door: Door,
     root: Root,
     verticals: Vec<String>,
+    zones: Vec<String>,
 }
 
 impl Host {
@@ -143,11 +147,12 @@
             asks: BTreeMap::new(),
             reply: String::new(),
         };
-        Ok(Host { door, root, verticals })
+        let zones = told.zones().map_err(faulty)?.map_or(Vec::new(), |(_, names)| names);
+        Ok(Host { door, root, verticals, zones })
     }
 
     pub fn event(&mut self, now: At, line: &Line, lists: &BTreeMap<u32, Vec<Row>>) -> Result<(), Wrong> {
-        let Host { door, root, verticals } = self;
+        let Host { door, root, verticals, zones } = self;
         match line.word() {
             "NEW_INSTANCE" => root.start(door),
             "DISCOVERY" => {
@@ -165,6 +170,10 @@
                 for row in rows {
                     let leaf = Leaf(door.leaves.enter(&row.replica));
                     root.leaf(leaf, row.cell, row.up, row.started);
+                    let zone = zones.iter().position(|z| Some(z) == row.zone.as_ref());
+                    if let Some(zone) = zone {
+                        root.stands_in(leaf, Some(Zone(zone as u16)));
+                    }
                 }
                 root.list_end(door);
             }
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -15,6 +15,7 @@
 mod lending;
 mod seen;
 mod sites;
+pub mod zones;
 
 use crate::chance::Chance;
 use crate::ids::{Effect, Ending, Leaf, Part, Query, Vertical};
@@ -266,6 +267,10 @@
     /// It stands for the leaves of one cell at another site: the time that the hop there and back costs, none
     /// while nothing may go there.
     far: Option<Option<Span>>,
+    /// Calls and probes in a row that it left without a word.
+    mute: u32,
+    /// Where it stands; none where nobody says.
+    zone: Option<zones::Zone>,
     /// Lag, work out and calls out as last worked out, and for when; void with each call or word.
     seen: Cell<Option<seen::Seen>>,
     /// Work sent while cold; emptied as it leaves the fail-back window.
@@ -363,6 +368,8 @@
     /// 0 in the first step, 1 in the second; whether the first was whole.
     step: u8,
     first_whole: bool,
+    /// The zone that it is meant for, where zones count.
+    zone: Option<zones::Zone>,
     /// Asked by another site: further calls left of those it lends, and made.
     lent: Option<(u32, u32)>,
 }
@@ -401,6 +408,7 @@
     /// Time a leaf takes for a unit of work where nothing else is in its way.
     rate: Mark,
     fill: f64,
+    zones: zones::Zones,
     moved: bool,
 }
 
@@ -458,7 +466,7 @@
         let state = self.leaves.entry(id).or_default();
         if started > state.started {
             // A new process: what was held against the old one is void, and it is cold.
-            (state.faults, state.trial_at) = (0.0, None);
+            (state.faults, state.trial_at, state.mute) = (0.0, None, 0);
         }
         (state.cell, state.listed, state.started) = (cell, up, started);
     }
@@ -524,9 +532,13 @@
         let slo = (now + (trade.counts() + stretch).min(terms.hard_limit)).min(ends);
         let answer_by = (slo - self.tick * 3.0).min(ends - self.tick);
         let serial = self.mark();
+        let zone = self.meant_for();
         let open =
             Open { serial, vertical: v, slo, answer_by, ends, arrived: now, a_part, size, ..Open::default() };
-        self.queries.insert(id, Open { first_whole: true, ..open });
+        self.queries.insert(id, Open { first_whole: true, zone, ..open });
+        if self.turned_away(v.0 as usize) {
+            return self.give_up(port, now, id);
+        }
         self.tend(port, now, id, serial);
     }
 
@@ -569,7 +581,7 @@
 
     /// Whether a leaf can be meant for parts of that query at all.
     fn reached(&self, leaf: Leaf, lent: bool) -> bool {
-        self.leaves[&leaf].far.is_none_or(|hop| hop.is_some() && !lent)
+        self.leaves[&leaf].far.is_none_or(|hop| hop.is_some() && !lent) && !self.is_shut(leaf)
     }
 
     fn terms(&self, open: &Open) -> &Terms {
@@ -749,6 +761,7 @@
             state.sent_cold.retain(|(t, _)| now - *t <= window);
             state.sent_cold.push_back((now, work + self.cover.call_cost));
         }
+        self.count_crossing(leaf);
         port.leaf_call(id, leaf, ends);
         let after: AfterCall = Box::new(move |root, port, now, ending| {
             root.learn(port, now, leaf, id, nth, ending);
@@ -773,6 +786,7 @@
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
         let Out { at, work, ahead, .. } = state.out.remove(&(part, nth)).expect("calls out are listed");
         state.seen.take();
+        state.heard_of(ending, now - at);
         match ending {
             // What a far site takes beside its hop is its lag; it tells nothing of how leaves work.
             Ending::Pass if state.far.is_some() => {
@@ -883,7 +897,7 @@
         for leaf in self.holders(parts).into_iter().filter(near).collect::<Vec<_>>() {
             let state = self.leaves.get_mut(&leaf).expect("holders are held");
             if state.probed.is_none_or(|(at, _)| now - at >= Self::FRESH) {
-                state.probed = Some((now, true));
+                state.asks_again(now);
                 port.probe(leaf);
                 sent = true;
             }
@@ -900,7 +914,7 @@
         match ending {
             Ending::TooSlow => {}
             Ending::NoRoute => state.trial_at = Some(now + LeafState::TRIAL_WAIT),
-            _ => state.probed = state.probed.map(|(at, _)| (at, false)),
+            _ => (state.probed, state.mute) = (state.probed.map(|(at, _)| (at, false)), 0),
         }
         self.moved = true;
     }
@@ -973,7 +987,7 @@
             let span = oldest.map_or(span, |age| span.min(age * Self::COPY_SHARE));
             let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
             let mut who = self.candidates(now, first, &plan);
-            let ready = |l: Leaf| self.expected(now, l, &plan)(0.0);
+            let ready = |l: Leaf| self.expected(now, l, &plan)(0.0) + self.crossing(l, query);
             let least = who.iter().map(|(l, _)| ready(*l)).min().unwrap_or_default();
             who.retain(|(l, _)| ready(*l) <= least + behind);
             for (leaf, room) in who {
--- /dev/null
+++ b/crates/pipitcrank/src/decide/zones.rs
@@ -0,0 +1,189 @@
+//! Zones as the cover sees them: which one a query is meant for, and what a leaf elsewhere is held to cost beside its time.
+//! A narrowing (shut zones) and a cost among candidates; the cover chooses among what is left. Which shares there are is
+//! decided elsewhere: by all copies in common (`pipitcrank-failover`), or told at start.
+
+use super::{LeafState, Root};
+use crate::ids::{Ending, Leaf, Query};
+use crate::port::Port;
+use crate::time::{At, Span};
+
+/// A zone, by its place in the list of zones told at start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Zone(pub u16);
+
+/// What of each zone's leaves is used from here.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Shares {
+    /// Zones and the shares of queries meant for them, the nearest first. Empty: zones do not count.
+    pub of: Vec<(Zone, f64)>,
+    /// Nothing goes there.
+    pub shut: Vec<Zone>,
+    /// Up to this share of queries, by chance, is rejected before anything is sent for it: what all zones left
+    /// can't carry, by utility of the vertical (0 to 1 each, in the verticals' order).
+    pub turned_away: Vec<f64>,
+}
+
+#[derive(Default)]
+pub(super) struct Zones {
+    shares: Shares,
+    /// Leaf calls, in parts, within the zone meant and across, since they were last taken.
+    pub(super) sent: (u64, u64),
+}
+
+impl Root {
+    /// A leaf elsewhere is held to come to work later by this share of the SLO time: more than the lag that makes no
+    /// difference (`BEHIND_SHARE`), so near goes first; little enough that a jam at home sends work across.
+    const CROSSING_SHARE: f64 = 0.1;
+
+    /// The leaf stands in that zone; none where nobody says.
+    pub fn stands_in(&mut self, leaf: Leaf, zone: Option<Zone>) {
+        if let Some(state) = self.leaves.get_mut(&leaf) {
+            state.zone = zone;
+        }
+    }
+
+    pub fn set_shares(&mut self, shares: Shares) {
+        self.moved |= self.zones.shares != shares;
+        self.zones.shares = shares;
+    }
+
+    /// Draws the zone that a query is meant for. No chance is used where there is but one.
+    pub(super) fn meant_for(&mut self) -> Option<Zone> {
+        let of = &self.zones.shares.of;
+        if of.len() < 2 {
+            return of.first().map(|z| z.0);
+        }
+        let mut drawn = self.chance.below(Self::FINE) as f64 / Self::FINE as f64;
+        let of = &self.zones.shares.of;
+        for &(zone, share) in of {
+            if drawn < share {
+                return Some(zone);
+            }
+            drawn -= share;
+        }
+        // Shares that fall short of one by rounding.
+        of.iter().max_by(|a, b| a.1.total_cmp(&b.1)).map(|z| z.0)
+    }
+
+    /// Shares are drawn to a thousandth: finer than what any copy sends in a second.
+    const FINE: usize = 1000;
+
+    /// Whether a query of that vertical is to be turned away before anything is sent for it.
+    pub(super) fn turned_away(&mut self, vertical: usize) -> bool {
+        let share = self.zones.shares.turned_away.get(vertical).copied().unwrap_or(0.0);
+        share > 0.0 && (self.chance.below(Self::FINE) as f64) < share * Self::FINE as f64
+    }
+
+    pub(super) fn is_shut(&self, leaf: Leaf) -> bool {
+        self.leaves[&leaf].zone.is_some_and(|z| self.zones.shares.shut.contains(&z))
+    }
+
+    /// What a leaf is held to cost that does not stand in the zone that the query is meant for.
+    pub(super) fn crossing(&self, leaf: Leaf, query: Query) -> Span {
+        let open = &self.queries[&query];
+        match (self.leaves[&leaf].zone, open.zone) {
+            (Some(at), Some(meant)) if at != meant => (open.slo - open.arrived) * Self::CROSSING_SHARE,
+            _ => Span::ZERO,
+        }
+    }
+
+    pub(super) fn count_crossing(&mut self, leaf: Leaf) {
+        let home = self.zones.shares.of.first().map(|z| z.0);
+        if let (Some(at), Some(home)) = (self.leaves[&leaf].zone, home) {
+            let (near, across) = self.zones.sent;
+            self.zones.sent = if at == home { (near + 1, across) } else { (near, across + 1) };
+        }
+    }
+
+    /// Parts sent within the nearest zone and across since this was last asked.
+    pub fn sent_across(&mut self) -> (u64, u64) {
+        std::mem::take(&mut self.zones.sent)
+    }
+
+    /// What was seen of a zone's leaves, from here, by this co-ordinator alone.
+    pub fn seen_of(&self, now: At, zone: Zone) -> Seen {
+        let mut seen = Seen::default();
+        let a_part: f64 =
+            self.trades.iter().map(super::Trade::usual_work).sum::<f64>() / self.trades.len().max(1) as f64;
+        for (_, state) in self.leaves.iter().filter(|(_, l)| l.zone == Some(zone) && l.listed) {
+            seen.listed += 1;
+            let usual = self.overdue.0.unwrap_or(1.0);
+            let stuck = |o: &super::Out| {
+                now - o.at > (LeafState::SILENT + Span::from_s(o.ahead * usual)).min(Self::STUCK)
+                    && state.lag.1 < o.at
+            };
+            let silent = state.mute >= LeafState::MUTE || state.out.values().any(stuck);
+            let answered = state.probed.is_some_and(|(at, out)| !out && now - at < Self::RECENT);
+            if state.trial_at.is_some_and(|t| t > now) || state.faults >= LeafState::FAULTY {
+                seen.failing += 1;
+            } else if silent {
+                seen.silent += 1;
+            } else if super::drained(state.lag, now) >= LeafState::FULL_LAG_S / 2.0 {
+                seen.full += 1;
+            } else if answered || state.lag.1 > At::default() && now - state.lag.1 < Self::RECENT {
+                seen.answering += 1;
+            }
+            seen.cold += u32::from(self.fail_back.is_cold(state.started, now));
+            seen.out += state.out.len() as u32;
+        }
+        seen.a_part_ms = (a_part * 1000.0) as u32;
+        seen
+    }
+
+    /// Probes some leaves of a zone that nothing is sent to, those first that were asked longest ago, so that its
+    /// return rests on evidence. Each that is asked again is asked no sooner than a report is good for.
+    pub fn look_into(&mut self, port: &mut dyn Port, now: At, zone: Zone, most: usize) {
+        let asked = |l: &LeafState| l.probed.map(|p| p.0);
+        let due = |l: &LeafState| {
+            l.listed && l.zone == Some(zone) && asked(l).is_none_or(|t| now - t >= Self::FRESH)
+        };
+        let mut leaves: Vec<(Option<At>, Leaf)> =
+            self.leaves.iter().filter(|(_, l)| due(l)).map(|(&id, l)| (asked(l), id)).collect();
+        leaves.sort();
+        for (_, leaf) in leaves.into_iter().take(if self.tries.may_probe { most } else { 0 }) {
+            self.leaves.get_mut(&leaf).expect("just listed").asks_again(now);
+            port.probe(leaf);
+        }
+    }
+
+    /// A call out for longer than this, with nothing heard since, speaks of silence whatever its work.
+    const STUCK: Span = Span::from_ms(2000);
+    /// Heard of within this, a leaf answers.
+    const RECENT: Span = Span::from_ms(4000);
+}
+
+impl LeafState {
+    /// Silence of a call that counts as such: beyond a usual part's wait, within the aim for moving a zone.
+    const SILENT: Span = Span::from_ms(700);
+    /// Unheard calls and probes in a row that make a leaf silent: one may be lost.
+    const MUTE: u32 = 2;
+
+    /// A probe goes out; one before it may still be unanswered.
+    pub(super) fn asks_again(&mut self, now: At) {
+        self.mute += u32::from(self.probed.is_some_and(|(_, out)| out));
+        self.probed = Some((now, true));
+    }
+
+    /// A call that was out for so long ended.
+    pub(super) fn heard_of(&mut self, ending: Ending, out_for: Span) {
+        match ending {
+            Ending::Pass | Ending::Fault | Ending::NoRoom => self.mute = 0,
+            Ending::TooSlow | Ending::Undone if out_for >= Self::SILENT => self.mute += 1,
+            _ => {}
+        }
+    }
+}
+
+/// Leaves of one zone by what this co-ordinator last saw of each. Leaves that it has not asked of late are in `listed`
+/// alone. Counts; `a_part_ms` in milliseconds of work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    pub listed: u32,
+    pub answering: u32,
+    pub silent: u32,
+    pub failing: u32,
+    pub full: u32,
+    pub cold: u32,
+    pub out: u32,
+    pub a_part_ms: u32,
+}
--- a/crates/pipitcrank/src/told.rs
+++ b/crates/pipitcrank/src/told.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 
 use crate::chance::Chance;
+use crate::decide::zones::{Shares, Zone};
 use crate::decide::{Budget, Cover, FailBack, Root, Terms, Tries};
 use crate::ids::Effect;
 use crate::time::{At, Span};
@@ -25,6 +26,9 @@
     }
 }
 
+/// Most zones: each has a row and a column in what copies tell each other.
+pub const MOST_ZONES: usize = 16;
+
 /// Looks values up by their keys. All keys named in faults begin with where it stands itself.
 pub struct Told<'a> {
     all: &'a Value,
@@ -88,6 +92,37 @@
         (0..count).map(|n| Ok(self.text(&format!("/classes/{n}/name"))?.to_string())).collect()
     }
 
+    /// The zones that there are and which is this co-ordinator's own, by its place among them; none where nothing is
+    /// said of zones.
+    pub fn zones(&self) -> Result<Option<(Zone, Vec<String>)>, Faulty> {
+        let said = |key: &str| self.all.pointer(key).is_some_and(|v| !v.is_null());
+        if !said("/zones") && !said("/zone") {
+            return Ok(None);
+        }
+        let mut names: Vec<String> = Vec::new();
+        for (n, name) in self.list("/zones")?.iter().enumerate() {
+            let key = format!("/zones/{n}");
+            let name = name.as_str().ok_or_else(|| self.faulty(&key, "has no text"))?;
+            if name.is_empty() || names.iter().any(|known| known == name) {
+                return Err(self.faulty(&key, &format!("is '{name}', empty or named twice")));
+            }
+            names.push(name.to_string());
+        }
+        if names.len() > MOST_ZONES {
+            return Err(self.faulty("/zones", &format!("are {}, over {MOST_ZONES}", names.len())));
+        }
+        if !said("/zone") {
+            return Err(self.faulty("/zone", &format!("is missing; accepted: {}", names.join(", "))));
+        }
+        let own = self.text("/zone")?;
+        match names.iter().position(|name| name == own) {
+            Some(place) => Ok(Some((Zone(place as u16), names))),
+            None => {
+                Err(self.faulty("/zone", &format!("is '{own}', none of its zones: {}", names.join(", "))))
+            }
+        }
+    }
+
     /// The decision module, made as told.
     pub fn root(&self, seed: u64) -> Result<Root, Faulty> {
         let cells = self.count("/domain/sets")?;
@@ -129,6 +164,9 @@
         for n in 0..self.verticals()?.len() {
             root.vertical(self.terms(n)?);
         }
+        if let Some((own, _)) = self.zones()? {
+            root.set_shares(Shares { of: vec![(own, 1.0)], ..Shares::default() });
+        }
         Ok(root)
     }
 
--- a/crates/pipitcrank/tests/helper/mod.rs
+++ b/crates/pipitcrank/tests/helper/mod.rs
@@ -98,6 +98,7 @@
     At::from_s(1000.0) + ms(n)
 }
 
+#[allow(dead_code)] // not every test file has a ring of its own
 pub fn root(seed: u64, call_size: usize, may_duplicate: bool) -> Root {
     root_on(CELLS, HOLD, seed, call_size, may_duplicate, false)
 }
@@ -161,6 +162,7 @@
     }
 }
 
+#[allow(dead_code)] // the cases of zones list their own
 /// Lists one leaf a cell, all long up but those named, which started at that time.
 pub fn list(root: &mut Root, tape: &mut Tape, cold: &[(u32, At)]) {
     root.list_begin(true);
