--- /dev/null
+++ b/crates/pipitcrank-failover/src/agreement.rs
@@ -0,0 +1,647 @@
+//! The adapter round the agreement's library (`raft`): few voters, each at a seat of the operators' list, agree on one
+//! decision a number. Nothing is decided here of zones. What the library leaves open stands here: who belongs to the
+//! voters when processes begin without memory.
+//!
+//! A process of a voter keeps what it promised in memory alone, so it must never vote as if it remembered. Each has an id
+//! of its own, made of its seat and its start, and leaves it for good when it leaves a group:
+//!
+//! ```text
+//! no group, all seats heard, none knows a leader for FOUND_AFTER --> the first seat asks all to found a new generation
+//! asked to found a generation above any known, no leader known   --> leaves its group for good, promises
+//! promises of all seats                                           --> the first seat has all begin, above all numbers known
+//! no group, a group of others has a leader                        --> that leader admits the new id and lets go of the old
+//! ```
+//!
+//! Founding takes all seats, so no two generations can both have a majority that acts; admitting takes a majority of the
+//! group as it was. With fewer, nothing is decided: copies hold what stands, then go by their own evidence (`follow.rs`).
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use pipitcrank::time::{At, Span};
+use protobuf::Message as _;
+use raft::eraftpb::{
+    ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, Message, MessageType,
+    Snapshot,
+};
+use raft::storage::MemStorage;
+use raft::{GetEntriesContext, RaftState, RawNode, SnapshotStatus, StateRole, Storage};
+use serde::{Deserialize, Serialize};
+
+use crate::decision::Decision;
+
+/// One tick of the library. Heartbeats come each `HEARTBEATS` of them; a voter that hears none for `ELECTION` and two more
+/// a seat asks to lead: 0.4 s for the first, so that a leader that is gone is replaced within the aim for moving a zone,
+/// and seats do not ask in step.
+const TICK: Span = Span::from_ms(50);
+const HEARTBEATS: usize = 2;
+const ELECTION: usize = 8;
+const SEAT_TICKS: usize = 2;
+/// Voters greet each other so often; a greeting is good for so long.
+const GREET: Span = Span::from_ms(200);
+const HEARD: Span = Span::from_ms(900);
+/// Without a leader for so long, with all seats heard, a new generation is founded: some elections would have been held.
+const FOUND_AFTER: Span = Span::from_ms(2500);
+/// A promise to found is kept for so long.
+const PROMISED: Span = Span::from_ms(3000);
+/// Between two admissions: the first has to be through.
+const ADMIT: Span = Span::from_ms(500);
+/// Entries kept for voters that lag a little; others get the decision whole.
+const KEPT: u64 = 64;
+/// Of entries in one message, so that it fits a datagram.
+const MOST_BYTES: u64 = 700;
+/// Most voters: more make agreement slower, not safer.
+pub const MOST_SEATS: usize = 7;
+
+/// What voters say to each other beside the library's messages.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    Hello {
+        id: u64,
+        /// Its group's; 0 without one.
+        generation: u64,
+        /// Whether it knows of a leader.
+        led: bool,
+        /// Highest generation it ever heard of.
+        highest: u64,
+    },
+    Found {
+        generation: u64,
+    },
+    Joins {
+        generation: u64,
+        id: u64,
+        known: Option<Decision>,
+    },
+    Begin {
+        generation: u64,
+        /// By seat.
+        ids: Vec<u64>,
+        first: Decision,
+    },
+}
+
+/// What goes to another seat.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    /// The library's own message, of that generation.
+    Agree(u64, Vec<u8>),
+    Word(Word),
+}
+
+#[derive(Serialize, Deserialize)]
+struct Proposal {
+    /// The decision it was made from: another in between voids it.
+    base: u64,
+    decision: Decision,
+}
+
+/// The library's memory, with the decision beside it for voters that lag or are new.
+struct Store {
+    log: MemStorage,
+    decision: RefCell<Vec<u8>>,
+}
+
+impl Storage for Store {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        self.log.initial_state()
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        most: impl Into<Option<u64>>,
+        context: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        self.log.entries(low, high, most, context)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        self.log.term(index)
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        self.log.first_index()
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        self.log.last_index()
+    }
+
+    fn snapshot(&self, index: u64, to: u64) -> raft::Result<Snapshot> {
+        let mut snapshot = self.log.snapshot(index, to)?;
+        snapshot.data = self.decision.borrow().clone().into();
+        Ok(snapshot)
+    }
+}
+
+struct Group {
+    generation: u64,
+    id: u64,
+    node: RawNode<Store>,
+    /// None until a member that was admitted has heard what stands.
+    decision: Option<Decision>,
+    admitted_at: At,
+}
+
+struct Heard {
+    at: At,
+    id: u64,
+    generation: u64,
+    led: bool,
+}
+
+struct Founding {
+    generation: u64,
+    since: At,
+    /// Ids that promised, by seat.
+    promises: BTreeMap<usize, (u64, Option<Decision>)>,
+    begun: Option<(Vec<u64>, Decision)>,
+}
+
+pub struct Agreement {
+    seat: usize,
+    seats: usize,
+    zones: usize,
+    /// Of this process, and how often it left a group.
+    instance: u64,
+    left: u64,
+    group: Option<Group>,
+    promised: Option<(u64, At)>,
+    founding: Option<Founding>,
+    heard: BTreeMap<usize, Heard>,
+    highest: u64,
+    /// What this copy follows: what a new generation goes on from.
+    known: Option<Decision>,
+    ticked: At,
+    greeted: At,
+    led_at: At,
+    decided: Vec<Decision>,
+    out: Vec<(usize, Out)>,
+    /// Messages of the library that could not be read or were not meant for this process's group.
+    pub left_out: u64,
+}
+
+fn seat_of(id: u64) -> usize {
+    (id & 0xff) as usize - 1
+}
+
+impl Agreement {
+    /// `seat` of so many; `instance` tells this process apart from any before at that seat.
+    pub fn new(now: At, seat: usize, seats: usize, zones: usize, instance: u64) -> Agreement {
+        assert!(seat < seats && seats <= MOST_SEATS, "the operators' file is checked for this");
+        Agreement {
+            seat,
+            seats,
+            zones,
+            instance,
+            left: 0,
+            group: None,
+            promised: None,
+            founding: None,
+            heard: BTreeMap::new(),
+            highest: 0,
+            known: None,
+            ticked: now,
+            greeted: now - GREET,
+            led_at: now,
+            decided: Vec::new(),
+            out: Vec::new(),
+            left_out: 0,
+        }
+    }
+
+    /// This process's id, as long as it leaves no group. Its lowest byte names the seat, the rest is mixed from its start.
+    fn id(&self) -> u64 {
+        let mixed = (self.instance.wrapping_mul(0x9E37_79B9_7F4A_7C15)
+            ^ self.left.wrapping_mul(0xD1B5_4A32_D192_ED03))
+            << 8;
+        mixed | (self.seat as u64 + 1)
+    }
+
+    pub fn due(&self) -> At {
+        (self.ticked + TICK).min(self.greeted + GREET)
+    }
+
+    pub fn tick(&mut self, now: At) {
+        if now - self.ticked >= TICK {
+            // One, however late: a copy that stood still must not count its own sleep as others' silence.
+            self.ticked = now;
+            if let Some(group) = &mut self.group {
+                group.node.tick();
+            }
+            self.work();
+        }
+        if self.has_leader() {
+            self.led_at = now;
+        }
+        if self.promised.is_some_and(|(_, at)| now - at >= PROMISED) {
+            // It may still be counted on under that id: it takes another.
+            self.promised = None;
+            self.left += 1;
+        }
+        if now - self.greeted >= GREET {
+            self.greeted = now;
+            self.greet();
+            self.found(now);
+        }
+        self.admit(now);
+    }
+
+    fn greet(&mut self) {
+        let hello = Word::Hello {
+            id: self.id(),
+            generation: self.group.as_ref().map_or(0, |g| g.generation),
+            led: self.has_leader(),
+            highest: self.highest,
+        };
+        self.say_to_all(hello);
+    }
+
+    fn say_to_all(&mut self, word: Word) {
+        let others = (0..self.seats).filter(|&s| s != self.seat);
+        self.out.extend(others.map(|s| (s, Out::Word(word.clone()))));
+    }
+
+    /// What this copy follows, and the highest generation that anything heard speaks of.
+    pub fn follows(&mut self, decision: &Decision) {
+        self.highest = self.highest.max(decision.generation());
+        if self.known.as_ref().is_none_or(|k| k.number < decision.number) {
+            self.known = Some(decision.clone());
+        }
+    }
+
+    // Founding.
+
+    fn found(&mut self, now: At) {
+        if self.seat != 0 || now - self.led_at < FOUND_AFTER {
+            self.founding = None;
+            return;
+        }
+        if let Some(founding) = &self.founding {
+            if now - founding.since < PROMISED {
+                let word = match &founding.begun {
+                    // Until all have begun.
+                    Some((ids, first)) => {
+                        let (generation, ids, first) = (founding.generation, ids.clone(), first.clone());
+                        Word::Begin { generation, ids, first }
+                    }
+                    None => Word::Found { generation: founding.generation },
+                };
+                self.say_to_all(word);
+                return;
+            }
+            self.founding = None;
+        }
+        let others = || (0..self.seats).filter(|s| *s != self.seat);
+        let all_without = others().all(|s| self.heard.get(&s).is_some_and(|h| now - h.at <= HEARD && !h.led));
+        if !all_without {
+            return;
+        }
+        // Above what anybody remembers, and, where nobody does, above what clocks before this start gave.
+        let generation = (self.highest + 1).max(self.instance / 1_000_000) & 0xffff_ffff;
+        self.highest = generation;
+        self.leave(now, generation);
+        let promises = BTreeMap::from([(self.seat, (self.id(), self.known.clone()))]);
+        self.founding = Some(Founding { generation, since: now, promises, begun: None });
+        self.say_to_all(Word::Found { generation });
+        self.begin_if_all(now);
+    }
+
+    /// Leaves its group for good and promises to join that generation.
+    fn leave(&mut self, now: At, generation: u64) {
+        if self.group.take().is_some() || self.promised.is_some() {
+            self.left += 1;
+        }
+        self.promised = Some((generation, now));
+    }
+
+    fn begin_if_all(&mut self, now: At) {
+        let Some(founding) = &mut self.founding else { return };
+        if founding.begun.is_some() || founding.promises.len() < self.seats {
+            return;
+        }
+        let ids: Vec<u64> = founding.promises.values().map(|p| p.0).collect();
+        let known = founding.promises.values().filter_map(|p| p.1.as_ref()).max_by_key(|d| d.number);
+        let number = founding.generation << 32;
+        let mut first = known.cloned().unwrap_or_else(|| Decision::first(self.zones, number));
+        (first.number, first.cause) = (number, crate::decision::Cause::Begun);
+        founding.begun = Some((ids.clone(), first.clone()));
+        let generation = founding.generation;
+        self.say_to_all(Word::Begin { generation, ids: ids.clone(), first: first.clone() });
+        self.begin(now, generation, &ids, first);
+    }
+
+    fn begin(&mut self, now: At, generation: u64, ids: &[u64], first: Decision) {
+        self.promised = None;
+        let voters = ConfState { voters: ids.to_vec(), ..ConfState::default() };
+        self.join(now, generation, Some((voters, first)));
+    }
+
+    /// Enters a group: as one that founds it, or blank, to be told what stands.
+    fn join(&mut self, now: At, generation: u64, founds: Option<(ConfState, Decision)>) {
+        let (id, log) = (self.id(), MemStorage::new());
+        let mut decision = None;
+        let mut bytes = Vec::new();
+        if let Some((voters, first)) = founds {
+            let mut snapshot = Snapshot::default();
+            // Not nothing, so that a member that was not there at the beginning is told all.
+            (snapshot.mut_metadata().index, snapshot.mut_metadata().term) = (1, 1);
+            snapshot.mut_metadata().set_conf_state(voters);
+            if log.wl().apply_snapshot(snapshot).is_err() {
+                return;
+            }
+            bytes = postcard::to_allocvec(&first).unwrap_or_default();
+            decision = Some(first);
+        }
+        let applied = if decision.is_some() { 1 } else { 0 };
+        let asks = ELECTION + SEAT_TICKS * self.seat;
+        let told = raft::Config {
+            id,
+            election_tick: ELECTION,
+            heartbeat_tick: HEARTBEATS,
+            applied,
+            max_size_per_msg: MOST_BYTES,
+            max_inflight_msgs: 16,
+            check_quorum: true,
+            pre_vote: true,
+            min_election_tick: asks,
+            max_election_tick: asks + 1,
+            ..raft::Config::default()
+        };
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let store = Store { log, decision: RefCell::new(bytes) };
+        match RawNode::new(&told, store, &logger) {
+            Ok(node) => {
+                self.highest = self.highest.max(generation);
+                self.decided.extend(decision.clone());
+                self.led_at = now;
+                self.group = Some(Group { generation, id, node, decision, admitted_at: now });
+            }
+            Err(_) => self.left_out += 1,
+        }
+    }
+
+    // Admitting.
+
+    /// The leader takes in a seat's new process for its old one.
+    fn admit(&mut self, now: At) {
+        let Some(group) = &mut self.group else { return };
+        let node = &group.node;
+        let applied_all = node.raft.raft_log.applied == node.raft.raft_log.committed;
+        if node.raft.state != StateRole::Leader
+            || now - group.admitted_at < ADMIT
+            || node.raft.has_pending_conf()
+            || !applied_all
+        {
+            return;
+        }
+        let voters: Vec<u64> = node.raft.prs().conf().voters().ids().iter().collect();
+        let newcomer = self.heard.iter().find(|(_, h)| {
+            // One of this group may have been let in by a leader whose change came to nothing.
+            let without = !h.led || h.generation == group.generation;
+            now - h.at <= HEARD && without && !voters.contains(&h.id)
+        });
+        let Some((&seat, heard)) = newcomer else { return };
+        let mut change = ConfChangeV2::default();
+        let single =
+            |id, kind| ConfChangeSingle { node_id: id, change_type: kind, ..ConfChangeSingle::default() };
+        change.mut_changes().push(single(heard.id, ConfChangeType::AddNode));
+        for &old in voters.iter().filter(|id| seat_of(**id) == seat) {
+            change.mut_changes().push(single(old, ConfChangeType::RemoveNode));
+        }
+        group.admitted_at = now;
+        let _ = group.node.propose_conf_change(Vec::new(), change);
+        self.work();
+    }
+
+    // What comes.
+
+    pub fn heard_word(&mut self, now: At, seat: usize, word: Word) {
+        if seat >= self.seats || seat == self.seat {
+            return;
+        }
+        match word {
+            Word::Hello { id, generation, led, highest } => {
+                if seat_of(id.max(1)) != seat {
+                    return;
+                }
+                // Guards against a number from a clock far ahead: it would use up what numbers there are.
+                self.highest = self.highest.max(highest.min(u64::from(u32::MAX) / 2));
+                self.heard.insert(seat, Heard { at: now, id, generation, led });
+            }
+            Word::Found { generation } => {
+                let free = !self.has_leader() && now - self.led_at >= FOUND_AFTER * 0.5;
+                let newer = generation > self.group.as_ref().map_or(0, |g| g.generation);
+                if seat != 0 || !free || !newer {
+                    return;
+                }
+                match self.promised {
+                    Some((promised, _)) if promised > generation => return,
+                    Some((promised, _)) if promised == generation => {}
+                    _ => self.leave(now, generation),
+                }
+                self.highest = self.highest.max(generation);
+                let joins = Word::Joins { generation, id: self.id(), known: self.known.clone() };
+                self.out.push((seat, Out::Word(joins)));
+            }
+            Word::Joins { generation, id, known } => {
+                let known = known.filter(|d| d.sound(self.zones));
+                if let Some(founding) = &mut self.founding
+                    && founding.generation == generation
+                    && founding.begun.is_none()
+                    && seat_of(id.max(1)) == seat
+                {
+                    founding.promises.insert(seat, (id, known));
+                    self.begin_if_all(now);
+                }
+            }
+            Word::Begin { generation, ids, first } => {
+                let meant = ids.get(self.seat) == Some(&self.id()) && ids.len() == self.seats;
+                let promised = self.promised.is_some_and(|(p, _)| p == generation);
+                if seat == 0 && promised && meant && first.sound(self.zones) {
+                    self.begin(now, generation, &ids, first);
+                }
+            }
+        }
+    }
+
+    /// A message of the library.
+    pub fn heard_agree(&mut self, now: At, generation: u64, bytes: &[u8]) {
+        let Ok(message) = Message::parse_from_bytes(bytes) else {
+            self.left_out += 1;
+            return;
+        };
+        // Guards against what is meant for a process before this one, which may have promised otherwise.
+        let local = raft::raw_node::is_local_msg(message.msg_type);
+        if message.to != self.id() || local || self.promised.is_some() {
+            self.left_out += 1;
+            return;
+        }
+        if self.group.is_none() {
+            self.join(now, generation, None);
+        }
+        let Some(group) = self.group.as_mut().filter(|g| g.generation == generation) else {
+            self.left_out += 1;
+            return;
+        };
+        if group.node.step(message).is_err() {
+            self.left_out += 1;
+        }
+        self.work();
+        if self.has_leader() {
+            self.led_at = now;
+        }
+    }
+
+    /// Has the voters agree on it, as what follows the decision of number `base`. It may come to nothing.
+    pub fn propose(&mut self, base: u64, decision: Decision) {
+        if let (Some(group), Ok(bytes)) =
+            (self.group.as_mut(), postcard::to_allocvec(&Proposal { base, decision }))
+        {
+            let _ = group.node.propose(Vec::new(), bytes);
+            self.work();
+        }
+    }
+
+    /// Carries out what the library wants done, until nothing is left.
+    fn work(&mut self) {
+        let Some(group) = &mut self.group else { return };
+        while group.node.has_ready() {
+            let mut ready = group.node.ready();
+            let mut messages = ready.take_messages();
+            if !ready.snapshot().is_empty() {
+                let whole = ready.snapshot().clone();
+                let told = postcard::from_bytes::<Decision>(&whole.data);
+                if group.node.store().log.wl().apply_snapshot(whole).is_err() {
+                    self.left_out += 1;
+                }
+                if let Ok(decision) = told
+                    && decision.sound(self.zones)
+                {
+                    *group.node.store().decision.borrow_mut() =
+                        postcard::to_allocvec(&decision).unwrap_or_default();
+                    group.decision = Some(decision.clone());
+                    self.decided.push(decision);
+                }
+            }
+            let committed = ready.take_committed_entries();
+            apply(group, committed, self.zones, &mut self.decided);
+            if !ready.entries().is_empty() && group.node.store().log.wl().append(ready.entries()).is_err() {
+                self.left_out += 1;
+            }
+            if let Some(hard) = ready.hs() {
+                group.node.store().log.wl().set_hardstate(hard.clone());
+            }
+            messages.extend(ready.take_persisted_messages());
+            let mut light = group.node.advance(ready);
+            if let Some(commit) = light.commit_index() {
+                group.node.store().log.wl().mut_hard_state().set_commit(commit);
+            }
+            messages.extend(light.take_messages());
+            apply(group, light.take_committed_entries(), self.zones, &mut self.decided);
+            group.node.advance_apply();
+            for message in messages {
+                if message.msg_type == MessageType::MsgSnapshot {
+                    // It is one datagram: whether it came shows at the next heartbeat.
+                    group.node.report_snapshot(message.to, SnapshotStatus::Finish);
+                }
+                let seat = seat_of(message.to.max(1));
+                if seat < self.seats
+                    && seat != self.seat
+                    && let Ok(bytes) = message.write_to_bytes()
+                {
+                    self.out.push((seat, Out::Agree(group.generation, bytes)));
+                }
+            }
+        }
+        let log = &group.node.store().log;
+        let applied = group.node.raft.raft_log.applied;
+        if let Ok(first) = log.first_index()
+            && applied > first + 2 * KEPT
+        {
+            let _ = log.wl().compact(applied - KEPT);
+        }
+    }
+
+    // What it says.
+
+    pub fn take_out(&mut self) -> Vec<(usize, Out)> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Decisions agreed on since last asked, in their order.
+    pub fn take_decided(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decided)
+    }
+
+    /// The decision as this voter knows it agreed on.
+    pub fn decision(&self) -> Option<&Decision> {
+        self.group.as_ref()?.decision.as_ref()
+    }
+
+    pub fn leads(&self) -> bool {
+        self.group.as_ref().is_some_and(|g| g.node.raft.state == StateRole::Leader)
+    }
+
+    pub fn has_leader(&self) -> bool {
+        self.group.as_ref().is_some_and(|g| g.node.raft.leader_id != raft::INVALID_ID)
+    }
+
+    /// Seat of the leader.
+    pub fn leader(&self) -> Option<usize> {
+        let leader = self.group.as_ref()?.node.raft.leader_id;
+        (leader != raft::INVALID_ID).then(|| seat_of(leader))
+    }
+
+    pub fn term(&self) -> u64 {
+        self.group.as_ref().map_or(0, |g| g.node.raft.term)
+    }
+
+    pub fn generation(&self) -> u64 {
+        self.group.as_ref().map_or(0, |g| g.generation)
+    }
+
+    /// Voters heard of late, this one counted.
+    pub fn voters_heard(&self, now: At) -> usize {
+        1 + self.heard.values().filter(|h| now - h.at <= HEARD).count()
+    }
+}
+
+fn apply(group: &mut Group, entries: Vec<Entry>, zones: usize, decided: &mut Vec<Decision>) {
+    for entry in entries {
+        match entry.get_entry_type() {
+            EntryType::EntryNormal if entry.data.is_empty() => {}
+            EntryType::EntryNormal => {
+                let Ok(Proposal { base, mut decision }) = postcard::from_bytes(&entry.data) else { continue };
+                // One decision a number: made from another than the one that stands, it is void at all voters alike.
+                let Some(current) = &group.decision else { continue };
+                if base != current.number || !decision.sound(zones) {
+                    continue;
+                }
+                decision.number = current.number + 1;
+                *group.node.store().decision.borrow_mut() =
+                    postcard::to_allocvec(&decision).unwrap_or_default();
+                group.decision = Some(decision.clone());
+                decided.push(decision);
+            }
+            EntryType::EntryConfChangeV2 => {
+                let mut change = ConfChangeV2::default();
+                if change.merge_from_bytes(&entry.data).is_ok()
+                    && let Ok(state) = group.node.apply_conf_change(&change)
+                {
+                    group.node.store().log.wl().set_conf_state(state);
+                }
+            }
+            EntryType::EntryConfChange => {}
+        }
+    }
+}
+
+impl Agreement {
+    /// Whether this process is among the voters of its group as it knows it.
+    pub fn votes(&self) -> bool {
+        self.group.as_ref().is_some_and(|g| g.node.raft.prs().conf().voters().ids().contains(g.id))
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-failover/src/follow.rs
@@ -0,0 +1,342 @@
+//! What one copy acts on. The newest decision it knows, never an older one; where it has not heard for long that the voters
+//! are there, its own evidence within a stated share. No I/O, no clock.
+//!
+//! ```text
+//! Blind     no decision heard yet: all near, nothing shut, as a copy that knows nobody
+//! Looking   just woken from standing still: what is shut stays shut, nothing is spilled, until news or `LOOK`
+//! Following the voters were heard of within `FRESH`: the decision, to the letter
+//! Holding   not heard of for up to `hold`: the decision as it stands, nothing new
+//! Alone     for longer: from where it stands, at most `ALONE` of a zone's share by own evidence
+//! ```
+
+use pipitcrank::time::{At, Span};
+use pipitcrank_membership::evidence::{BAD, Row, WELL};
+
+use crate::decision::{Decision, WHOLE};
+use crate::shares::{Nearness, table};
+
+/// Beats come each half second and go round in some gossip: three may be lost.
+const FRESH: Span = Span::from_ms(2500);
+/// A gap of its own ticks beyond this means that it stood still: many ticks, and under any time in which much is decided.
+const ASLEEP: Span = Span::from_ms(1000);
+/// Woken, it looks for so long before it goes on with what it has.
+const LOOK: Span = Span::from_ms(2000);
+/// Own evidence has to stand for so long before a copy alone goes by it: longer than the common decision takes.
+const STANDS: Span = Span::from_ms(3000);
+/// Of a zone's share, in thousandths, a copy alone moves at most so much, away or back.
+pub const ALONE: u16 = 500;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Blind,
+    Looking,
+    Following,
+    Holding,
+    Alone,
+}
+
+impl Standing {
+    pub fn name(self) -> &'static str {
+        match self {
+            Standing::Blind => "blind",
+            Standing::Looking => "looking",
+            Standing::Following => "following",
+            Standing::Holding => "holding",
+            Standing::Alone => "alone",
+        }
+    }
+}
+
+/// What is done with this copy's queries.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The decision it is from; 0 where there is none.
+    pub number: u64,
+    /// Zones, the nearest first, and thousandths of the queries meant for them.
+    pub shares: Vec<(u16, u16)>,
+    /// Nothing goes there.
+    pub shut: Vec<u16>,
+    /// Thousandths that nobody can carry.
+    pub lack: u16,
+}
+
+pub struct Follow {
+    zone: usize,
+    near: Nearness,
+    hold: Span,
+    dry: bool,
+    decision: Option<Decision>,
+    /// Rank of the newest beat heard, and when.
+    beat: (u64, u64),
+    fresh: At,
+    behind: bool,
+    ticked: Option<At>,
+    woke: Option<At>,
+    /// Since when own evidence has been against a zone, and for it.
+    against: Vec<Option<At>>,
+    well: Vec<Option<At>>,
+    /// Decisions that came when a newer one was held.
+    pub older: u64,
+}
+
+impl Follow {
+    /// `hold`: how long the last decision stands without a word of the voters. `dry`: decisions are followed and said, and
+    /// nothing is moved.
+    pub fn new(zone: u16, zones: usize, near: Nearness, hold: Span, dry: bool) -> Follow {
+        Follow {
+            zone: usize::from(zone),
+            near,
+            hold,
+            dry,
+            decision: None,
+            beat: (0, 0),
+            fresh: At::from_us(i64::MIN / 4),
+            behind: false,
+            ticked: None,
+            woke: None,
+            against: vec![None; zones],
+            well: vec![None; zones],
+            older: 0,
+        }
+    }
+
+    pub fn decision(&self) -> Option<&Decision> {
+        self.decision.as_ref()
+    }
+
+    pub fn beat(&self) -> (u64, u64) {
+        self.beat
+    }
+
+    /// A decision was heard, from wherever; whether it is taken.
+    pub fn decided(&mut self, decision: Decision) -> bool {
+        let newer = self.decision.as_ref().is_none_or(|held| decision.number > held.number);
+        if !newer || !decision.sound(self.against.len()) {
+            self.older += u64::from(!newer);
+            return false;
+        }
+        self.behind = false;
+        self.decision = Some(decision);
+        true
+    }
+
+    /// The voters' beat was heard: they stand by the decision of that number. Beats are ranked, an old one says nothing.
+    pub fn beats(&mut self, now: At, rank: (u64, u64), number: u64) {
+        if rank <= self.beat {
+            return;
+        }
+        self.beat = rank;
+        if self.decision.as_ref().is_some_and(|held| held.number >= number) {
+            (self.fresh, self.behind, self.woke) = (now, false, None);
+        } else {
+            // It missed a decision: what it holds is not what they stand by.
+            self.behind = true;
+        }
+    }
+
+    /// Passes time, with what this copy sees of each zone itself.
+    pub fn tick(&mut self, now: At, rows: &[Row]) {
+        if self.ticked.is_some_and(|t| now - t > ASLEEP) {
+            self.woke = Some(now);
+            self.against.iter_mut().chain(&mut self.well).for_each(|since| *since = None);
+        }
+        self.ticked = Some(now);
+        for (zone, row) in rows.iter().enumerate().take(self.against.len()) {
+            let bad = row.bad();
+            let is = |holds: bool, since: Option<At>| holds.then(|| since.unwrap_or(now));
+            self.against[zone] = is(bad.is_some_and(|b| b >= BAD), self.against[zone]);
+            self.well[zone] = is(bad.is_some_and(|b| b <= WELL), self.well[zone]);
+        }
+    }
+
+    /// Whether it should ask others what stands.
+    pub fn looks(&self, now: At) -> bool {
+        self.behind || !matches!(self.standing(now), Standing::Following)
+    }
+
+    pub fn standing(&self, now: At) -> Standing {
+        let Some(_) = &self.decision else { return Standing::Blind };
+        if self.woke.is_some_and(|woke| now - woke < LOOK) {
+            return Standing::Looking;
+        }
+        match now - self.fresh {
+            silent if silent <= FRESH => Standing::Following,
+            silent if silent <= self.hold => Standing::Holding,
+            _ => Standing::Alone,
+        }
+    }
+
+    /// What is done now. What it sees itself counts only where it stands alone.
+    pub fn plan(&self, now: At) -> Plan {
+        let zones = self.against.len();
+        let near_alone =
+            Plan { number: 0, shares: vec![(self.zone as u16, WHOLE)], shut: Vec::new(), lack: 0 };
+        let Some(decision) = self.decision.as_ref().filter(|_| !self.dry) else { return near_alone };
+        let whole = table(decision, &self.near);
+        let (mut row, mut lack) = (whole.of[self.zone].clone(), whole.lack[self.zone]);
+        let mut shut: Vec<u16> =
+            (0..zones).filter(|&to| !decision.open(self.zone, to)).map(|to| to as u16).collect();
+        match self.standing(now) {
+            Standing::Looking if decision.open(self.zone, self.zone) => {
+                // What was spilled when it fell asleep may be too much by now.
+                row = vec![0; zones];
+                row[self.zone] = WHOLE;
+            }
+            Standing::Alone => {
+                self.by_own_evidence(now, &mut row, &mut shut);
+                // Nobody says any more how much is asked elsewhere.
+                lack = if row.iter().any(|&s| s > 0) { 0 } else { lack };
+            }
+            _ => {}
+        }
+        let mut shares: Vec<(u16, u16)> = row.iter().enumerate().map(|(n, &s)| (n as u16, s)).collect();
+        shares.sort_by_key(|(to, _)| (self.near.of(self.zone, usize::from(*to)), *to));
+        shares.retain(|(to, share)| *share > 0 || usize::from(*to) == self.zone);
+        Plan { number: decision.number, shares, shut, lack }
+    }
+
+    fn by_own_evidence(&self, now: At, row: &mut [u16], shut: &mut Vec<u16>) {
+        let stands = |since: Option<At>| since.is_some_and(|s| now - s >= STANDS);
+        let good: Vec<usize> = (0..row.len()).filter(|&z| stands(self.well[z])).collect();
+        // A zone that was out and is seen to be well is let in again, for a share at most.
+        if row.iter().all(|&s| s == 0)
+            && let Some(&first) = good.iter().min_by_key(|&&z| (self.near.of(self.zone, z), z))
+        {
+            row[first] = ALONE;
+        }
+        shut.retain(|&z| row[usize::from(z)] == 0);
+        for zone in 0..row.len() {
+            if !stands(self.against[zone]) || row[zone] == 0 {
+                continue;
+            }
+            let others: Vec<usize> =
+                good.iter().copied().filter(|&z| z != zone && !shut.contains(&(z as u16))).collect();
+            let nearest = others.iter().map(|&z| self.near.of(self.zone, z)).min();
+            let others: Vec<usize> =
+                others.into_iter().filter(|&z| Some(self.near.of(self.zone, z)) == nearest).collect();
+            if others.is_empty() {
+                continue;
+            }
+            let moved = (u32::from(row[zone]) * u32::from(ALONE) / u32::from(WHOLE)) as u16;
+            for &other in &others {
+                let part = moved / others.len() as u16;
+                row[other] += part;
+                row[zone] -= part;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::decision::State;
+
+    const HOLD: Span = Span::from_ms(10_000);
+
+    fn at(ms: i64) -> At {
+        At::from_s(100.0) + Span::from_ms(ms)
+    }
+
+    fn follow() -> Follow {
+        Follow::new(0, 3, Nearness::new(&["r", "r", "r"].map(str::to_string)), HOLD, false)
+    }
+
+    fn rows(silent: [u16; 3]) -> Vec<Row> {
+        silent.iter().map(|&s| Row { listed: 10, answering: 10 - s, silent: s, ..Row::default() }).collect()
+    }
+
+    /// Zone 1 is out.
+    fn out(number: u64) -> Decision {
+        let mut decision = Decision::first(3, number);
+        (decision.places[1].state, decision.places[1].kept) = (State::Out, 0);
+        decision
+    }
+
+    fn pass(follow: &mut Follow, from: i64, to: i64, silent: [u16; 3]) {
+        (from..=to).step_by(100).for_each(|ms| follow.tick(at(ms), &rows(silent)));
+    }
+
+    #[test]
+    fn no_older_decision_is_taken_after_a_newer_one() {
+        let mut follow = follow();
+        assert_eq!(follow.standing(at(0)), Standing::Blind);
+        assert_eq!(follow.plan(at(0)), Plan { number: 0, shares: vec![(0, 1000)], shut: vec![], lack: 0 });
+        assert!(follow.decided(out(5)));
+        assert!(!follow.decided(out(4)) && !follow.decided(Decision::first(3, 5)));
+        assert_eq!((follow.older, follow.plan(at(0)).number, follow.plan(at(0)).shut), (2, 5, vec![1]));
+        assert!(!follow.decided(Decision::first(2, 9)), "of other zones");
+    }
+
+    #[test]
+    fn old_beats_say_nothing_and_one_of_a_missed_decision_makes_it_look() {
+        let mut follow = follow();
+        follow.decided(out(5));
+        follow.beats(at(0), (2, 7), 5);
+        assert_eq!(follow.standing(at(100)), Standing::Following);
+        // A leader of before that woke goes on beating.
+        follow.beats(at(3000), (1, 900), 5);
+        follow.beats(at(3000), (2, 7), 5);
+        assert_eq!(follow.standing(at(3000)), Standing::Holding);
+        follow.beats(at(3100), (2, 8), 6);
+        assert!(follow.looks(at(3100)) && follow.standing(at(3100)) == Standing::Holding);
+        follow.decided(out(6));
+        follow.beats(at(3200), (2, 9), 6);
+        assert!(!follow.looks(at(3200)));
+    }
+
+    #[test]
+    fn it_holds_for_the_stated_time_and_then_moves_no_more_than_the_stated_share() {
+        let mut follow = follow();
+        follow.decided(Decision::first(3, 5));
+        follow.beats(at(0), (1, 1), 5);
+        pass(&mut follow, 0, 9000, [10, 0, 0]);
+        assert_eq!(follow.standing(at(9000)), Standing::Holding);
+        assert_eq!(follow.plan(at(9000)).shares, [(0, 1000)], "own evidence does not count yet");
+        pass(&mut follow, 9100, 11_000, [10, 0, 0]);
+        assert_eq!(follow.standing(at(11_000)), Standing::Alone);
+        assert_eq!(follow.plan(at(11_000)).shares, [(0, 500), (1, 250), (2, 250)]);
+        // Voters again: to the letter.
+        follow.beats(at(11_100), (1, 2), 5);
+        assert_eq!(follow.plan(at(11_100)).shares, [(0, 1000)]);
+    }
+
+    #[test]
+    fn alone_a_zone_that_was_out_stays_out_while_another_serves() {
+        let mut follow = follow();
+        follow.decided(out(5));
+        pass(&mut follow, 0, 20_000, [0, 0, 0]);
+        assert_eq!(follow.standing(at(20_000)), Standing::Alone);
+        assert_eq!(follow.plan(at(20_000)).shut, [1]);
+    }
+
+    #[test]
+    fn a_copy_that_stood_still_looks_before_it_goes_on() {
+        let mut follow = follow();
+        let mut spilling = Decision::first(3, 5);
+        for (place, (asked, carries)) in spilling.places.iter_mut().zip([(300, 200), (10, 900), (10, 900)]) {
+            (place.asked, place.carries) = (asked, carries);
+        }
+        follow.decided(spilling);
+        pass(&mut follow, 0, 500, [0; 3]);
+        follow.beats(at(500), (1, 1), 5);
+        assert!(follow.plan(at(500)).shares.len() == 3);
+        follow.tick(at(30_000), &rows([0; 3]));
+        assert_eq!(follow.standing(at(30_000)), Standing::Looking);
+        assert_eq!(follow.plan(at(30_000)).shares, [(0, 1000)]);
+        assert!(follow.looks(at(30_000)));
+        follow.beats(at(30_100), (1, 60), 5);
+        assert_eq!(
+            (follow.standing(at(30_100)), follow.plan(at(30_100)).shares.len()),
+            (Standing::Following, 3)
+        );
+    }
+
+    #[test]
+    fn dry_nothing_moves() {
+        let mut follow = Follow::new(1, 3, Nearness::new(&["r", "r", "r"].map(str::to_string)), HOLD, true);
+        follow.decided(out(5));
+        assert_eq!(follow.plan(at(0)).shares, [(1, 1000)]);
+        assert_eq!(follow.plan(at(0)).shut, Vec::<u16>::new());
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-failover/src/instance.rs
@@ -0,0 +1,627 @@
+//! One copy's part in all of this, without sockets and clock: fed datagrams, times and what its own exchange sees; asked
+//! what to send, what to do with queries, and what to log. The program's hands, the emulator and the tests drive it alike.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use pipitcrank::time::{At, Span};
+use pipitcrank_membership::envelope::{Kind, Left, Opener, Sealer};
+use pipitcrank_membership::evidence::{Finding, Row, SPEAK, Word as Evidence, Words, speaks};
+use pipitcrank_membership::members::{Gone, Members, News};
+use pipitcrank_membership::peer::Peer;
+use serde::{Deserialize, Serialize};
+
+use crate::agreement::{Agreement, Out, Word};
+use crate::book::Book;
+use crate::decision::{Cause, Decision, Order};
+use crate::follow::{Follow, Plan, Standing};
+
+/// The leader says so often that the voters are there.
+const BEAT: Span = Span::from_ms(500);
+/// Looked at by the leader: evidence comes each quarter of a second.
+const REVIEW: Span = Span::from_ms(100);
+/// A proposal that came to nothing in this time is made anew.
+const AGREED_WITHIN: Span = Span::from_ms(600);
+/// A copy that does not know what stands asks so often, this many others.
+const ASK: Span = Span::from_ms(300);
+const ASKED: usize = 3;
+/// Answers of this kind given a second: one is some hundred bytes.
+const ANSWERS: u32 = 200;
+/// Operators' orders that wait for the agreement, and answers kept for those asked again.
+const MOST_ORDERS: usize = 16;
+const ORDER_TIME: Span = Span::from_ms(3000);
+
+const DECISION: u8 = 0;
+const BEATS: u8 = 1;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Said {
+    Voter(Word),
+    Evidence(Evidence),
+    /// What stands? The number comes back with the answer.
+    Look(u64),
+    Stands {
+        nonce: u64,
+        decision: Option<Decision>,
+        rank: (u64, u64),
+        beat_number: u64,
+    },
+    /// An operator's command; none only shows.
+    Ask {
+        ticket: u64,
+        order: Option<Order>,
+    },
+    Told {
+        ticket: u64,
+        answer: Answer,
+    },
+}
+
+/// The answer to an operator's command.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    Shown(Shown),
+    /// Agreed on under that number.
+    Done(u64),
+    Refused(String),
+    /// This copy does not lead the voters; the seat that does, where it knows.
+    NotLeading(Option<u8>),
+}
+
+/// What a copy shows of zones.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Shown {
+    pub decision: Option<Decision>,
+    pub standing: String,
+    /// This copy's thousandths for each zone.
+    pub shares: Vec<(u16, u16)>,
+    /// By zone, where this copy is a voter: what evidence says, copies that speak, leaves that are well.
+    pub evidence: Vec<(String, u16, u16)>,
+    pub leader: Option<u8>,
+    pub voters_heard: u8,
+    pub members: u16,
+}
+
+/// What is worth a line in the log, or a count.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A decision is acted on from now on.
+    Decided(Decision),
+    /// This copy, leading, asks the voters for a decision; with the evidence on its zone.
+    Proposed {
+        cause: Cause,
+        zone: u16,
+        finding: Finding,
+        speakers: usize,
+        voters: usize,
+    },
+    Member(News),
+    Standing(Standing),
+    Leads(bool),
+    /// A datagram was left, and why.
+    Left(Left),
+    /// A datagram of a copy whose word can't be read, or is not its to say.
+    Unread,
+    /// An operator's order and its answer.
+    Order(Order, Answer),
+}
+
+struct Ordered {
+    ticket: u64,
+    from: SocketAddr,
+    order: Order,
+    since: At,
+    /// What has been asked of the voters for it.
+    proposed: Option<Decision>,
+}
+
+/// Where the datagrams are to go, and what they are.
+type Sent = (SocketAddr, Vec<u8>);
+
+pub struct Instance {
+    own: Peer,
+    seats: Vec<SocketAddr>,
+    sealer: Sealer,
+    opener: Opener,
+    members: Members,
+    agreement: Option<Agreement>,
+    book: Book,
+    words: Words,
+    follow: Follow,
+    /// The newest of its own evidence.
+    rows: Vec<Row>,
+    spoke: At,
+    spoken: u64,
+    /// For which state of the members, and since when, it is or is not among those that speak.
+    speaks: (u64, At, bool),
+    led: bool,
+    /// The first number of a term's beats and how many since.
+    beats: u64,
+    beat_at: At,
+    beat_number: u64,
+    reviewed: At,
+    proposed: Option<(u64, At)>,
+    asked_at: At,
+    nonces: VecDeque<u64>,
+    next_nonce: u64,
+    answered: (At, u32),
+    orders: VecDeque<Ordered>,
+    answers: VecDeque<(u64, Answer)>,
+    standing: Standing,
+    events: Vec<Event>,
+    out: Vec<Sent>,
+    /// Bytes and datagrams sent.
+    pub sent: (u64, u64),
+}
+
+impl Instance {
+    /// `own` as others reach it; `seats`: the voters' addresses, the same at all copies; `named`: copies asked first.
+    #[allow(clippy::too_many_arguments)] // each goes straight to its part
+    pub fn new(
+        now: At,
+        own: Peer,
+        key: [u8; 32],
+        named: &[SocketAddr],
+        seats: &[SocketAddr],
+        zones: usize,
+        book: Book,
+        follow: Follow,
+    ) -> Instance {
+        let seat = seats.iter().position(|s| *s == own.address);
+        let long_ago = now - Span::from_ms(60_000);
+        let mut all: Vec<SocketAddr> = named.iter().chain(seats).copied().collect();
+        all.sort();
+        all.dedup();
+        Instance {
+            seats: seats.to_vec(),
+            sealer: Sealer::new(key, own.address, own.instance),
+            opener: Opener::new(key, own.address),
+            members: Members::new(own.clone(), &all, own.instance),
+            agreement: seat.map(|seat| Agreement::new(now, seat, seats.len(), zones, own.instance)),
+            book,
+            words: Words::new(zones),
+            follow,
+            rows: vec![Row::default(); zones],
+            spoke: long_ago,
+            spoken: 0,
+            speaks: (0, long_ago, true),
+            led: false,
+            beats: 0,
+            beat_at: long_ago,
+            beat_number: 0,
+            reviewed: long_ago,
+            proposed: None,
+            asked_at: long_ago,
+            nonces: VecDeque::new(),
+            // Not to be guessed from outside: the key's holders alone can answer, with what was asked of them.
+            next_nonce: own.instance.wrapping_mul(0x9E37_79B9_7F4A_7C15),
+            answered: (now, 0),
+            orders: VecDeque::new(),
+            answers: VecDeque::new(),
+            standing: Standing::Blind,
+            events: Vec::new(),
+            out: Vec::new(),
+            sent: (0, 0),
+            own,
+        }
+    }
+
+    // What comes.
+
+    pub fn datagram(&mut self, now: At, bytes: &[u8]) {
+        let opened = match self.opener.open(bytes) {
+            Ok(opened) => opened,
+            Err(left) => return self.events.push(Event::Left(left)),
+        };
+        let (from, instance) = (opened.from, opened.instance);
+        match opened.kind {
+            Kind::Gossip => self.members.heard(now, opened.body),
+            Kind::Agree => {
+                let whole = opened.body.split_first_chunk::<8>();
+                match (self.agreement.as_mut().filter(|_| self.seats.contains(&from)), whole) {
+                    (Some(agreement), Some((generation, bytes))) => {
+                        agreement.heard_agree(now, u64::from_be_bytes(*generation), bytes);
+                    }
+                    _ => self.events.push(Event::Unread),
+                }
+            }
+            Kind::Word => match postcard::from_bytes(opened.body) {
+                Ok(said) => self.word(now, from, instance, said),
+                Err(_) => self.events.push(Event::Unread),
+            },
+        }
+        self.settle(now);
+    }
+
+    fn word(&mut self, now: At, from: SocketAddr, instance: u64, said: Said) {
+        match said {
+            Said::Voter(word) => {
+                let seat = self.seats.iter().position(|s| *s == from);
+                match (seat, &mut self.agreement) {
+                    (Some(seat), Some(agreement)) => agreement.heard_word(now, seat, word),
+                    _ => self.events.push(Event::Unread),
+                }
+            }
+            Said::Evidence(word) => {
+                if !self.words.take(now, from, instance, word) {
+                    self.events.push(Event::Unread);
+                }
+            }
+            Said::Look(nonce) => {
+                // Bounded: a herd that returns asks again, and asks others.
+                if now - self.answered.0 >= Span::from_ms(1000) {
+                    self.answered = (now, 0);
+                }
+                if self.answered.1 < ANSWERS {
+                    self.answered.1 += 1;
+                    let decision = self.follow.decision().cloned();
+                    let rank = self.follow.beat();
+                    let said = Said::Stands { nonce, decision, rank, beat_number: self.beat_number };
+                    self.say(from, &said);
+                }
+            }
+            Said::Stands { nonce, decision, rank, beat_number } => {
+                // Guards against an answer of long ago, said again.
+                let Some(place) = self.nonces.iter().position(|n| *n == nonce) else { return };
+                self.nonces.remove(place);
+                if let Some(decision) = decision {
+                    self.takes(decision);
+                }
+                self.heard_beat(now, rank, beat_number);
+            }
+            Said::Ask { ticket, order } => self.asked(now, from, ticket, order),
+            Said::Told { .. } => self.events.push(Event::Unread),
+        }
+    }
+
+    fn takes(&mut self, decision: Decision) {
+        if self.follow.decided(decision.clone()) {
+            if let Some(agreement) = &mut self.agreement {
+                agreement.follows(&decision);
+            }
+            if let Ok(body) = postcard::to_allocvec(&decision) {
+                self.members.spread(DECISION, (decision.number, 0), &body);
+            }
+            self.events.push(Event::Decided(decision));
+        }
+    }
+
+    fn heard_beat(&mut self, now: At, rank: (u64, u64), number: u64) {
+        if rank > self.follow.beat() {
+            self.beat_number = number;
+        }
+        self.follow.beats(now, rank, number);
+    }
+
+    /// What this copy's exchange sees of each zone; `asked`: parts a second of its clients.
+    pub fn sees(&mut self, now: At, rows: Vec<Row>, asked: u32) {
+        self.rows = rows;
+        // Worked out anew where members came or went, and then not at each of many at once.
+        if self.speaks.0 != self.members.changes && now - self.speaks.1 >= Span::from_ms(1000) {
+            let of_zone = self.members.there().filter(|p| p.zone == self.own.zone).cloned();
+            self.speaks = (self.members.changes, now, speaks(&self.own, of_zone));
+        }
+        if !self.speaks.2 {
+            return;
+        }
+        self.spoken += 1;
+        let word = Evidence {
+            zone: self.own.zone,
+            number: self.spoken,
+            rows: self.rows.clone(),
+            asked,
+            copies: self.members.of_zone(self.own.zone).min(usize::from(u16::MAX)) as u16,
+        };
+        for seat in self.seats.clone() {
+            if seat == self.own.address {
+                self.words.take(now, seat, self.own.instance, word.clone());
+            } else {
+                self.say(seat, &Said::Evidence(word.clone()));
+            }
+        }
+    }
+
+    /// Whether it is time for `sees`.
+    pub fn wants_to_see(&mut self, now: At) -> bool {
+        let due = now - self.spoke >= SPEAK;
+        if due {
+            self.spoke = now;
+        }
+        due
+    }
+
+    // Time.
+
+    /// When `tick` is due at the latest.
+    pub fn due(&self) -> At {
+        let agreement = self.agreement.as_ref().map(Agreement::due);
+        let leads = self.led.then(|| self.reviewed + REVIEW);
+        [Some(self.members.due()), agreement, leads, Some(self.spoke + SPEAK)]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or_default()
+    }
+
+    pub fn tick(&mut self, now: At) {
+        self.members.tick(now);
+        let rows = std::mem::take(&mut self.rows);
+        self.follow.tick(now, &rows);
+        self.rows = rows;
+        if let Some(agreement) = &mut self.agreement {
+            agreement.tick(now);
+        }
+        if now - self.reviewed >= REVIEW {
+            self.reviewed = now;
+            self.lead(now);
+        }
+        if self.follow.looks(now) && now - self.asked_at >= ASK {
+            self.asked_at = now;
+            self.look();
+        }
+        self.settle(now);
+        let standing = self.follow.standing(now);
+        if standing != self.standing {
+            self.standing = standing;
+            self.events.push(Event::Standing(standing));
+        }
+    }
+
+    fn look(&mut self) {
+        // By turns: seats know first, but members answer where no seat is reached.
+        let members: Vec<SocketAddr> = self.members.there().map(|p| p.address).collect();
+        let turn = self.next_nonce as usize;
+        let seats = self.seats.iter().copied().filter(|s| *s != self.own.address).collect::<Vec<_>>();
+        let pick = |list: &[SocketAddr], n: usize| list.get((turn + n) % list.len().max(1)).copied();
+        let mut to: Vec<SocketAddr> = (0..ASKED - 1).filter_map(|n| pick(&seats, n)).collect();
+        to.extend(pick(&members, 0));
+        to.sort();
+        to.dedup();
+        for address in to {
+            self.next_nonce = self.next_nonce.wrapping_add(1);
+            let nonce = self.next_nonce;
+            self.nonces.push_back(nonce);
+            if self.nonces.len() > 8 * ASKED {
+                self.nonces.pop_front();
+            }
+            self.say(address, &Said::Look(nonce));
+        }
+    }
+
+    fn lead(&mut self, now: At) {
+        let Some(agreement) = &self.agreement else { return };
+        let leads = agreement.leads();
+        if leads != self.led {
+            self.led = leads;
+            self.proposed = None;
+            self.events.push(Event::Leads(leads));
+            if leads {
+                self.book.leads(now);
+            }
+        }
+        let Some(current) = agreement.decision().cloned().filter(|_| leads) else { return };
+        let term = agreement.generation() << 32 | agreement.term();
+        let voters = agreement.voters_heard(now);
+        if now - self.beat_at >= BEAT {
+            self.beat_at = now;
+            self.beats += 1;
+            let rank = (term, self.beats);
+            let body = postcard::to_allocvec(&(rank, current.number)).unwrap_or_default();
+            self.members.spread(BEATS, rank, &body);
+            self.heard_beat(now, rank, current.number);
+        }
+        // One proposal at a time: what follows from the evidence is made from what stands.
+        if self.proposed.is_some_and(|(base, at)| base == current.number && now - at < AGREED_WITHIN) {
+            return;
+        }
+        let matrix = self.words.join(now);
+        let pending = self.orders.front().map(|o| (o.ticket, o.from, o.order));
+        let ordered = pending
+            .map(|(ticket, from, order)| ((ticket, from, order), self.book.order(&matrix, &current, order)));
+        let mut next = None;
+        match ordered {
+            Some((_, Ok(decision))) => {
+                if let Some(first) = self.orders.front_mut() {
+                    first.proposed = Some(decision.clone());
+                }
+                next = Some(decision);
+            }
+            Some((done, Err(why))) => self.tell(done, Answer::Refused(why)),
+            None => {}
+        }
+        let Some(next) = next.or_else(|| self.book.next(now, &matrix, &current)) else { return };
+        let zone = usize::from(next.zone);
+        self.events.push(Event::Proposed {
+            cause: next.cause,
+            zone: next.zone,
+            finding: matrix.finding(zone),
+            speakers: matrix.speakers(zone),
+            voters,
+        });
+        self.proposed = Some((current.number, now));
+        if let Some(agreement) = &mut self.agreement {
+            agreement.propose(current.number, next);
+        }
+    }
+
+    // Operators.
+
+    fn asked(&mut self, now: At, from: SocketAddr, ticket: u64, order: Option<Order>) {
+        let known = self.answers.iter().find(|a| a.0 == ticket).map(|a| a.1.clone());
+        if let Some(answer) = known {
+            return self.say(from, &Said::Told { ticket, answer });
+        }
+        let Some(order) = order else {
+            let answer = Answer::Shown(self.shown(now));
+            return self.say(from, &Said::Told { ticket, answer });
+        };
+        if self.orders.iter().any(|o| o.ticket == ticket) {
+            return;
+        }
+        if !self.led {
+            let leader = self.agreement.as_ref().and_then(Agreement::leader).map(|s| s as u8);
+            return self.say(from, &Said::Told { ticket, answer: Answer::NotLeading(leader) });
+        }
+        if self.orders.len() >= MOST_ORDERS {
+            let answer = Answer::Refused("too many orders wait for the voters".to_string());
+            return self.say(from, &Said::Told { ticket, answer });
+        }
+        self.orders.push_back(Ordered { ticket, from, order, since: now, proposed: None });
+    }
+
+    fn tell(&mut self, (ticket, from, order): (u64, SocketAddr, Order), answer: Answer) {
+        self.orders.retain(|o| o.ticket != ticket);
+        self.answers.push_back((ticket, answer.clone()));
+        if self.answers.len() > MOST_ORDERS {
+            self.answers.pop_front();
+        }
+        self.events.push(Event::Order(order, answer.clone()));
+        self.say(from, &Said::Told { ticket, answer });
+    }
+
+    pub fn shown(&mut self, now: At) -> Shown {
+        let matrix = self.words.join(now);
+        let of = |zone: usize| {
+            let finding = format!("{:?}", matrix.finding(zone));
+            (finding, matrix.speakers(zone) as u16, matrix.well(zone).round() as u16)
+        };
+        let agreement = self.agreement.as_ref();
+        Shown {
+            decision: self.follow.decision().cloned(),
+            standing: self.follow.standing(now).name().to_string(),
+            shares: self.follow.plan(now).shares,
+            evidence: if agreement.is_some() { (0..matrix.zones()).map(of).collect() } else { Vec::new() },
+            leader: agreement.and_then(Agreement::leader).map(|s| s as u8),
+            voters_heard: agreement.map_or(0, |a| a.voters_heard(now) as u8),
+            members: self.members.there().count() as u16 + 1,
+        }
+    }
+
+    // Passing on.
+
+    fn settle(&mut self, now: At) {
+        for news in self.members.take_news() {
+            self.events.push(Event::Member(news));
+        }
+        for (topic, body) in self.members.take_rumours() {
+            match topic {
+                DECISION => match postcard::from_bytes::<Decision>(&body) {
+                    Ok(decision) => self.takes(decision),
+                    Err(_) => self.events.push(Event::Unread),
+                },
+                BEATS => match postcard::from_bytes::<((u64, u64), u64)>(&body) {
+                    Ok((rank, number)) => self.heard_beat(now, rank, number),
+                    Err(_) => self.events.push(Event::Unread),
+                },
+                _ => self.events.push(Event::Unread),
+            }
+        }
+        let decided = self.agreement.as_mut().map(Agreement::take_decided).unwrap_or_default();
+        for decision in decided {
+            let done = self.orders.iter().find(|o| {
+                o.proposed.as_ref().is_some_and(|p| (p.cause, p.zone) == (decision.cause, decision.zone))
+            });
+            if let Some(done) = done {
+                let done = (done.ticket, done.from, done.order);
+                self.tell(done, Answer::Done(decision.number));
+            }
+            self.takes(decision);
+        }
+        let over: Vec<_> = self.orders.iter().filter(|o| now - o.since >= ORDER_TIME).collect();
+        for (ticket, from, order) in over.iter().map(|o| (o.ticket, o.from, o.order)).collect::<Vec<_>>() {
+            self.tell((ticket, from, order), Answer::Refused("the voters did not agree in time".to_string()));
+        }
+        let voters = self.agreement.as_mut().map(Agreement::take_out).unwrap_or_default();
+        for (seat, out) in voters {
+            let to = self.seats[seat];
+            match out {
+                Out::Agree(generation, bytes) => {
+                    let body = [&generation.to_be_bytes()[..], &bytes].concat();
+                    self.seal(to, Kind::Agree, &body);
+                }
+                Out::Word(word) => self.say(to, &Said::Voter(word)),
+            }
+        }
+        for (to, body) in self.members.take_sent() {
+            self.seal(to, Kind::Gossip, &body);
+        }
+    }
+
+    fn say(&mut self, to: SocketAddr, said: &Said) {
+        if let Ok(body) = postcard::to_allocvec(said) {
+            self.seal(to, Kind::Word, &body);
+        }
+    }
+
+    fn seal(&mut self, to: SocketAddr, kind: Kind, body: &[u8]) {
+        if let Some(sealed) = self.sealer.seal(to, kind, body) {
+            self.sent = (self.sent.0 + sealed.len() as u64, self.sent.1 + 1);
+            self.out.push((to, sealed));
+        }
+    }
+
+    /// Says goodbye to the others.
+    pub fn leave(&mut self, now: At, how: Gone) {
+        self.members.leave(now, how);
+        for (to, body) in self.members.take_sent() {
+            self.seal(to, Kind::Gossip, &body);
+        }
+    }
+
+    pub fn take_out(&mut self) -> Vec<Sent> {
+        std::mem::take(&mut self.out)
+    }
+
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    pub fn plan(&self, now: At) -> Plan {
+        self.follow.plan(now)
+    }
+
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    pub fn leads(&self) -> bool {
+        self.led
+    }
+
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    pub fn older_left(&self) -> u64 {
+        self.follow.older
+    }
+}
+
+/// One operator's command, from outside the copies: seals the question and opens the answer.
+pub struct Command {
+    sealer: Sealer,
+    opener: Opener,
+    ticket: u64,
+}
+
+impl Command {
+    /// `own`: where answers come; `started` tells it apart from commands before it.
+    pub fn new(key: [u8; 32], own: SocketAddr, started: u64) -> Command {
+        let ticket = started.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ u64::from(own.port());
+        Command { sealer: Sealer::new(key, own, started), opener: Opener::new(key, own), ticket }
+    }
+
+    /// The same each time: whoever has heard it answers as before.
+    pub fn ask(&mut self, to: SocketAddr, order: Option<Order>) -> Option<Vec<u8>> {
+        let said = postcard::to_allocvec(&Said::Ask { ticket: self.ticket, order }).ok()?;
+        self.sealer.seal(to, Kind::Word, &said)
+    }
+
+    pub fn answer(&mut self, datagram: &[u8]) -> Option<Answer> {
+        let opened = self.opener.open(datagram).ok()?;
+        match postcard::from_bytes(opened.body).ok()? {
+            Said::Told { ticket, answer } if ticket == self.ticket => Some(answer),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-failover/tests/agreement.rs
@@ -0,0 +1,308 @@
+//! Voters on a net that loses, doubles, delays and parts, with crashes that lose all memory and processes that stand still:
+//! one decision a number, whatever happens, and decisions again once all is well. From a seed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pipitcrank::time::{At, Span};
+use pipitcrank_failover::agreement::{Agreement, Out};
+use pipitcrank_failover::decision::Decision;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+const ZONES: usize = 3;
+
+struct Net {
+    now: At,
+    chance: Pcg64,
+    voters: Vec<Option<Agreement>>,
+    /// Process of each seat, by number.
+    process: Vec<u64>,
+    /// Stands still: what comes waits until it wakes.
+    stopped: BTreeSet<usize>,
+    on_way: BTreeMap<(At, u64), (usize, usize, Out)>,
+    next: u64,
+    /// Ways that are cut, by direction.
+    cut: BTreeSet<(usize, usize)>,
+    loss: f64,
+    delay_ms: i64,
+    starts: u64,
+    proposals: u32,
+    proposed: At,
+    /// All that was ever decided, by number, and the newest at each process.
+    all: BTreeMap<u64, Decision>,
+    newest: BTreeMap<u64, u64>,
+    two_under_one: u64,
+    went_back: u64,
+}
+
+impl Net {
+    fn new(seed: u64, seats: usize) -> Net {
+        let mut net = Net {
+            now: At::from_s(1000.0),
+            chance: Pcg64::seed_from_u64(seed),
+            voters: (0..seats).map(|_| None).collect(),
+            process: vec![0; seats],
+            stopped: BTreeSet::new(),
+            on_way: BTreeMap::new(),
+            next: 0,
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            delay_ms: 5,
+            starts: 1_700_000_000_000_000,
+            proposals: 0,
+            proposed: At::from_s(0.0),
+            all: BTreeMap::new(),
+            newest: BTreeMap::new(),
+            two_under_one: 0,
+            went_back: 0,
+        };
+        (0..seats).for_each(|seat| net.start(seat));
+        net
+    }
+
+    fn start(&mut self, seat: usize) {
+        self.starts += 1_000_001;
+        self.process[seat] = self.starts;
+        self.stopped.remove(&seat);
+        self.voters[seat] = Some(Agreement::new(self.now, seat, self.voters.len(), ZONES, self.starts));
+    }
+
+    fn pass(&mut self, ms: i64) {
+        let until = self.now + Span::from_ms(ms);
+        while self.now < until {
+            self.now = self.now + Span::from_ms(5);
+            while let Some(entry) = self.on_way.first_entry().filter(|e| e.key().0 <= self.now) {
+                let ((_, order), (from, to, out)) = entry.remove_entry();
+                if self.stopped.contains(&to) {
+                    // Its socket holds some of it.
+                    if self.on_way.len() < 500 {
+                        self.on_way.insert((self.now + Span::from_ms(50), order), (from, to, out));
+                    }
+                } else if let Some(voter) = &mut self.voters[to] {
+                    match out {
+                        Out::Agree(generation, bytes) => voter.heard_agree(self.now, generation, &bytes),
+                        Out::Word(word) => voter.heard_word(self.now, from, word),
+                    }
+                }
+            }
+            let proposes = self.now - self.proposed >= Span::from_ms(100);
+            for seat in (0..self.voters.len()).filter(|s| !self.stopped.contains(s)) {
+                let Some(voter) = &mut self.voters[seat] else { continue };
+                if voter.due() <= self.now {
+                    voter.tick(self.now);
+                }
+                if proposes
+                    && voter.leads()
+                    && let Some(mut next) = voter.decision().cloned()
+                {
+                    self.proposals += 1;
+                    next.places[0].asked = self.proposals;
+                    voter.propose(next.number, next);
+                }
+            }
+            self.proposed = if proposes { self.now } else { self.proposed };
+            self.collect();
+        }
+    }
+
+    fn collect(&mut self) {
+        for seat in 0..self.voters.len() {
+            let Some(voter) = &mut self.voters[seat] else { continue };
+            for decision in voter.take_decided() {
+                let held = self.all.entry(decision.number).or_insert_with(|| decision.clone());
+                self.two_under_one += u64::from(*held != decision);
+                let newest = self.newest.entry(self.process[seat]).or_insert(0);
+                self.went_back += u64::from(decision.number < *newest);
+                *newest = decision.number;
+                voter.follows(&decision);
+            }
+            for (to, out) in voter.take_out() {
+                if self.cut.contains(&(seat, to)) || self.chance.random_bool(self.loss) {
+                    continue;
+                }
+                let copies = if self.chance.random_bool(self.loss / 3.0) { 2 } else { 1 };
+                for _ in 0..copies {
+                    let delay = Span::from_ms(1 + self.chance.random_range(0..=self.delay_ms));
+                    self.next += 1;
+                    self.on_way.insert((self.now + delay, self.next), (seat, to, out.clone()));
+                }
+            }
+        }
+    }
+
+    fn leaders(&self) -> Vec<usize> {
+        (0..self.voters.len()).filter(|&s| self.voters[s].as_ref().is_some_and(Agreement::leads)).collect()
+    }
+
+    /// Cuts a set off from the rest, both ways.
+    fn part(&mut self, away: &[usize]) {
+        for a in 0..self.voters.len() {
+            for b in (0..self.voters.len()).filter(|b| away.contains(&a) != away.contains(b)) {
+                self.cut.insert((a, b));
+            }
+        }
+    }
+
+    fn goes_on(&mut self, within_ms: i64, why: &str) {
+        let before = self.all.len();
+        self.pass(within_ms);
+        assert!(self.all.len() > before + 3, "{why}: {before} decisions, then {}", self.all.len());
+        self.sound(why);
+    }
+
+    fn sound(&self, why: &str) {
+        assert_eq!((self.two_under_one, self.went_back), (0, 0), "{why}");
+    }
+
+    fn generations(&self) -> usize {
+        self.all.keys().map(|n| n >> 32).collect::<BTreeSet<_>>().len()
+    }
+}
+
+#[test]
+fn voters_found_a_group_and_go_on_without_a_minority() {
+    for seats in [1, 3, 5] {
+        let mut net = Net::new(1, seats);
+        net.goes_on(5000, "first start");
+        assert_eq!(net.leaders().len(), 1);
+        for seat in 0..(seats - 1) / 2 {
+            net.voters[seat] = None;
+        }
+        if seats > 1 {
+            net.goes_on(3000, "a minority died, the leader among them");
+        }
+    }
+}
+
+#[test]
+fn without_a_majority_nothing_is_decided_and_with_it_again_all_goes_on() {
+    let mut net = Net::new(2, 3);
+    net.pass(5000);
+    net.part(&[0, 1]);
+    net.cut.extend([(0, 1), (1, 0)]);
+    net.pass(1500);
+    let before = net.all.len();
+    net.pass(10_000);
+    assert_eq!(net.all.len(), before, "nobody has a majority");
+    net.cut.clear();
+    net.goes_on(5000, "healed");
+    assert_eq!(net.generations(), 1, "no new generation was needed");
+}
+
+#[test]
+fn a_voter_that_lost_its_memory_is_admitted_anew_and_then_counts() {
+    let mut net = Net::new(3, 3);
+    net.pass(5000);
+    net.start(2);
+    net.goes_on(3000, "one restarted");
+    assert!(net.voters[2].as_ref().unwrap().votes());
+    net.voters[0] = None;
+    net.goes_on(4000, "the new one is needed for a majority");
+    net.start(0);
+    net.pass(3000);
+    // All three in turn, several times: the group outlives them all.
+    for round in 0..6 {
+        net.start(round % 3);
+        net.goes_on(4000, "rolling restart");
+    }
+    assert_eq!(net.generations(), 1);
+}
+
+#[test]
+fn all_memory_lost_begins_anew_above_all_numbers() {
+    let mut net = Net::new(4, 3);
+    net.pass(5000);
+    for lost in [vec![0, 1, 2], vec![0, 1], vec![1, 2]] {
+        let last = *net.all.keys().last().unwrap();
+        lost.iter().for_each(|&seat| net.start(seat));
+        net.goes_on(12_000, "memory lost");
+        assert!(*net.all.keys().last().unwrap() >> 32 > last >> 32, "{lost:?}");
+    }
+}
+
+#[test]
+fn a_majority_without_memory_alone_decides_nothing() {
+    let mut net = Net::new(5, 3);
+    net.pass(5000);
+    net.voters[2] = None;
+    (0..2).for_each(|seat| net.start(seat));
+    net.pass(100);
+    let before = net.all.len();
+    net.pass(15_000);
+    assert_eq!(net.all.len(), before, "the third may remember more: it is waited for");
+    net.start(2);
+    net.goes_on(10_000, "all seats are there again");
+}
+
+#[test]
+fn the_leader_stops_for_five_seconds_and_wakes_as_if_nothing_were() {
+    let mut net = Net::new(6, 3);
+    net.pass(5000);
+    let leader = net.leaders()[0];
+    net.stopped.insert(leader);
+    net.goes_on(5000, "the leader stands still");
+    net.stopped.clear();
+    net.goes_on(3000, "and wakes");
+    assert_eq!(net.leaders().len(), 1);
+}
+
+#[test]
+fn bytes_that_are_no_message_change_nothing() {
+    let mut net = Net::new(7, 3);
+    net.pass(5000);
+    let voter = net.voters[1].as_mut().unwrap();
+    let before = voter.decision().cloned();
+    for bytes in [&b"garbage"[..], &[0xff; 900], &[]] {
+        voter.heard_agree(net.now, voter.generation(), bytes);
+        voter.heard_agree(net.now, 99, bytes);
+    }
+    assert!(voter.left_out >= 6);
+    assert_eq!(voter.decision().cloned(), before);
+    net.goes_on(2000, "after garbage");
+}
+
+/// Everything at once, from a seed: each number has one decision at all times, and decisions go on in the end.
+#[test]
+fn whatever_breaks_each_number_has_one_decision() {
+    for seed in 0..40 {
+        let seats = [3, 5][seed as usize % 2];
+        let mut net = Net::new(seed, seats);
+        net.pass(4000);
+        for _ in 0..12 {
+            let seat = net.chance.random_range(0..seats);
+            match net.chance.random_range(0..8) {
+                0 => net.voters[seat] = None,
+                1 => net.start(seat),
+                2 => {
+                    net.stopped.insert(seat);
+                }
+                3 => {
+                    net.stopped.remove(&seat);
+                }
+                4 => net.part(&[seat]),
+                5 => {
+                    let to = net.chance.random_range(0..seats);
+                    net.cut.insert((seat, to));
+                }
+                6 => (net.loss, net.delay_ms) = (0.3, 200),
+                _ => {
+                    net.cut.clear();
+                    (net.loss, net.delay_ms) = (0.0, 5);
+                }
+            }
+            let ms = net.chance.random_range(100..3000);
+            net.pass(ms);
+            net.sound(&format!("seed {seed}"));
+        }
+        net.cut.clear();
+        net.stopped.clear();
+        (net.loss, net.delay_ms) = (0.0, 5);
+        for seat in 0..seats {
+            if net.voters[seat].is_none() {
+                net.start(seat);
+            }
+        }
+        net.pass(8000);
+        net.goes_on(8000, &format!("seed {seed}, healed"));
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-membership/src/envelope.rs
@@ -0,0 +1,295 @@
+//! How a datagram between copies is sealed: version, what it holds, who sent it to whom, a number, and a tag over all of
+//! it under the secret that the operators' file names (BLAKE3 keyed, cut to 16 bytes). What is forged, cut, replayed, too
+//! long or of another version is counted under its reason and changes nothing.
+//!
+//! ```text
+//! "pm" version:u8 kind:u8 | from: postcard(SocketAddr) | instance: varint | number: varint | body | tag: 16 bytes
+//! ```
+//! The tag also covers the address it is meant for, which does not travel.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// Raised with each change of any message's form.
+pub const VERSION: u8 = 1;
+/// Longest datagram: it travels whole through any network met.
+pub const LONGEST: usize = 1400;
+/// What is left for the body, whatever the head takes.
+pub const LONGEST_BODY: usize = LONGEST - 4 - 20 - 10 - 10 - TAG;
+const MAGIC: [u8; 2] = *b"pm";
+const TAG: usize = 16;
+/// Senders remembered, and processes of one that are over: above any fleet's size; the longest silent goes first.
+const MOST_SENDERS: usize = 8192;
+const MOST_OVER: usize = 4;
+/// Numbers behind the newest that are told apart: datagrams overtake each other by a few.
+const WINDOW: u64 = 128;
+
+/// What the body is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Kind {
+    /// foca's own bytes.
+    Gossip = 1,
+    /// The agreement's library's own bytes.
+    Agree = 2,
+    /// A message of ours in postcard's form.
+    Word = 3,
+}
+
+/// Why a datagram was left. The names are the counter's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Left {
+    #[error("too_long")]
+    TooLong,
+    #[error("cut")]
+    Cut,
+    #[error("other_version")]
+    OtherVersion,
+    #[error("forged")]
+    Forged,
+    #[error("replayed")]
+    Replayed,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Head {
+    from: SocketAddr,
+    instance: u64,
+    number: u64,
+}
+
+/// Seals what this process sends.
+pub struct Sealer {
+    key: [u8; 32],
+    from: SocketAddr,
+    instance: u64,
+    number: u64,
+}
+
+/// The key that a secret of the operators' file stands for.
+pub fn key(secret: &str) -> [u8; 32] {
+    blake3::derive_key("pipitcrank 2026-12 between copies", secret.as_bytes())
+}
+
+fn tag(key: &[u8; 32], to: SocketAddr, sealed: &[u8]) -> [u8; TAG] {
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    hasher.update(to.to_string().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(sealed);
+    let mut tag = [0; TAG];
+    tag.copy_from_slice(&hasher.finalize().as_bytes()[..TAG]);
+    tag
+}
+
+impl Sealer {
+    pub fn new(key: [u8; 32], from: SocketAddr, instance: u64) -> Sealer {
+        Sealer { key, from, instance, number: 0 }
+    }
+
+    /// None where the body is too long to travel.
+    pub fn seal(&mut self, to: SocketAddr, kind: Kind, body: &[u8]) -> Option<Vec<u8>> {
+        if body.len() > LONGEST_BODY {
+            return None;
+        }
+        self.number += 1;
+        let mut out = vec![MAGIC[0], MAGIC[1], VERSION, kind as u8];
+        let head = Head { from: self.from, instance: self.instance, number: self.number };
+        out.extend(postcard::to_allocvec(&head).ok()?);
+        out.extend_from_slice(body);
+        out.extend_from_slice(&tag(&self.key, to, &out));
+        Some(out)
+    }
+}
+
+/// One sender's numbers.
+struct Numbers {
+    instance: u64,
+    newest: u64,
+    /// Bit `n`: the number `newest - n` has come.
+    seen: u128,
+    /// Processes of it that are over.
+    over: VecDeque<u64>,
+    /// When it was last heard, as a count of datagrams opened.
+    heard: u64,
+}
+
+/// Opens what comes to this process.
+pub struct Opener {
+    key: [u8; 32],
+    own: SocketAddr,
+    senders: BTreeMap<SocketAddr, Numbers>,
+    opened: u64,
+}
+
+/// What was in a datagram.
+#[derive(Debug, PartialEq)]
+pub struct Opened<'a> {
+    pub kind: Kind,
+    pub from: SocketAddr,
+    pub instance: u64,
+    pub body: &'a [u8],
+}
+
+impl Opener {
+    pub fn new(key: [u8; 32], own: SocketAddr) -> Opener {
+        Opener { key, own, senders: BTreeMap::new(), opened: 0 }
+    }
+
+    pub fn open<'a>(&mut self, datagram: &'a [u8]) -> Result<Opened<'a>, Left> {
+        if datagram.len() > LONGEST {
+            return Err(Left::TooLong);
+        }
+        let (sealed, found) = datagram.split_last_chunk::<TAG>().ok_or(Left::Cut)?;
+        let (&[a, b, version, kind], rest) = sealed.split_first_chunk::<4>().ok_or(Left::Cut)?;
+        if [a, b] != MAGIC {
+            return Err(Left::Forged);
+        }
+        if version != VERSION {
+            return Err(Left::OtherVersion);
+        }
+        // blake3's own comparison takes the same time whatever differs.
+        let (ours, theirs) = (tag(&self.key, self.own, sealed), *found);
+        if widened(ours) != widened(theirs) {
+            return Err(Left::Forged);
+        }
+        let kind = match kind {
+            1 => Kind::Gossip,
+            2 => Kind::Agree,
+            3 => Kind::Word,
+            _ => return Err(Left::OtherVersion),
+        };
+        let (head, body): (Head, _) = postcard::take_from_bytes(rest).map_err(|_| Left::Cut)?;
+        self.opened += 1;
+        if !self.is_new(&head) {
+            return Err(Left::Replayed);
+        }
+        Ok(Opened { kind, from: head.from, instance: head.instance, body })
+    }
+
+    fn is_new(&mut self, head: &Head) -> bool {
+        let heard = self.opened;
+        if !self.senders.contains_key(&head.from) && self.senders.len() >= MOST_SENDERS {
+            let quietest = self.senders.iter().min_by_key(|(_, n)| n.heard).map(|(a, _)| *a);
+            quietest.map(|a| self.senders.remove(&a));
+        }
+        let numbers = self.senders.entry(head.from).or_insert_with(|| Numbers {
+            instance: head.instance,
+            newest: 0,
+            seen: 0,
+            over: VecDeque::new(),
+            heard,
+        });
+        if numbers.instance != head.instance {
+            // Guards against what a process said that is over: it comes late, or again.
+            if numbers.over.contains(&head.instance) {
+                return false;
+            }
+            numbers.over.push_back(numbers.instance);
+            if numbers.over.len() > MOST_OVER {
+                numbers.over.pop_front();
+            }
+            (numbers.instance, numbers.newest, numbers.seen) = (head.instance, 0, 0);
+        }
+        numbers.heard = heard;
+        if head.number > numbers.newest {
+            let by = head.number - numbers.newest;
+            numbers.seen = if by < WINDOW { numbers.seen << by | 1 } else { 1 };
+            numbers.newest = head.number;
+            return true;
+        }
+        let behind = numbers.newest - head.number;
+        let bit = 1u128.checked_shl(behind as u32).unwrap_or(0);
+        let new = behind < WINDOW && numbers.seen & bit == 0;
+        numbers.seen |= bit;
+        new
+    }
+}
+
+/// As blake3's hash type, whose comparison is in constant time.
+fn widened(tag: [u8; TAG]) -> blake3::Hash {
+    let mut wide = [0; 32];
+    wide[..TAG].copy_from_slice(&tag);
+    blake3::Hash::from_bytes(wide)
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn at(n: u16) -> SocketAddr {
+        ([127, 0, 0, 1], n).into()
+    }
+
+    fn pair() -> (Sealer, Opener) {
+        (Sealer::new(key("s"), at(1), 7), Opener::new(key("s"), at(2)))
+    }
+
+    #[test]
+    fn what_was_sealed_is_opened_once_by_whom_it_is_meant_for() {
+        let (mut ours, mut theirs) = pair();
+        let sent = ours.seal(at(2), Kind::Word, b"hello").unwrap();
+        let opened = theirs.open(&sent).unwrap();
+        assert_eq!(
+            (opened.kind, opened.from, opened.instance, opened.body),
+            (Kind::Word, at(1), 7, &b"hello"[..])
+        );
+        assert_eq!(theirs.open(&sent), Err(Left::Replayed));
+        let elsewhere = ours.seal(at(3), Kind::Word, b"hello").unwrap();
+        assert_eq!(theirs.open(&elsewhere), Err(Left::Forged), "meant for another");
+        let mut others = Sealer::new(key("t"), at(1), 7);
+        assert_eq!(theirs.open(&others.seal(at(2), Kind::Word, b"").unwrap()), Err(Left::Forged));
+    }
+
+    #[test]
+    fn each_kind_of_bad_datagram_has_its_reason() {
+        let (mut ours, mut theirs) = pair();
+        assert_eq!(theirs.open(&[0; 1401]), Err(Left::TooLong));
+        assert_eq!(theirs.open(b"pm"), Err(Left::Cut));
+        let mut other = ours.seal(at(2), Kind::Word, b"x").unwrap();
+        other[2] = VERSION + 1;
+        assert_eq!(theirs.open(&other), Err(Left::OtherVersion));
+        assert_eq!(ours.seal(at(2), Kind::Word, &[0; LONGEST]), None);
+    }
+
+    #[test]
+    fn a_new_process_is_heard_and_the_one_before_it_no_more() {
+        let (mut old, mut theirs) = pair();
+        let (first, late) =
+            (old.seal(at(2), Kind::Word, b"1").unwrap(), old.seal(at(2), Kind::Word, b"2").unwrap());
+        theirs.open(&first).unwrap();
+        // Its clock went back meanwhile.
+        let mut new = Sealer::new(key("s"), at(1), 5);
+        theirs.open(&new.seal(at(2), Kind::Word, b"").unwrap()).unwrap();
+        assert_eq!(theirs.open(&late), Err(Left::Replayed));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Any change of any byte, and any cut, is left.
+        #[test]
+        fn nothing_changed_is_opened(body in proptest::collection::vec(any::<u8>(), 0..200), at_byte in 0usize..300,
+                                     by in 1u8..=255, cut in any::<bool>()) {
+            let (mut ours, mut theirs) = pair();
+            let mut sent = ours.seal(at(2), Kind::Gossip, &body).unwrap();
+            let place = at_byte % sent.len();
+            if cut { sent.truncate(place) } else { sent[place] ^= by }
+            prop_assert!(theirs.open(&sent).is_err());
+        }
+
+        /// Against a plain set of all numbers seen: in any order, each within the window is taken once.
+        #[test]
+        fn each_number_once(order in proptest::collection::vec(0usize..60, 0..200)) {
+            let (mut ours, mut theirs) = pair();
+            let sent: Vec<_> = (0..60).map(|_| ours.seal(at(2), Kind::Word, b"").unwrap()).collect();
+            let mut seen = std::collections::BTreeSet::new();
+            for n in order {
+                prop_assert_eq!(theirs.open(&sent[n]).is_ok(), seen.insert(n));
+            }
+        }
+    }
+}
