--- a/crates/pipitcrank-cli/src/main.rs
+++ b/crates/pipitcrank-cli/src/main.rs
@@ -3,6 +3,7 @@
 mod asking;
 mod keeper;
 mod logs;
+mod peers;
 
 use std::cell::RefCell;
 use std::os::fd::AsFd;
@@ -66,6 +67,23 @@
         #[arg(long, default_value_t = 120.0)]
         wait: f64,
     },
+    /// Show what is decided of zones, or have the voters decide it: drain, return, freeze, thaw
+    Zones {
+        /// show, drain, return, freeze or thaw
+        #[arg(value_parser = ["show", "drain", "return", "freeze", "thaw"])]
+        what: String,
+        /// The zone's name, for drain and return
+        zone: Option<String>,
+        /// The operators' file of a copy: its zones, voters and secret
+        #[arg(long)]
+        operators: PathBuf,
+        /// One copy to be asked, by the address that others know it by; without it `show` asks the file's own copy
+        #[arg(long)]
+        at: Option<std::net::SocketAddr>,
+        /// Seconds to wait for an answer
+        #[arg(long, default_value_t = 5.0)]
+        wait: f64,
+    },
     /// Show it at work on this machine: stand-in leaves, some hundred queries, a leaf killed half way
     Demo {
         #[arg(long, default_value_t = 1)]
@@ -105,6 +123,19 @@
         What::Upgrade { pid, address, wait } => {
             said(asking::upgrade(pid, address, Duration::from_secs_f64(wait)))
         }
+        What::Zones { what, zone, operators, at, wait } => {
+            let read = Operators::read(&operators).map_err(|wrong| {
+                eprintln!("ERROR {wrong}");
+                2
+            });
+            read.map_or_else(
+                |code| code,
+                |operators| {
+                    let wait = Duration::from_secs_f64(wait);
+                    said(peers::command(operators.zones, &what, zone.as_deref(), at, wait))
+                },
+            )
+        }
         What::Demo { seed } => said(keeper::program().and_then(|p| pipitcrank_rig::demo::play(&p, seed))),
         What::Trial { name, seed, rounds, only, json } => {
             let terms = Terms { seed, rounds, only: only.as_deref(), json };
@@ -146,21 +177,37 @@
         return on_one_thread(async {
             // Heeded without effect: left alone it would end the process.
             let _upgrades = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::user_defined2())?;
-            serve::serve(clock, None, beside(operators.gateway)).await.map_err(|e| anyhow!("{e}"))
+            serve::serve(clock, None, beside(operators)).await.map_err(|e| anyhow!("{e}"))
         })?
         .map(|()| 0);
     };
     let (_, text) = serve::charter_text().map_err(|e| anyhow!(e))?;
     let charter = Charter::read(&text, |name| std::env::var(name).ok())?;
     charter.check(&clock)?;
+    if let Some(zones) = &operators.zones {
+        peers::own_zone(zones, charter.zones()?.as_ref())?;
+    }
     let path = path.map(|p| p.canonicalize().context("the operators' file")).transpose()?;
     on_one_thread(keeper::keep(keeper::program()?, path, charter.listen()?, upgrade))?
 }
 
-/// Other sites beside the near leaves, where the operators' file has them.
-fn beside(gateway: Option<Gateway>) -> Option<Beside> {
-    let Gateway { site, listen, sites, connections, prefer_near } = gateway?;
+/// Other copies, and other sites beside the near leaves, where the operators' file has them.
+fn beside(operators: Operators) -> Option<Beside> {
+    let Operators { gateway, zones, .. } = operators;
+    if gateway.is_none() && zones.is_none() {
+        return None;
+    }
     Some(Box::new(move |ground: Ground| {
+        if let Some(zones) = zones {
+            let stands = peers::stand(&ground, zones).unwrap_or_else(|wrong| {
+                tracing::error!("{wrong}");
+                std::process::exit(2);
+            });
+            tokio::task::spawn_local(stands);
+        }
+        let Some(Gateway { site, listen, sites, connections, prefer_near }) = gateway else {
+            return ground.leaves as Rc<RefCell<dyn LeafSide>>;
+        };
         // Told apart from any process before or beside this one: by its number and its start.
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let instance = (since.as_micros() as u64) << 22 ^ u64::from(std::process::id());
@@ -177,7 +224,7 @@
     let keeper = std::io::stdin().as_fd().try_clone_to_owned().context("standard input")?;
     let keeper = UnixStream::from(keeper);
     keeper.peer_addr().context("standard input is not a keeper's link")?;
-    on_one_thread(serve::serve(Clock::start(), Some(keeper), beside(operators.gateway)))?
+    on_one_thread(serve::serve(Clock::start(), Some(keeper), beside(operators)))?
         .map_err(|e| anyhow!("{e}"))?;
     Ok(0)
 }
@@ -202,8 +249,17 @@
         look("the charter", faults.unwrap_or_else(|wrong| vec![wrong]));
     }
     if let Some(path) = operators {
-        let faults = Operators::read(&path).err().map(|wrong| wrong.to_string());
-        look(&path.display().to_string(), faults.into_iter().collect());
+        let read = Operators::read(&path);
+        let mut faults: Vec<String> = read.as_ref().err().map(ToString::to_string).into_iter().collect();
+        // What both files say of zones has to agree; without the charter only the file itself is looked at.
+        if let (Ok(Operators { zones: Some(zones), .. }), false) = (&read, no_charter)
+            && let Ok((_, text)) = serve::charter_text()
+            && let Ok(charter) = Charter::read(&text, |name| std::env::var(name).ok())
+            && let Ok(platform) = charter.zones()
+        {
+            faults.extend(peers::own_zone(zones, platform.as_ref()).err().map(|wrong| wrong.to_string()));
+        }
+        look(&path.display().to_string(), faults);
     }
     code
 }
--- /dev/null
+++ b/crates/pipitcrank-cli/src/peers.rs
@@ -0,0 +1,560 @@
+//! The hands of this copy among others: one UDP socket, the exchange's counts made into evidence, the plan handed to the
+//! exchange, events to log and counters. And the operators' command, which asks the copies over the same socket's kind.
+//! What is decided stands in `pipitcrank-failover`.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result, bail};
+use pipitcrank::decide::zones::{Seen, Shares, Tally, Zone};
+use pipitcrank::time::{At, Span};
+use pipitcrank_failover::book::{Book, Pace};
+use pipitcrank_failover::decision::{Order, UNKNOWN, WHOLE};
+use pipitcrank_failover::follow::{Follow, Plan};
+use pipitcrank_failover::instance::{Answer, Command, Event, Instance, Shown};
+use pipitcrank_failover::shares::{Nearness, turned_away};
+use pipitcrank_membership::envelope::{LONGEST, key};
+use pipitcrank_membership::evidence::Row;
+use pipitcrank_membership::members::{Gone, News};
+use pipitcrank_membership::peer::Peer;
+use pipitcrank_node::counters::Counters;
+use pipitcrank_node::serve::Ground;
+use pipitcrank_operators::Zones;
+use tokio::net::UdpSocket;
+
+/// Datagrams taken in a row before anything else gets its turn.
+const A_ROW: usize = 32;
+/// While another process of this copy still has the address, it is asked for again so often.
+const ADDRESS_AGAIN: Duration = Duration::from_millis(50);
+/// Of a zone that is shut, so many leaves are probed each time evidence is gathered: by all that speak together each
+/// leaf of some dozens is asked within a second.
+const LOOKS: usize = 8;
+/// Rates are over so long: shorter ones jump with single queries.
+const RATE_OVER: Span = Span::from_ms(2000);
+
+fn since_1970_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+fn span(d: Duration) -> Span {
+    Span::from_s(d.as_secs_f64())
+}
+
+/// This copy's zone by its place in the operators' list: from the operators' file, else from the platform. Contradictions
+/// are named by their key.
+pub fn own_zone(zones: &Zones, platform: Option<&(Zone, Vec<String>)>) -> Result<usize> {
+    let names: Vec<&str> = zones.zones.iter().map(|(name, _)| name.as_str()).collect();
+    let place = |name: &str| names.iter().position(|n| *n == name);
+    if let Some((own, told)) = platform {
+        if let Some(unknown) = told.iter().find(|name| place(name).is_none()) {
+            bail!("/zones/zones lacks '{unknown}' of the charter's /settings/zones: {}", told.join(", "));
+        }
+        if let Some((n, extra)) = names.iter().enumerate().find(|(_, name)| !told.iter().any(|t| t == *name))
+        {
+            bail!(
+                "/zones/zones/{n}/name is '{extra}', none of the charter's /settings/zones: {}",
+                told.join(", ")
+            );
+        }
+        let own = &told[usize::from(own.0)];
+        if let Some(said) = zones.zone.as_ref().filter(|said| *said != own) {
+            bail!("/zones/zone is '{said}', and the charter's /settings/zone is '{own}'");
+        }
+        return Ok(place(own).unwrap_or(0));
+    }
+    match zones.zone.as_deref().and_then(place) {
+        Some(own) => Ok(own),
+        None => bail!("/zones/zone is missing, and the charter names none; accepted: {}", names.join(", ")),
+    }
+}
+
+/// Each region, as sites are named, and its first zone.
+fn firsts(zones: &Zones) -> Vec<(String, String)> {
+    let mut firsts: Vec<(String, String)> = Vec::new();
+    for (name, region) in &zones.zones {
+        if firsts.iter().all(|(known, _)| known != region) {
+            firsts.push((region.clone(), name.clone()));
+        }
+    }
+    firsts
+}
+
+/// What a copy is that stands there with others; or a fault by its key.
+pub fn stand(ground: &Ground, zones: Zones) -> Result<impl Future<Output = ()> + use<>> {
+    let own = own_zone(&zones, ground.zones.as_ref())?;
+    let (hall, utilities) = (ground.hall.clone(), ground.utilities.clone());
+    let (mut leaving, end_called) = (ground.leaving.clone(), ground.end_called.clone());
+    let names: Vec<String> = zones.zones.iter().map(|(name, _)| name.clone()).collect();
+    hall.tell(|e| {
+        e.name_zones(names.clone());
+        e.name_site_zones(firsts(&zones).into_iter().collect());
+        if !zones.dry_run {
+            e.set_shares(Shares { of: vec![(Zone(own as u16), 1.0)], ..Shares::default() });
+        }
+    });
+    // A site is a region: its leaves stand for all of its zones.
+    let regions: Vec<String> = zones.zones.iter().map(|(_, region)| region.clone()).collect();
+    let stands_for = (0..regions.len())
+        .map(|zone| match regions[zone] == regions[own] {
+            true => zone,
+            false => regions.iter().position(|r| *r == regions[zone]).unwrap_or(zone),
+        })
+        .collect();
+    Ok(async move {
+        let socket = loop {
+            match UdpSocket::bind(zones.listen).await {
+                Ok(socket) => break socket,
+                Err(wrong) => tracing::debug!("/zones/listen {}: {wrong}", zones.listen),
+            }
+            tokio::select! {
+                () = tokio::time::sleep(ADDRESS_AGAIN) => {}
+                _ = leaving.wait_for(|left| *left) => return,
+            }
+        };
+        let now = hall.clock.now();
+        let instance = instance(now, &zones, own);
+        tracing::info!(zone = names[own], known_as = %zones.known_as, voter = votes(&zones), "stands with other copies");
+        let (watch, rates) = (Watch::new(&names), Rates::new(now));
+        let mut hands = Hands {
+            socket,
+            instance,
+            hall,
+            names,
+            own,
+            stands_for,
+            dry: zones.dry_run,
+            utilities,
+            watch,
+            rates,
+            plan: None,
+            turned_away: Vec::new(),
+        };
+        hands.run(&mut leaving).await;
+        let how = if end_called.borrow().is_some() { Gone::Left } else { Gone::Upgraded };
+        let now = hands.hall.clock.now();
+        hands.instance.leave(now, how);
+        hands.pass_on(now).await;
+    })
+}
+
+fn votes(zones: &Zones) -> bool {
+    zones.voters.iter().any(|v| v.0 == zones.known_as)
+}
+
+fn instance(now: At, zones: &Zones, own: usize) -> Instance {
+    let regions: Vec<String> = zones.zones.iter().map(|(_, region)| region.clone()).collect();
+    let near = Nearness::new(&regions);
+    let pace = Pace {
+        suspect: span(zones.suspect),
+        hold_down: span(zones.hold_down),
+        hold_down_most: span(zones.hold_down_most),
+        calm: span(zones.calm),
+    };
+    let count = zones.zones.len();
+    let book = Book::new(pace, near.clone(), count, zones.leaf_bears);
+    let follow = Follow::new(own as u16, count, near, span(zones.hold), zones.dry_run);
+    let peer = Peer { address: zones.known_as, instance: since_1970_us(), zone: own as u16 };
+    let seats: Vec<SocketAddr> = zones.voters.iter().map(|v| v.0).collect();
+    Instance::new(now, peer, key(&zones.secret), &zones.peers, &seats, count, book, follow)
+}
+
+struct Hands {
+    socket: UdpSocket,
+    instance: Instance,
+    hall: std::rc::Rc<pipitcrank_node::hall::Hall>,
+    names: Vec<String>,
+    own: usize,
+    /// By zone: the one whose leaves stand for it here. Its own for those of this region, the region's first for others.
+    stands_for: Vec<usize>,
+    dry: bool,
+    utilities: Vec<f64>,
+    watch: Watch,
+    rates: Rates,
+    /// What the exchange goes by.
+    plan: Option<Plan>,
+    turned_away: Vec<f64>,
+}
+
+impl Hands {
+    async fn run(&mut self, leaving: &mut tokio::sync::watch::Receiver<bool>) {
+        let mut bytes = vec![0; LONGEST + 1];
+        loop {
+            let due = self.hall.clock.instant(self.instance.due());
+            tokio::select! {
+                _ = leaving.wait_for(|left| *left) => return,
+                ready = self.socket.readable() => if ready.is_err() { tokio::time::sleep(ADDRESS_AGAIN).await },
+                () = tokio::time::sleep_until(due) => {}
+            }
+            let now = self.hall.clock.now();
+            for _ in 0..A_ROW {
+                match self.socket.try_recv_from(&mut bytes) {
+                    Ok((length, _)) => self.instance.datagram(now, &bytes[..length]),
+                    // Nothing there, or a word of the machine that somebody sent to is not there.
+                    Err(_) => break,
+                }
+            }
+            self.instance.tick(now);
+            if self.instance.wants_to_see(now) {
+                self.see(now);
+            }
+            self.pass_on(now).await;
+        }
+    }
+
+    fn see(&mut self, now: At) {
+        let (seen, tally) = self.hall.ask(|e| e.zones_seen(now));
+        self.rates.take(now, &tally);
+        let rows = seen.iter().enumerate().map(|(zone, seen)| row(seen, self.rates.merged(zone))).collect();
+        self.instance.sees(now, rows, self.rates.asked());
+        let shut = self.plan.as_ref().map(|p| p.shut.clone()).unwrap_or_default();
+        for zone in shut {
+            self.hall.tell(|e| e.look_into(Zone(zone), LOOKS));
+        }
+        let counters = &self.hall.counters;
+        counters.set("zones", "parts_near", tally.near);
+        counters.set("zones", "parts_across", tally.across);
+    }
+
+    async fn pass_on(&mut self, now: At) {
+        for event in self.instance.take_events() {
+            self.watch.take(now, event, &self.hall.counters);
+        }
+        let counters = &self.hall.counters;
+        counters.set("zones", "older_decisions_left", self.instance.older_left());
+        counters.set("peers_sent", "bytes", self.instance.sent.0);
+        counters.set("peers_sent", "datagrams", self.instance.sent.1);
+        counters.set("zones", "decision", self.instance.plan(now).number);
+        let plan = self.instance.plan(now);
+        let mix = self.rates.mix(&self.utilities);
+        let away = if plan.lack > 0 { turned_away(plan.lack, &mix) } else { Vec::new() };
+        // What verticals ask changes from moment to moment: followed where it matters.
+        let differs = away.len() != self.turned_away.len()
+            || away.iter().zip(&self.turned_away).any(|(a, b)| (a - b).abs() > 0.02);
+        if self.plan.as_ref() != Some(&plan) || differs {
+            self.apply(&plan, away.clone());
+            (self.plan, self.turned_away) = (Some(plan), away);
+        }
+        for (to, bytes) in self.instance.take_out() {
+            // A datagram that can't go now is one that was lost.
+            let _ = self.socket.try_send_to(&bytes, to);
+        }
+    }
+
+    fn apply(&self, plan: &Plan, turned_away: Vec<f64>) {
+        let whole = f64::from(WHOLE);
+        let mut of: Vec<(Zone, f64)> = vec![(Zone(self.own as u16), 0.0)];
+        for &(zone, share) in &plan.shares {
+            let stands = Zone(self.stands_for[usize::from(zone)] as u16);
+            match of.iter_mut().find(|(known, _)| *known == stands) {
+                Some((_, sum)) => *sum += f64::from(share) / whole,
+                None => of.push((stands, f64::from(share) / whole)),
+            }
+        }
+        // A region is shut when all of its zones are.
+        let is_shut = |zone: usize| plan.shut.contains(&(zone as u16));
+        let all_shut =
+            |first: usize| (0..self.stands_for.len()).filter(|&z| self.stands_for[z] == first).all(is_shut);
+        let zones = 0..self.names.len();
+        let shut =
+            zones.filter(|&z| self.stands_for[z] == z && all_shut(z)).map(|z| Zone(z as u16)).collect();
+        if !self.dry {
+            self.hall.tell(|e| e.set_shares(Shares { of, shut, turned_away }));
+        }
+        let shares: Vec<String> = plan
+            .shares
+            .iter()
+            .map(|&(zone, share)| {
+                format!("{} {:.1} %", self.names[usize::from(zone)], f64::from(share) / 10.0)
+            })
+            .collect();
+        tracing::info!(number = plan.number, lack = plan.lack, "queries are meant for {}", shares.join(", "));
+    }
+}
+
+fn row(seen: &Seen, merged: u32) -> Row {
+    let small = |n: u32| n.min(u32::from(u16::MAX)) as u16;
+    Row {
+        listed: small(seen.listed),
+        answering: small(seen.answering),
+        silent: small(seen.silent),
+        failing: small(seen.failing),
+        full: small(seen.full),
+        cold: small(seen.cold),
+        merged,
+    }
+}
+
+/// Rates from counts that only grow.
+struct Rates {
+    before: (At, Tally),
+    asked: f64,
+    merged: Vec<f64>,
+    by_vertical: Vec<(f64, f64)>,
+}
+
+impl Rates {
+    fn new(now: At) -> Rates {
+        Rates { before: (now, Tally::default()), asked: 0.0, merged: Vec::new(), by_vertical: Vec::new() }
+    }
+
+    fn take(&mut self, now: At, tally: &Tally) {
+        let passed = (now - self.before.0).s();
+        if passed <= 0.0 {
+            return;
+        }
+        // The newest word weighs as its time does in what the rate is over.
+        let weight = (passed / RATE_OVER.s()).min(1.0);
+        let old = std::mem::replace(&mut self.before, (now, tally.clone())).1;
+        let blend = |rate: &mut f64, more: u64| *rate += weight * (more as f64 / passed - *rate);
+        let of = |list: &[(u64, u64)], n: usize| list.get(n).copied().unwrap_or((0, 0));
+        self.by_vertical.resize(tally.asked.len(), (0.0, 0.0));
+        for (n, rate) in self.by_vertical.iter_mut().enumerate() {
+            let (now, before) = (of(&tally.asked, n), of(&old.asked, n));
+            blend(&mut rate.0, now.0 - before.0);
+            blend(&mut rate.1, now.1 - before.1);
+        }
+        self.asked = self.by_vertical.iter().map(|r| r.1).sum();
+        self.merged.resize(tally.merged.len(), 0.0);
+        for (n, rate) in self.merged.iter_mut().enumerate() {
+            blend(rate, tally.merged[n] - old.merged.get(n).copied().unwrap_or(0));
+        }
+    }
+
+    /// Parts a second of clients.
+    fn asked(&self) -> u32 {
+        self.asked.round() as u32
+    }
+
+    fn merged(&self, zone: usize) -> u32 {
+        self.merged.get(zone).copied().unwrap_or(0.0).round() as u32
+    }
+
+    /// Of each vertical, its share of the parts and its utility a part.
+    fn mix(&self, utilities: &[f64]) -> Vec<(f64, f64)> {
+        let all = self.asked.max(1e-9);
+        let of = |(n, &(queries, parts)): (usize, &(f64, f64))| {
+            let utility = utilities.get(n).copied().unwrap_or(1.0);
+            (parts / all, utility * queries / parts.max(1e-9))
+        };
+        self.by_vertical.iter().enumerate().map(of).collect()
+    }
+}
+
+/// Events to log and counters. What others send that is bad is counted, and said once a while, not each time.
+struct Watch {
+    names: Vec<String>,
+    bad_said: Option<At>,
+}
+
+/// Bad datagrams are said in the log at most so often.
+const SAID_AGAIN: Span = Span::from_ms(10_000);
+
+impl Watch {
+    fn new(names: &[String]) -> Watch {
+        Watch { names: names.to_vec(), bad_said: None }
+    }
+
+    fn take(&mut self, now: At, event: Event, counters: &Counters) {
+        match event {
+            Event::Decided(decision) => {
+                counters.add("zones", "decisions");
+                let zone = &self.names[usize::from(decision.zone)];
+                let states: Vec<String> = (self.names.iter().zip(&decision.places))
+                    .map(|(name, p)| format!("{name} {} {:.1} %", p.state.name(), f64::from(p.kept) / 10.0))
+                    .collect();
+                tracing::info!(
+                    number = decision.number,
+                    cause = decision.cause.name(),
+                    zone,
+                    frozen = decision.frozen,
+                    "decided: {}",
+                    states.join(", ")
+                );
+            }
+            Event::Proposed { cause, zone, finding, speakers, voters } => {
+                counters.add("zones", "proposed");
+                tracing::info!(
+                    cause = cause.name(),
+                    zone = self.names[usize::from(zone)],
+                    evidence = ?finding,
+                    speakers,
+                    voters,
+                    "asks the voters"
+                );
+            }
+            Event::Member(News::Up(peer)) => {
+                counters.add("members", "up");
+                tracing::info!(member = %peer.address, zone = self.zone(&peer), "a copy is there");
+            }
+            Event::Member(News::Down(peer, how)) => {
+                let how = match how {
+                    Gone::Left => "left",
+                    Gone::Upgraded => "upgraded",
+                    Gone::Died => "died",
+                };
+                counters.add("members", how);
+                tracing::info!(member = %peer.address, zone = self.zone(&peer), "a copy {how}");
+            }
+            Event::Member(News::Refuted(_)) => {
+                counters.add("members", "refuted");
+                tracing::warn!("held to be dead by others, and refuted");
+            }
+            Event::Standing(standing) => {
+                counters.add("zones_standing", standing.name());
+                tracing::info!("zones: this copy is {}", standing.name());
+            }
+            Event::Leads(leads) => {
+                counters.add("zones", if leads { "leads" } else { "leads_no_more" });
+                tracing::info!("{}", if leads { "leads the voters" } else { "leads the voters no more" });
+            }
+            Event::Left(left) => {
+                let reason = match left {
+                    pipitcrank_membership::envelope::Left::TooLong => "too_long",
+                    pipitcrank_membership::envelope::Left::Cut => "cut",
+                    pipitcrank_membership::envelope::Left::OtherVersion => "other_version",
+                    pipitcrank_membership::envelope::Left::Forged => "forged",
+                    pipitcrank_membership::envelope::Left::Replayed => "replayed",
+                };
+                counters.add("peers_left", reason);
+                self.say_bad(now, reason);
+            }
+            Event::Unread => {
+                counters.add("peers_left", "unread");
+                self.say_bad(now, "unread");
+            }
+            Event::Order(order, answer) => tracing::info!(?order, ?answer, "an operator's order"),
+        }
+    }
+
+    fn say_bad(&mut self, now: At, reason: &str) {
+        if self.bad_said.is_none_or(|at| now - at >= SAID_AGAIN) {
+            self.bad_said = Some(now);
+            tracing::warn!(reason, "a datagram is left; more are counted under peers_left");
+        }
+    }
+
+    fn zone(&self, peer: &Peer) -> &str {
+        self.names.get(usize::from(peer.zone)).map_or("?", String::as_str)
+    }
+}
+
+// The operators' command.
+
+/// Asks again after this, and everybody meant.
+const ASKED_AGAIN: Duration = Duration::from_millis(300);
+
+/// Carries out `pipitcrank zones WHAT [ZONE]`; the exit code.
+pub fn command(
+    zones: Option<Zones>,
+    what: &str,
+    zone: Option<&str>,
+    at: Option<SocketAddr>,
+    wait: Duration,
+) -> Result<i32> {
+    let zones = zones.context("/zones is off in that operators' file")?;
+    let place = || -> Result<u16> {
+        let name = zone.context("it takes a zone's name")?;
+        let names: Vec<&str> = zones.zones.iter().map(|(name, _)| name.as_str()).collect();
+        let found = names.iter().position(|n| *n == name);
+        Ok(found.with_context(|| format!("'{name}' is none of {}", names.join(", ")))? as u16)
+    };
+    let order = match what {
+        "drain" => Some(Order::Drain(place()?)),
+        "return" => Some(Order::Return(place()?)),
+        "freeze" => Some(Order::Freeze),
+        "thaw" => Some(Order::Thaw),
+        _ => None,
+    };
+    // An order is for whoever leads the voters; each of them says whether it does.
+    let to: Vec<SocketAddr> = match (at, order) {
+        (Some(at), _) => vec![at],
+        (None, None) => vec![zones.known_as],
+        (None, Some(_)) => zones.voters.iter().map(|v| v.0).collect(),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let answer = runtime.block_on(ask(&zones, &to, order, wait))?;
+    match answer {
+        Some(Answer::Shown(shown)) => show(&zones, &shown),
+        Some(Answer::Done(number)) => println!("decided, number {}.{}", number >> 32, number as u32),
+        Some(Answer::Refused(why)) => bail!("refused: {why}"),
+        Some(Answer::NotLeading(_)) => bail!("no voter leads: {} asked", to.len()),
+        None => bail!(
+            "no answer of {} within {wait:?}",
+            to.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+        ),
+    }
+    Ok(0)
+}
+
+async fn ask(
+    zones: &Zones,
+    to: &[SocketAddr],
+    order: Option<Order>,
+    wait: Duration,
+) -> Result<Option<Answer>> {
+    let socket = UdpSocket::bind((zones.listen.ip(), 0)).await.context("an address to ask from")?;
+    let mut command = Command::new(key(&zones.secret), socket.local_addr()?, since_1970_us());
+    let (until, mut last) = (Instant::now() + wait, None);
+    let mut bytes = vec![0; LONGEST + 1];
+    while Instant::now() < until {
+        for &at in to {
+            if let Some(asked) = command.ask(at, order) {
+                let _ = socket.send_to(&asked, at).await;
+            }
+        }
+        let again = Instant::now() + ASKED_AGAIN;
+        while let Ok(came) = tokio::time::timeout_at(again.into(), socket.recv_from(&mut bytes)).await {
+            // An error tells of one who is not there; the others may be.
+            let Ok((length, _)) = came else { continue };
+            match command.answer(&bytes[..length]) {
+                Some(Answer::NotLeading(leader)) => last = Some(Answer::NotLeading(leader)),
+                Some(answer) => return Ok(Some(answer)),
+                None => {}
+            }
+        }
+    }
+    Ok(last)
+}
+
+fn show(zones: &Zones, shown: &Shown) {
+    let share = |n: u16| format!("{:.1} %", f64::from(n) / 10.0);
+    println!("this copy is {}; {} copies are there", shown.standing, shown.members);
+    if let Some(leader) = shown.leader {
+        let at = zones.voters.get(usize::from(leader)).map_or("?".to_string(), |v| v.0.to_string());
+        println!("{} of {} voters are heard, {at} leads", shown.voters_heard, zones.voters.len());
+    }
+    let Some(decision) = &shown.decision else {
+        println!("nothing is decided");
+        return;
+    };
+    let (generation, count) = (decision.number >> 32, decision.number as u32);
+    let frozen = if decision.frozen { "; frozen" } else { "" };
+    println!("decision {generation}.{count}, {}{frozen}", decision.cause.name());
+    println!(
+        "{:<16} {:<10} {:>8} {:>8} {:>10} {:>10}  evidence",
+        "zone", "state", "kept", "share", "carries/s", "asked/s"
+    );
+    for (n, (name, _)) in zones.zones.iter().enumerate() {
+        let Some(place) = decision.places.get(n) else { continue };
+        let meant = shown.shares.iter().find(|s| usize::from(s.0) == n).map_or(0, |s| s.1);
+        let carries = if place.carries == UNKNOWN { "?".to_string() } else { place.carries.to_string() };
+        let evidence =
+            shown.evidence.get(n).map_or("this copy is no voter".to_string(), |(found, speak, well)| {
+                format!("{found}: {speak} copies speak, {well} leaves well")
+            });
+        let cut: Vec<&str> = (0..zones.zones.len())
+            .filter(|to| place.cut & (1 << to) != 0)
+            .map(|to| zones.zones[to].0.as_str())
+            .collect();
+        let cut = if cut.is_empty() { String::new() } else { format!("; way cut to {}", cut.join(", ")) };
+        let drained = if place.drained { "; drained" } else { "" };
+        println!(
+            "{name:<16} {:<10} {:>8} {:>8} {carries:>10} {:>10}  {evidence}{drained}{cut}",
+            place.state.name(),
+            share(place.kept),
+            share(meant),
+            place.asked
+        );
+    }
+}
--- a/crates/pipitcrank-failover/src/follow.rs
+++ b/crates/pipitcrank-failover/src/follow.rs
@@ -109,13 +109,17 @@
     }
 
     /// A decision was heard, from wherever; whether it is taken.
-    pub fn decided(&mut self, decision: Decision) -> bool {
+    pub fn decided(&mut self, now: At, decision: Decision) -> bool {
         let newer = self.decision.as_ref().is_none_or(|held| decision.number > held.number);
         if !newer || !decision.sound(self.against.len()) {
             self.older += u64::from(!newer);
             return false;
         }
         self.behind = false;
+        if self.decision.is_none() && self.beat == (0, 0) {
+            // The time to hold begins with the first that it hears.
+            self.fresh = now - FRESH;
+        }
         self.decision = Some(decision);
         true
     }
@@ -262,16 +266,16 @@
         let mut follow = follow();
         assert_eq!(follow.standing(at(0)), Standing::Blind);
         assert_eq!(follow.plan(at(0)), Plan { number: 0, shares: vec![(0, 1000)], shut: vec![], lack: 0 });
-        assert!(follow.decided(out(5)));
-        assert!(!follow.decided(out(4)) && !follow.decided(Decision::first(3, 5)));
+        assert!(follow.decided(at(0), out(5)));
+        assert!(!follow.decided(at(0), out(4)) && !follow.decided(at(0), Decision::first(3, 5)));
         assert_eq!((follow.older, follow.plan(at(0)).number, follow.plan(at(0)).shut), (2, 5, vec![1]));
-        assert!(!follow.decided(Decision::first(2, 9)), "of other zones");
+        assert!(!follow.decided(at(0), Decision::first(2, 9)), "of other zones");
     }
 
     #[test]
     fn old_beats_say_nothing_and_one_of_a_missed_decision_makes_it_look() {
         let mut follow = follow();
-        follow.decided(out(5));
+        follow.decided(at(0), out(5));
         follow.beats(at(0), (2, 7), 5);
         assert_eq!(follow.standing(at(100)), Standing::Following);
         // A leader of before that woke goes on beating.
@@ -280,7 +284,7 @@
         assert_eq!(follow.standing(at(3000)), Standing::Holding);
         follow.beats(at(3100), (2, 8), 6);
         assert!(follow.looks(at(3100)) && follow.standing(at(3100)) == Standing::Holding);
-        follow.decided(out(6));
+        follow.decided(at(0), out(6));
         follow.beats(at(3200), (2, 9), 6);
         assert!(!follow.looks(at(3200)));
     }
@@ -288,7 +292,7 @@
     #[test]
     fn it_holds_for_the_stated_time_and_then_moves_no_more_than_the_stated_share() {
         let mut follow = follow();
-        follow.decided(Decision::first(3, 5));
+        follow.decided(at(0), Decision::first(3, 5));
         follow.beats(at(0), (1, 1), 5);
         pass(&mut follow, 0, 9000, [10, 0, 0]);
         assert_eq!(follow.standing(at(9000)), Standing::Holding);
@@ -304,7 +308,7 @@
     #[test]
     fn alone_a_zone_that_was_out_stays_out_while_another_serves() {
         let mut follow = follow();
-        follow.decided(out(5));
+        follow.decided(at(0), out(5));
         pass(&mut follow, 0, 20_000, [0, 0, 0]);
         assert_eq!(follow.standing(at(20_000)), Standing::Alone);
         assert_eq!(follow.plan(at(20_000)).shut, [1]);
@@ -317,7 +321,7 @@
         for (place, (asked, carries)) in spilling.places.iter_mut().zip([(300, 200), (10, 900), (10, 900)]) {
             (place.asked, place.carries) = (asked, carries);
         }
-        follow.decided(spilling);
+        follow.decided(at(0), spilling);
         pass(&mut follow, 0, 500, [0; 3]);
         follow.beats(at(500), (1, 1), 5);
         assert!(follow.plan(at(500)).shares.len() == 3);
@@ -335,7 +339,7 @@
     #[test]
     fn dry_nothing_moves() {
         let mut follow = Follow::new(1, 3, Nearness::new(&["r", "r", "r"].map(str::to_string)), HOLD, true);
-        follow.decided(out(5));
+        follow.decided(at(0), out(5));
         assert_eq!(follow.plan(at(0)).shares, [(1, 1000)]);
         assert_eq!(follow.plan(at(0)).shut, Vec::<u16>::new());
     }
--- a/crates/pipitcrank-failover/src/instance.rs
+++ b/crates/pipitcrank-failover/src/instance.rs
@@ -265,7 +265,7 @@
                 let Some(place) = self.nonces.iter().position(|n| *n == nonce) else { return };
                 self.nonces.remove(place);
                 if let Some(decision) = decision {
-                    self.takes(decision);
+                    self.takes(now, decision);
                 }
                 self.heard_beat(now, rank, beat_number);
             }
@@ -274,8 +274,8 @@
         }
     }
 
-    fn takes(&mut self, decision: Decision) {
-        if self.follow.decided(decision.clone()) {
+    fn takes(&mut self, now: At, decision: Decision) {
+        if self.follow.decided(now, decision.clone()) {
             if let Some(agreement) = &mut self.agreement {
                 agreement.follows(&decision);
             }
@@ -506,7 +506,7 @@
         for (topic, body) in self.members.take_rumours() {
             match topic {
                 DECISION => match postcard::from_bytes::<Decision>(&body) {
-                    Ok(decision) => self.takes(decision),
+                    Ok(decision) => self.takes(now, decision),
                     Err(_) => self.events.push(Event::Unread),
                 },
                 BEATS => match postcard::from_bytes::<((u64, u64), u64)>(&body) {
@@ -525,7 +525,7 @@
                 let done = (done.ticket, done.from, done.order);
                 self.tell(done, Answer::Done(decision.number));
             }
-            self.takes(decision);
+            self.takes(now, decision);
         }
         let over: Vec<_> = self.orders.iter().filter(|o| now - o.since >= ORDER_TIME).collect();
         for (ticket, from, order) in over.iter().map(|o| (o.ticket, o.from, o.order)).collect::<Vec<_>>() {
--- a/crates/pipitcrank-node/src/charter.rs
+++ b/crates/pipitcrank-node/src/charter.rs
@@ -132,6 +132,14 @@
         self.settings()?.verticals()
     }
 
+    /// Utility of a vertical's whole answer, in the module's order; 1 where nothing is said.
+    pub fn utilities(&self) -> Result<Vec<f64>, Faulty> {
+        let settings = self.settings()?;
+        (0..settings.verticals()?.len())
+            .map(|n| settings.number_or(&format!("/classes/{n}/worth"), 1.0))
+            .collect()
+    }
+
     /// What passes in a time without any promise: the longest that a client is waited for.
     pub fn longest(&self) -> Result<Span, Faulty> {
         let settings = self.settings()?;
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use pipitcrank::decide::Root;
-use pipitcrank::decide::zones::{Seen, Shares, Zone};
+use pipitcrank::decide::zones::{Seen, Shares, Tally, Zone};
 use pipitcrank::ids::{Ending, Leaf, Part, Query, Vertical};
 use pipitcrank::names::Names;
 use pipitcrank::port::Port;
@@ -116,6 +116,7 @@
     Ended(Leaf, CallNo, Ending, Option<String>, Option<Report>),
     Probed(Leaf, Ending, Option<Report>),
     List(At, bool, Vec<Listed>),
+    LookInto(Zone, usize),
 }
 
 struct HeldQuery {
@@ -298,6 +299,8 @@
     drain_grace: Span,
     /// Names of zones, by place; none where zones do not count.
     zones: Vec<String>,
+    /// The zone that stands for each site's region, by name.
+    site_zones: BTreeMap<String, String>,
     /// Further calls lent with parts that went to another site; each leaves when they come back or their time is over.
     lent: BTreeMap<u64, LentOut>,
     next_lent: u64,
@@ -322,6 +325,7 @@
             call_size,
             drain_grace,
             zones: Vec::new(),
+            site_zones: BTreeMap::new(),
             lent: BTreeMap::new(),
             next_lent: 0,
         }
@@ -449,11 +453,13 @@
         for cell in 0..cells {
             // No name of discovery's has a blank.
             let leaf = Leaf(self.desk.leaves.enter(&format!("site {name} {cell}")));
-            let held =
-                HeldLeaf { address: None, cell, zone: None, started: None, site: Some(site), off: None };
+            let zone = self.site_zones.get(name).cloned();
+            let place = zone.as_ref().and_then(|z| self.zones.iter().position(|known| known == z));
+            let held = HeldLeaf { address: None, cell, zone, started: None, site: Some(site), off: None };
             self.desk.held_leaves.insert(leaf.0, held);
             self.root.leaf(leaf, cell, true, None);
             self.root.far(leaf, None);
+            self.root.stands_in(leaf, place.map(|p| Zone(p as u16)));
             leaves.push(leaf);
         }
         self.root.list_end(&mut self.desk);
@@ -525,16 +531,25 @@
         }
     }
 
+    /// Which zone stands for a site's region: what is decided of it narrows the ways there. Before the sites are added.
+    pub fn name_site_zones(&mut self, zones: BTreeMap<String, String>) {
+        self.site_zones = zones;
+    }
+
     /// From now on queries are meant for zones by these shares.
     pub fn set_shares(&mut self, shares: Shares) {
         self.root.set_shares(shares);
     }
 
-    /// What is seen of each zone's leaves from here, in the zones' order; and parts sent at home and across since this
-    /// was last asked.
-    pub fn zones_seen(&mut self, now: At) -> (Vec<Seen>, (u64, u64)) {
+    /// What is seen of each zone's leaves from here, in the zones' order, and what was counted since the start.
+    pub fn zones_seen(&self, now: At) -> (Vec<Seen>, Tally) {
         let seen = (0..self.zones.len()).map(|n| self.root.seen_of(now, Zone(n as u16))).collect();
-        (seen, self.root.sent_across())
+        (seen, self.root.tally().clone())
+    }
+
+    /// Probes some leaves of a zone that nothing is sent to.
+    pub fn look_into(&mut self, zone: Zone, most: usize) {
+        self.inbox.push(Happened::LookInto(zone, most));
     }
 
     // Turns.
@@ -576,6 +591,7 @@
                 self.root.probed(now, leaf, ending);
             }
             Happened::List(at, whole, rows) => self.take_list(at, whole, rows),
+            Happened::LookInto(zone, most) => self.root.look_into(&mut self.desk, now, zone, most),
         }
     }
 
--- a/crates/pipitcrank-node/src/serve.rs
+++ b/crates/pipitcrank-node/src/serve.rs
@@ -7,7 +7,8 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
-use pipitcrank::time::Span;
+use pipitcrank::decide::zones::Zone;
+use pipitcrank::time::{At, Span};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -45,6 +46,12 @@
     pub tickets: Arc<AtomicU64>,
     /// Whether no new work of others is to be taken: another process takes over, or the end was called.
     pub leaving: watch::Receiver<bool>,
+    /// When the end was called.
+    pub end_called: watch::Receiver<Option<At>>,
+    /// What the platform says of zones: the own one's place, and all names.
+    pub zones: Option<(Zone, Vec<String>)>,
+    /// Utility of a whole answer, by vertical.
+    pub utilities: Vec<f64>,
 }
 
 /// Makes a leaf side that also reaches what near leaves are not, such as other sites.
@@ -158,6 +165,9 @@
             longest: charter.longest()?,
             tickets: door_tickets,
             leaving,
+            end_called: end_called.clone(),
+            zones: charter.zones()?,
+            utilities: charter.utilities()?,
         }),
     };
     let quiet = || hall.ask(Exchange::quiet) && relay.quiet();
--- a/crates/pipitcrank-operators/src/lib.rs
+++ b/crates/pipitcrank-operators/src/lib.rs
@@ -23,6 +23,7 @@
 pub struct Operators {
     pub upgrade: Option<Upgrade>,
     pub gateway: Option<Gateway>,
+    pub zones: Option<Zones>,
     pub logs: Logs,
 }
 
@@ -41,6 +42,37 @@
     pub prefer_near: Duration,
 }
 
+/// Failover between zones and regions, decided in common.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Zones {
+    /// This copy's own zone, where the file says so.
+    pub zone: Option<String>,
+    /// All zones and the region of each, the same at all copies.
+    pub zones: Vec<(String, String)>,
+    /// Where datagrams of other copies are taken, and the address that they know it by.
+    pub listen: SocketAddr,
+    pub known_as: SocketAddr,
+    /// Copies that are asked first.
+    pub peers: Vec<SocketAddr>,
+    /// Copies that vote: where they are reached, and their zone by place. The same at all copies, in the same order.
+    pub voters: Vec<(SocketAddr, usize)>,
+    /// What datagrams are sealed with.
+    pub secret: String,
+    /// How long evidence stands against a zone before it is left.
+    pub suspect: Duration,
+    /// How long a zone that was out is well before it comes back: at first, and at most as it doubles.
+    pub hold_down: Duration,
+    pub hold_down_most: Duration,
+    /// Without a fault for so long, the hold-down is at its shortest again.
+    pub calm: Duration,
+    /// How long a decision stands without a word of the voters.
+    pub hold: Duration,
+    /// Parts a second that a warm leaf bears; 0 where nobody knows.
+    pub leaf_bears: f64,
+    /// Decide and log, move nothing.
+    pub dry_run: bool,
+}
+
 /// Upgrade under load: how long its steps may take.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Upgrade {
@@ -68,6 +100,7 @@
 struct File {
     upgrade: Option<UpgradeForm>,
     gateway: Option<GatewayForm>,
+    zones: Option<ZonesForm>,
     logs: Option<LogsForm>,
 }
 
@@ -97,6 +130,39 @@
     address: String,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ZonesForm {
+    zone: String,
+    zones: Vec<ZoneForm>,
+    listen: String,
+    known_as: String,
+    peers: Vec<String>,
+    voters: Vec<VoterForm>,
+    secret: String,
+    suspect_s: f64,
+    hold_down_s: f64,
+    hold_down_most_s: f64,
+    calm_s: f64,
+    hold_s: f64,
+    leaf_bears: f64,
+    dry_run: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ZoneForm {
+    name: String,
+    region: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct VoterForm {
+    address: String,
+    zone: String,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct LogsForm {
@@ -147,8 +213,9 @@
     fn checked(self) -> Result<Operators, Faulty> {
         let upgrade = self.upgrade.map(UpgradeForm::checked).transpose()?;
         let gateway = self.gateway.map(GatewayForm::checked).transpose()?;
+        let zones = self.zones.map(ZonesForm::checked).transpose()?;
         let logs = self.logs.map_or(Logs::default(), |l| Logs { json: l.json, levels: l.levels });
-        Ok(Operators { upgrade, gateway, logs })
+        Ok(Operators { upgrade, gateway, zones, logs })
     }
 }
 
@@ -205,6 +272,107 @@
     }
 }
 
+/// Most zones, as the core has it; most voters, as the agreement has it; most copies to ask first.
+const MOST_ZONES: usize = 16;
+const MOST_VOTERS: usize = 7;
+const MOST_PEERS: usize = 64;
+/// A secret shorter than this can be guessed.
+const LEAST_SECRET: usize = 16;
+
+impl ZonesForm {
+    fn checked(self) -> Result<Zones, Faulty> {
+        let fault = |key: String, what: String| Err(Faulty { key, what });
+        let mut zones: Vec<(String, String)> = Vec::new();
+        for (n, zone) in self.zones.into_iter().enumerate() {
+            let key = format!("/zones/zones/{n}");
+            name(&format!("{key}/name"), &zone.name)?;
+            name(&format!("{key}/region"), &zone.region)?;
+            if zones.iter().any(|(known, _)| *known == zone.name) {
+                return fault(format!("{key}/name"), format!("'{}' stands there twice", zone.name));
+            }
+            zones.push((zone.name, zone.region));
+        }
+        if !(1..=MOST_ZONES).contains(&zones.len()) {
+            return fault("/zones/zones".into(), format!("are {}, not 1 to {MOST_ZONES}", zones.len()));
+        }
+        let names = || zones.iter().map(|(name, _)| name.as_str()).collect::<Vec<_>>().join(", ");
+        let place = |key: &str, zone: &str| match zones.iter().position(|(name, _)| name == zone) {
+            Some(place) => Ok(place),
+            None => {
+                let what = format!("is '{zone}', none of /zones/zones: {}", names());
+                Err(Faulty { key: key.into(), what })
+            }
+        };
+        if !self.zone.is_empty() {
+            place("/zones/zone", &self.zone)?;
+        }
+        let listen = address("/zones/listen", &self.listen)?;
+        let known_as =
+            if self.known_as.is_empty() { listen } else { address("/zones/known_as", &self.known_as)? };
+        let mut voters: Vec<(SocketAddr, usize)> = Vec::new();
+        for (n, voter) in self.voters.iter().enumerate() {
+            let key = format!("/zones/voters/{n}");
+            let at = address(&format!("{key}/address"), &voter.address)?;
+            if voters.iter().any(|(known, _)| *known == at) {
+                return fault(format!("{key}/address"), format!("'{at}' stands there twice"));
+            }
+            voters.push((at, place(&format!("{key}/zone"), &voter.zone)?));
+        }
+        if voters.len() % 2 == 0 || voters.len() > MOST_VOTERS {
+            let what = format!(
+                "are {}; accepted: 1, 3, 5 or {MOST_VOTERS}, so that one half is larger",
+                voters.len()
+            );
+            return fault("/zones/voters".into(), what);
+        }
+        // Guards against a zone whose loss takes the majority along, where zones are enough to do without.
+        for (zone, (name, _)) in zones.iter().enumerate().filter(|_| zones.len() > 2 && voters.len() > 1) {
+            let here = voters.iter().filter(|v| v.1 == zone).count();
+            if here * 2 > voters.len() {
+                let what = format!(
+                    "has {here} of {} in zone '{name}': its loss would end all deciding",
+                    voters.len()
+                );
+                return fault("/zones/voters".into(), what);
+            }
+        }
+        if self.peers.len() > MOST_PEERS {
+            return fault("/zones/peers".into(), format!("are {}, over {MOST_PEERS}", self.peers.len()));
+        }
+        let peers = self.peers.iter().enumerate().map(|(n, at)| address(&format!("/zones/peers/{n}"), at));
+        if self.secret.len() < LEAST_SECRET {
+            let what = format!("has {} characters, under {LEAST_SECRET}", self.secret.len());
+            return fault("/zones/secret".into(), what);
+        }
+        if !(0.0..=1e6).contains(&self.leaf_bears) {
+            let what = format!("is {}, not from 0 to 1000000 parts a second", self.leaf_bears);
+            return fault("/zones/leaf_bears".into(), what);
+        }
+        let hold_down = time("/zones/hold_down_s", self.hold_down_s, 0.5, 3600.0)?;
+        Ok(Zones {
+            peers: peers.collect::<Result<_, _>>()?,
+            suspect: time("/zones/suspect_s", self.suspect_s, 0.1, 60.0)?,
+            hold_down,
+            hold_down_most: time(
+                "/zones/hold_down_most_s",
+                self.hold_down_most_s,
+                hold_down.as_secs_f64(),
+                86_400.0,
+            )?,
+            calm: time("/zones/calm_s", self.calm_s, 1.0, 86_400.0)?,
+            hold: time("/zones/hold_s", self.hold_s, 3.0, 3600.0)?,
+            zone: (!self.zone.is_empty()).then_some(self.zone),
+            zones,
+            listen,
+            known_as,
+            voters,
+            secret: self.secret,
+            leaf_bears: self.leaf_bears,
+            dry_run: self.dry_run,
+        })
+    }
+}
+
 impl UpgradeForm {
     /// Signs of life come every 0.05 s: ten of them may be late before a process is held to hang. A trial of over
     /// ten minutes is no trial; two processes need twice the memory as long.
@@ -277,6 +445,43 @@
         }
     }
 
+    const ZONES: &str = "{ zones = Some { zone = \"a\", listen = \"127.0.0.1:7201\", known_as = \"\"
+        , zones = [ { name = \"a\", region = \"r\" }, { name = \"b\", region = \"r\" }, { name = \"c\", region = \"s\" } ]
+        , peers = [ \"127.0.0.1:7202\" ], secret = \"0123456789abcdef\", dry_run = False, leaf_bears = 50.0
+        , voters = [ { address = \"127.0.0.1:7201\", zone = \"a\" }, { address = \"127.0.0.1:7202\", zone = \"b\" }
+                   , { address = \"127.0.0.1:7203\", zone = \"c\" } ]
+        , suspect_s = 0.6, hold_down_s = 5.0, hold_down_most_s = 60.0, calm_s = 60.0, hold_s = 10.0 } }";
+
+    #[test]
+    fn zones_are_checked_by_key_and_no_zone_holds_the_majority() {
+        let read = Operators::parse(ZONES).unwrap().zones.unwrap();
+        assert_eq!((read.known_as, read.voters[2].1), (read.listen, 2));
+        for (from, to, key) in [
+            ("zone = \"a\", listen", "zone = \"d\", listen", "/zones/zone"),
+            ("listen = \"127.0.0.1", "listen = \"192.0.2.1", "/zones/listen"),
+            ("known_as = \"\"", "known_as = \"here\"", "/zones/known_as"),
+            ("name = \"b\"", "name = \"a\"", "/zones/zones/1/name"),
+            ("region = \"s\"", "region = \"\"", "/zones/zones/2/region"),
+            ("[ \"127.0.0.1:7202\" ]", "[ \"10.0.0.1:7202\" ]", "/zones/peers/0"),
+            ("0123456789abcdef", "short", "/zones/secret"),
+            ("address = \"127.0.0.1:7203\"", "address = \"127.0.0.1:7201\"", "/zones/voters/2/address"),
+            ("zone = \"c\" } ]", "zone = \"x\" } ]", "/zones/voters/2/zone"),
+            (", zone = \"b\" }", ", zone = \"a\" }", "/zones/voters"),
+            ("suspect_s = 0.6", "suspect_s = 0.0", "/zones/suspect_s"),
+            ("hold_down_s = 5.0", "hold_down_s = 0.0", "/zones/hold_down_s"),
+            ("hold_down_most_s = 60.0", "hold_down_most_s = 1.0", "/zones/hold_down_most_s"),
+            ("calm_s = 60.0", "calm_s = 0.0", "/zones/calm_s"),
+            ("hold_s = 10.0", "hold_s = 1.0", "/zones/hold_s"),
+            ("leaf_bears = 50.0", "leaf_bears = -1.0", "/zones/leaf_bears"),
+        ] {
+            let wrong = Operators::parse(&ZONES.replacen(from, to, 1)).unwrap_err();
+            assert_eq!(wrong.key, key, "{wrong}");
+        }
+        let even = ZONES.replace(", { address = \"127.0.0.1:7203\", zone = \"c\" }", "");
+        let even = Operators::parse(&even.replace("                    ]", "]")).unwrap_err();
+        assert_eq!(even.key, "/zones/voters", "{even}");
+    }
+
     #[test]
     fn a_file_that_is_not_there_is_named() {
         let wrong = Operators::read(Path::new("/nowhere/operators.dhall")).unwrap_err();
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -532,6 +532,7 @@
         let slo = (now + (trade.counts() + stretch).min(terms.hard_limit)).min(ends);
         let answer_by = (slo - self.tick * 3.0).min(ends - self.tick);
         let serial = self.mark();
+        self.count_asked(v.0 as usize, count);
         let zone = self.meant_for();
         let open =
             Open { serial, vertical: v, slo, answer_by, ends, arrived: now, a_part, size, ..Open::default() };
@@ -782,6 +783,7 @@
     /// What the end of a leaf call tells of the leaf, whether or not the query still waits for it.
     fn learn(&mut self, port: &mut dyn Port, now: At, leaf: Leaf, part: Part, nth: u32, ending: Ending) {
         let vertical = self.parts[&part].vertical;
+        self.count_ended(leaf, ending);
         let carried = self.carried_now(now);
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
         let Out { at, work, ahead, .. } = state.out.remove(&(part, nth)).expect("calls out are listed");
--- a/crates/pipitcrank/src/decide/zones.rs
+++ b/crates/pipitcrank/src/decide/zones.rs
@@ -26,8 +26,26 @@
 #[derive(Default)]
 pub(super) struct Zones {
     shares: Shares,
-    /// Leaf calls, in parts, within the zone meant and across, since they were last taken.
-    pub(super) sent: (u64, u64),
+    tally: Tally,
+}
+
+/// Counts since the start, for whoever makes rates of them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tally {
+    /// Queries and parts asked, by vertical; what was turned away among them.
+    pub asked: Vec<(u64, u64)>,
+    /// Parts merged, by zone of the leaf.
+    pub merged: Vec<u64>,
+    /// Parts sent to leaves of the nearest zone, and across.
+    pub near: u64,
+    pub across: u64,
+}
+
+fn count<T: Clone + Default>(list: &mut Vec<T>, place: usize) -> &mut T {
+    if list.len() <= place {
+        list.resize(place + 1, T::default());
+    }
+    &mut list[place]
 }
 
 impl Root {
@@ -90,14 +108,25 @@
     pub(super) fn count_crossing(&mut self, leaf: Leaf) {
         let home = self.zones.shares.of.first().map(|z| z.0);
         if let (Some(at), Some(home)) = (self.leaves[&leaf].zone, home) {
-            let (near, across) = self.zones.sent;
-            self.zones.sent = if at == home { (near + 1, across) } else { (near, across + 1) };
+            let tally = &mut self.zones.tally;
+            *(if at == home { &mut tally.near } else { &mut tally.across }) += 1;
+        }
+    }
+
+    pub(super) fn count_asked(&mut self, vertical: usize, parts: f64) {
+        let asked = count(&mut self.zones.tally.asked, vertical);
+        *asked = (asked.0 + 1, asked.1 + parts.max(0.0) as u64);
+    }
+
+    /// How a leaf call ended, for the leaf's zone. Zones are few (`told::MOST_ZONES`).
+    pub(super) fn count_ended(&mut self, leaf: Leaf, ending: Ending) {
+        if let (Some(zone), Ending::Pass) = (self.leaves[&leaf].zone, ending) {
+            *count(&mut self.zones.tally.merged, usize::from(zone.0)) += 1;
         }
     }
 
-    /// Parts sent within the nearest zone and across since this was last asked.
-    pub fn sent_across(&mut self) -> (u64, u64) {
-        std::mem::take(&mut self.zones.sent)
+    pub fn tally(&self) -> &Tally {
+        &self.zones.tally
     }
 
     /// What was seen of a zone's leaves, from here, by this co-ordinator alone.
@@ -114,7 +143,11 @@
             };
             let silent = state.mute >= LeafState::MUTE || state.out.values().any(stuck);
             let answered = state.probed.is_some_and(|(at, out)| !out && now - at < Self::RECENT);
-            if state.trial_at.is_some_and(|t| t > now) || state.faults >= LeafState::FAULTY {
+            // A site's leaves are out of reach while nothing may go there.
+            if state.far == Some(None)
+                || state.trial_at.is_some_and(|t| t > now)
+                || state.faults >= LeafState::FAULTY
+            {
                 seen.failing += 1;
             } else if silent {
                 seen.silent += 1;
@@ -135,7 +168,11 @@
     pub fn look_into(&mut self, port: &mut dyn Port, now: At, zone: Zone, most: usize) {
         let asked = |l: &LeafState| l.probed.map(|p| p.0);
         let due = |l: &LeafState| {
-            l.listed && l.zone == Some(zone) && asked(l).is_none_or(|t| now - t >= Self::FRESH)
+            // Far sites are measured on their links.
+            l.listed
+                && l.far.is_none()
+                && l.zone == Some(zone)
+                && asked(l).is_none_or(|t| now - t >= Self::FRESH)
         };
         let mut leaves: Vec<(Option<At>, Leaf)> =
             self.leaves.iter().filter(|(_, l)| due(l)).map(|(&id, l)| (asked(l), id)).collect();
--- a/crates/pipitcrank/tests/zones.rs
+++ b/crates/pipitcrank/tests/zones.rs
@@ -56,7 +56,9 @@
             answered(&mut root, n, i64::from(n) * 50 + 20);
         }
         assert_eq!(across > 0, across_wanted, "{across} of 60 across, zones told: {told}");
-        assert_eq!(root.sent_across(), if told { (60, 0) } else { (0, 0) });
+        let tally = root.tally();
+        assert_eq!((tally.near, tally.across), if told { (60, 0) } else { (0, 0) });
+        assert_eq!((tally.asked[0], tally.merged.iter().sum::<u64>()), ((60, 60), 60));
     }
 }
 
@@ -99,7 +101,7 @@
         answered(&mut root, n, i64::from(n) * 50 + 20);
     }
     assert!((250..350).contains(&across), "{across} of 1000");
-    assert_eq!(root.sent_across(), (1000 - across as u64, across as u64));
+    assert_eq!((root.tally().near, root.tally().across), (1000 - across as u64, across as u64));
 }
 
 #[test]
--- a/deploy/operators.dhall
+++ b/deploy/operators.dhall
@@ -27,6 +27,41 @@
       , default = { sites = [] : List Site, connections = 2, prefer_near_s = 0.02 }
       }
 
+let Zone = { name : Text, region : Text }
+
+let Voter = { address : Text, zone : Text }
+
+let Zones =
+      { Type =
+          { zone : Text -- this copy's zone; "" where the charter says it
+          , zones : List Zone -- all zones and the region of each, the same at all copies, in the same order
+          , listen : Text -- UDP, where other copies are heard; loopback alone
+          , known_as : Text -- the address that others know it by; "" for `listen`
+          , peers : List Text -- copies asked first
+          , voters : List Voter -- copies that decide, an odd number, spread over the zones; the same at all copies
+          , secret : Text -- what copies seal their datagrams with, the same at all; 16 characters at least
+          , suspect_s : Double -- evidence stands against a zone for so long before it is left
+          , hold_down_s : Double -- a zone that was out is well for so long before it comes back; doubles at each relapse
+          , hold_down_most_s : Double -- up to this
+          , calm_s : Double -- without a fault for so long, it is at its shortest again
+          , hold_s : Double -- a decision stands for so long without a word of the voters
+          , leaf_bears : Double -- parts a second that a warm leaf bears; 0.0 where nobody knows: then nothing is spilled
+          , dry_run : Bool -- decide and log, move nothing
+          }
+      , default =
+          { zone = ""
+          , known_as = ""
+          , peers = [] : List Text
+          , suspect_s = 0.6
+          , hold_down_s = 5.0
+          , hold_down_most_s = 300.0
+          , calm_s = 120.0
+          , hold_s = 10.0
+          , leaf_bears = 0.0
+          , dry_run = False
+          }
+      }
+
 let Logs =
       { Type =
           { json : Bool -- one JSON object a line, else plain lines
@@ -35,10 +70,19 @@
       , default = { json = False, levels = "info" }
       }
 
-in  { Type = { upgrade : Optional Upgrade.Type, gateway : Optional Gateway.Type, logs : Optional Logs.Type }
-    , default = { upgrade = None Upgrade.Type, gateway = None Gateway.Type, logs = None Logs.Type }
+in  { Type =
+        { upgrade : Optional Upgrade.Type
+        , gateway : Optional Gateway.Type
+        , zones : Optional Zones.Type
+        , logs : Optional Logs.Type
+        }
+    , default =
+      { upgrade = None Upgrade.Type, gateway = None Gateway.Type, zones = None Zones.Type, logs = None Logs.Type }
     , Upgrade
     , Site
     , Gateway
+    , Zone
+    , Voter
+    , Zones
     , Logs
     }
