--- a/crates/pipitcrank-cli/src/peers.rs
+++ b/crates/pipitcrank-cli/src/peers.rs
@@ -30,6 +30,10 @@
 /// Of a zone that is shut, so many leaves are probed each time evidence is gathered: by all that speak together each
 /// leaf of some dozens is asked within a second.
 const LOOKS: usize = 8;
+/// A zone is looked into where one in so many of its leaves left something without a word.
+const DOUBTED: u32 = 4;
+/// Of a zone that nothing was heard of lately, as on calm of all but the own: enough to know it before it is needed.
+const GLANCES: usize = 2;
 /// Rates are over so long: shorter ones jump with single queries.
 const RATE_OVER: Span = Span::from_ms(2000);
 
@@ -207,9 +211,15 @@
         self.rates.take(now, &tally);
         let rows = seen.iter().enumerate().map(|(zone, seen)| row(seen, self.rates.merged(zone))).collect();
         self.instance.sees(now, rows, self.rates.asked());
-        let shut = self.plan.as_ref().map(|p| p.shut.clone()).unwrap_or_default();
-        for zone in shut {
-            self.hall.tell(|e| e.look_into(Zone(zone), LOOKS));
+        for (zone, seen) in seen.iter().enumerate() {
+            let shut = self.plan.as_ref().is_some_and(|p| p.shut.contains(&(zone as u16)));
+            let unseen = seen.answering + seen.silent + seen.failing + seen.full == 0;
+            let doubted = seen.doubted * DOUBTED >= seen.listed && seen.doubted > 0;
+            // Of many copies those look that speak for their zone: probes have their price.
+            if self.instance.speaks() && (shut || unseen || doubted) {
+                let most = if shut || doubted { LOOKS } else { GLANCES };
+                self.hall.tell(|e| e.look_into(Zone(zone as u16), most));
+            }
         }
         let counters = &self.hall.counters;
         counters.set("zones", "parts_near", tally.near);
@@ -508,8 +518,8 @@
             // An error tells of one who is not there; the others may be.
             let Ok((length, _)) = came else { continue };
             match command.answer(&bytes[..length]) {
-                Some(Answer::NotLeading(leader)) => last = Some(Answer::NotLeading(leader)),
-                Some(answer) => return Ok(Some(answer)),
+                Some((_, Answer::NotLeading(leader))) => last = Some(Answer::NotLeading(leader)),
+                Some((_, answer)) => return Ok(Some(answer)),
                 None => {}
             }
         }
--- a/crates/pipitcrank-failover/src/book.rs
+++ b/crates/pipitcrank-failover/src/book.rs
@@ -23,7 +23,7 @@
 use crate::shares::{Nearness, table};
 
 /// Evidence has to stand for so long before anything is said of it: two words of each copy.
-const SEEN: Span = Span::from_ms(400);
+const SEEN: Span = Span::from_ms(300);
 /// A step of leaving, in thousandths of the load, and the time between two: a whole zone in a second, so that leaves
 /// elsewhere take on a quarter of a zone each time.
 const STEP: u16 = 250;
@@ -39,7 +39,7 @@
 const WORTH: u16 = 50;
 /// And what a zone carries by this part of itself.
 const CAPACITY_WORTH: u32 = 4;
-const FIGURES_TIME: Span = Span::from_ms(1000);
+const FIGURES_TIME: Span = Span::from_ms(500);
 /// Share of full leaves from which a zone is at what it carries, whatever operators say it bears.
 const AT_ITS_MOST: f64 = 0.3;
 /// What a leaf bears is never held lower than this share of what operators say, and comes back by so much a second.
@@ -241,9 +241,19 @@
             if matrix.speakers(zone) > 0 {
                 place.asked = matrix.asked[zone].round().clamp(0.0, f64::from(UNKNOWN - 1)) as u32;
             }
-            if self.told_bears > 0.0 && matrix.finding(zone) != Finding::Unknown {
+            // A zone that is bad as a whole is left in steps, not by what it carries.
+            let counts = matches!(matrix.finding(zone), Finding::Well | Finding::Part);
+            if self.told_bears > 0.0 && counts {
                 let warm = 1.0 - matrix.cold(zone) * (1.0 - COLD_CARRIES);
                 let carries = matrix.well(zone) * warm * self.watches[zone].bears;
+                let whole = matrix.listed(zone) * self.told_bears;
+                let carries = match place.carries {
+                    UNKNOWN => carries,
+                    held => {
+                        let part = |step: u16| whole * f64::from(step) / f64::from(WHOLE);
+                        carries.clamp(f64::from(held) - part(STEP), f64::from(held) + part(RETURN_STEP))
+                    }
+                };
                 place.carries = carries.round().clamp(0.0, f64::from(UNKNOWN - 1)) as u32;
             }
         }
--- a/crates/pipitcrank-failover/src/instance.rs
+++ b/crates/pipitcrank-failover/src/instance.rs
@@ -584,6 +584,11 @@
         self.standing
     }
 
+    /// Whether this copy is among those that speak for their zone.
+    pub fn speaks(&self) -> bool {
+        self.speaks.2
+    }
+
     pub fn leads(&self) -> bool {
         self.led
     }
@@ -617,10 +622,11 @@
         self.sealer.seal(to, Kind::Word, &said)
     }
 
-    pub fn answer(&mut self, datagram: &[u8]) -> Option<Answer> {
+    /// The answer and whose it is, or nothing that answers this command.
+    pub fn answer(&mut self, datagram: &[u8]) -> Option<(SocketAddr, Answer)> {
         let opened = self.opener.open(datagram).ok()?;
         match postcard::from_bytes(opened.body).ok()? {
-            Said::Told { ticket, answer } if ticket == self.ticket => Some(answer),
+            Said::Told { ticket, answer } if ticket == self.ticket => Some((opened.from, answer)),
             _ => None,
         }
     }
--- a/crates/pipitcrank-membership/src/evidence.rs
+++ b/crates/pipitcrank-membership/src/evidence.rs
@@ -252,6 +252,11 @@
         reach.map(of).fold(0.0, f64::max)
     }
 
+    /// Leaves listed there, as most copies have it.
+    pub fn listed(&self, zone: usize) -> f64 {
+        middle(self.cells.iter().map(|row| row[zone].listed).filter(|n| *n > 0.0)).unwrap_or(0.0)
+    }
+
     pub fn cold(&self, zone: usize) -> f64 {
         middle(
             (0..self.zones())
--- a/crates/pipitcrank-rig/src/fleet.rs
+++ b/crates/pipitcrank-rig/src/fleet.rs
@@ -51,28 +51,42 @@
 
     /// What a co-ordinator of this fleet is told; it listens on an address free a moment ago.
     pub fn charter(&self, seed: u64, sockets: u32, max_open: u32) -> Result<Value> {
-        let listen = free_address()?;
-        let vertical = |name: &str, aim: f64, limit: f64, kind: &str| json!({"name": name, "aim_s": aim, "hard_limit_s": limit, "idempotency": kind});
-        Ok(json!({
-            "name": "stand-in", "listen": listen.to_string(), "discovery": self.discovery.address.to_string(),
-            "seed": format!("{:x}", seed & 0xffff_ffff), "limits": {"sockets": sockets, "memory_mb": 256, "cores": 1.0},
-            "known": self.discovery.known(),
-            "settings": {
-                "allowed": {"cancel": true, "probing": true, "may_duplicate": true, "retry_after": true,
-                    "max_retry_after_s": 2.0, "try_limit": 4, "conn_idle_s": 30.0, "dial_timeout_s": 0.5,
-                    "max_open": max_open, "streams_per_conn": 32},
-                "classes": [vertical("view", 1.0, 4.0, "safe"), vertical("rank", 1.0, 4.0, "safe"),
-                    vertical("sale", 3.0, 5.0, "unsafe")],
-                "domain": {"call_cost_s": 0.001, "complete_from": [1.0, 1.0, 1.0], "floor_by_class": [1.0, 0.8, 1.0],
-                    "follow_up": [0, 0, 0], "parts_a_call": 8, "sets": CELLS, "shards": SHARDS, "span": 2},
-                "rules": {"cold_from": 0.3, "cold_s": 8.0, "drain_grace_s": 2.0, "fall_s": 1.5,
-                    "overload_factor": 4.0, "repeat_ratio": 0.1, "extra_free": 5, "budget_span_s": 10.0},
-                "tick_s": 0.005
-            }
-        }))
+        let discovery = &self.discovery;
+        charter_of(discovery.address, discovery.known(), CELLS, SHARDS, seed, sockets, max_open)
     }
 }
 
+/// What a co-ordinator is told that watches that discovery; it listens on an address free a moment ago.
+pub fn charter_of(
+    discovery: SocketAddr,
+    known: Value,
+    cells: u32,
+    shards: u32,
+    seed: u64,
+    sockets: u32,
+    max_open: u32,
+) -> Result<Value> {
+    let listen = free_address()?;
+    let vertical = |name: &str, aim: f64, limit: f64, kind: &str| json!({"name": name, "aim_s": aim, "hard_limit_s": limit, "idempotency": kind});
+    Ok(json!({
+        "name": "stand-in", "listen": listen.to_string(), "discovery": discovery.to_string(),
+        "seed": format!("{:x}", seed & 0xffff_ffff), "limits": {"sockets": sockets, "memory_mb": 256, "cores": 1.0},
+        "known": known,
+        "settings": {
+            "allowed": {"cancel": true, "probing": true, "may_duplicate": true, "retry_after": true,
+                "max_retry_after_s": 2.0, "try_limit": 4, "conn_idle_s": 30.0, "dial_timeout_s": 0.5,
+                "max_open": max_open, "streams_per_conn": 32},
+            "classes": [vertical("view", 1.0, 4.0, "safe"), vertical("rank", 1.0, 4.0, "safe"),
+                vertical("sale", 3.0, 5.0, "unsafe")],
+            "domain": {"call_cost_s": 0.001, "complete_from": [1.0, 1.0, 1.0], "floor_by_class": [1.0, 0.8, 1.0],
+                "follow_up": [0, 0, 0], "parts_a_call": 8, "sets": cells, "shards": shards, "span": 2},
+            "rules": {"cold_from": 0.3, "cold_s": 8.0, "drain_grace_s": 2.0, "fall_s": 1.5,
+                "overload_factor": 4.0, "repeat_ratio": 0.1, "extra_free": 5, "budget_span_s": 10.0},
+            "tick_s": 0.005
+        }
+    }))
+}
+
 /// Utility of a vertical's whole answer, and its SLO time as the charter has it.
 fn utility(vertical: &str) -> (f64, Duration) {
     match vertical {
--- a/crates/pipitcrank-rig/src/leaf.rs
+++ b/crates/pipitcrank-rig/src/leaf.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Result;
 use rand::{Rng, SeedableRng};
@@ -65,6 +65,9 @@
     killed: Notify,
     connections: Cell<usize>,
     most_connections: Cell<usize>,
+    /// Until when it is cold and since when, and when parts came meanwhile.
+    cold: RefCell<Option<(Instant, Duration)>>,
+    came_cold: RefCell<Vec<Duration>>,
 }
 
 impl Leaf {
@@ -81,6 +84,8 @@
             killed: Notify::new(),
             connections: Cell::new(0),
             most_connections: Cell::new(0),
+            cold: RefCell::new(None),
+            came_cold: RefCell::default(),
         });
         let ours = shared.clone();
         let accepting = tokio::task::spawn_local(async move {
@@ -110,6 +115,27 @@
         self.shared.killed.notify_waiters();
     }
 
+    /// It has just started and is cold for so long.
+    pub fn starts_cold(&self, cold: Duration) {
+        self.shared.came_cold.borrow_mut().clear();
+        *self.shared.cold.borrow_mut() = Some((Instant::now(), cold));
+    }
+
+    /// Parts beyond what the rule on cold leaves allows in any window: `factor` times what a leaf of that warmth does in
+    /// it, where it begins with the share `from` and warms evenly.
+    pub fn pushed_over(&self, factor: f64, from: f64, window: Duration) -> u64 {
+        let (came, cold) = (self.shared.came_cold.borrow(), *self.shared.cold.borrow());
+        let Some((_, cold)) = cold else { return 0 };
+        let warm = self.shared.work.at_once as f64 / self.shared.work.usual.as_secs_f64();
+        let over = came.iter().enumerate().map(|(n, &at)| {
+            let first = came.partition_point(|t| *t + window < at);
+            let warmth = from + (1.0 - from) * (at.as_secs_f64() / cold.as_secs_f64()).min(1.0);
+            let may = factor * warmth * warm * window.as_secs_f64();
+            ((n + 1 - first) as f64 - may).max(0.0) as u64
+        });
+        over.max().unwrap_or(0)
+    }
+
     pub fn most_connections(&self) -> usize {
         self.shared.most_connections.get()
     }
@@ -157,6 +183,7 @@
             b'Q' if shared.manner.get() == Manner::Resets => return Ok(()),
             b'Q' => {
                 for part in parts(&words) {
+                    shared.came();
                     take(shared, part, out.clone(), given_up.clone());
                 }
             }
@@ -219,6 +246,14 @@
 }
 
 impl Shared {
+    fn came(&self) {
+        if let Some((since, cold)) = *self.cold.borrow()
+            && since.elapsed() < cold
+        {
+            self.came_cold.borrow_mut().push(since.elapsed());
+        }
+    }
+
     /// A text of `lasts=MS` says how long it takes.
     fn lasts(&self, text: &str) -> Duration {
         if let Some(ms) = text.split(' ').find_map(|w| w.strip_prefix("lasts=")?.parse().ok()) {
--- a/crates/pipitcrank-rig/src/ledger.rs
+++ b/crates/pipitcrank-rig/src/ledger.rs
@@ -128,6 +128,33 @@
         over.fold(-free, f64::max)
     }
 
+    /// The same where queries are entered in other ledgers, each begun before anything ran: further runs are this one's.
+    pub fn over_budget_of(
+        &self,
+        others: &[&Ledger],
+        free: f64,
+        share: f64,
+        window: Duration,
+        slack: Duration,
+    ) -> f64 {
+        let ours = self.0.borrow();
+        let mut asked: Vec<(Duration, usize)> = Vec::new();
+        for other in others {
+            let other = other.0.borrow();
+            // On this one's clock.
+            let offset = other.start.saturating_duration_since(ours.start);
+            asked.extend(other.asked.iter().map(|(at, parts)| (*at + offset, *parts)));
+        }
+        asked.sort();
+        let further = ours.further.clone();
+        let joined = Ledger::default();
+        {
+            let mut books = joined.0.borrow_mut();
+            (books.asked, books.further) = (asked, further);
+        }
+        joined.over_budget(free, share, window, slack)
+    }
+
     pub fn count(&self, how: Ended) -> u64 {
         self.0.borrow().queries.values().filter(|e| **e == Some(how)).count() as u64
     }
--- a/crates/pipitcrank-rig/src/lib.rs
+++ b/crates/pipitcrank-rig/src/lib.rs
@@ -9,5 +9,7 @@
 pub mod leaf;
 pub mod ledger;
 pub mod link;
+pub mod net;
 pub mod process;
 pub mod trial;
+pub mod zoned;
--- /dev/null
+++ b/crates/pipitcrank-rig/src/net.rs
@@ -0,0 +1,170 @@
+//! The net between copies: each copy is known to the others by the address of a relay here, which passes datagrams on to
+//! where the copy really listens. Each pair and direction by itself can lose, delay, double, reorder or swallow them; sets
+//! can be parted and healed. From a seed.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Result;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::net::UdpSocket;
+
+/// Longest datagram passed on.
+const LONGEST: usize = 2048;
+
+/// How the way from one copy to another is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Drops {
+    /// Share lost, and share that comes twice.
+    pub loss: f64,
+    pub doubled: f64,
+    /// Each is held for up to so long, by chance: they overtake each other.
+    pub delay: Duration,
+    /// Nothing passes.
+    pub silent: bool,
+}
+
+impl Drops {
+    pub const NONE: Drops = Drops { loss: 0.0, doubled: 0.0, delay: Duration::ZERO, silent: false };
+}
+
+struct Shared {
+    /// Where copies really listen, by place.
+    real: RefCell<Vec<SocketAddr>>,
+    ways: RefCell<BTreeMap<(usize, usize), Drops>>,
+    all: Cell<Drops>,
+    chance: RefCell<Pcg64>,
+    passed: Cell<u64>,
+    bytes: Cell<u64>,
+    lost: Cell<u64>,
+}
+
+#[derive(Clone)]
+pub struct Net(Rc<Shared>);
+
+impl Net {
+    pub fn new(seed: u64) -> Net {
+        Net(Rc::new(Shared {
+            real: RefCell::default(),
+            ways: RefCell::default(),
+            all: Cell::new(Drops::NONE),
+            chance: RefCell::new(Pcg64::seed_from_u64(seed)),
+            passed: Cell::new(0),
+            bytes: Cell::new(0),
+            lost: Cell::new(0),
+        }))
+    }
+
+    /// A relay for a copy that listens there; the address that others know it by.
+    pub async fn relay(&self, real: SocketAddr) -> Result<SocketAddr> {
+        let place = self.0.real.borrow().len();
+        self.0.real.borrow_mut().push(real);
+        let socket = Rc::new(UdpSocket::bind("127.0.0.1:0").await?);
+        let address = socket.local_addr()?;
+        let shared = self.0.clone();
+        tokio::task::spawn_local(async move {
+            let mut bytes = vec![0; LONGEST];
+            loop {
+                // An error tells of a copy that is not there; the next may come.
+                let Ok((length, from)) = socket.recv_from(&mut bytes).await else { continue };
+                shared.pass(&socket, from, place, &bytes[..length]);
+            }
+        });
+        Ok(address)
+    }
+
+    /// How the way from one copy to another is from now on.
+    pub fn way(&self, from: usize, to: usize, drops: Drops) {
+        self.0.ways.borrow_mut().insert((from, to), drops);
+    }
+
+    /// How all ways are that are not set by themselves.
+    pub fn all(&self, drops: Drops) {
+        self.0.all.set(drops);
+    }
+
+    /// Parts a set from all others, both ways.
+    pub fn part(&self, set: &[usize]) {
+        let count = self.0.real.borrow().len();
+        for a in 0..count {
+            for b in (0..count).filter(|b| set.contains(&a) != set.contains(b)) {
+                self.way(a, b, Drops { silent: true, ..Drops::NONE });
+            }
+        }
+    }
+
+    pub fn heal(&self) {
+        self.0.ways.borrow_mut().clear();
+        self.0.all.set(Drops::NONE);
+    }
+
+    /// Datagrams passed, their bytes, and datagrams lost on purpose.
+    pub fn counts(&self) -> (u64, u64, u64) {
+        (self.0.passed.get(), self.0.bytes.get(), self.0.lost.get())
+    }
+}
+
+impl Shared {
+    fn pass(self: &Rc<Shared>, socket: &Rc<UdpSocket>, from: SocketAddr, to: usize, bytes: &[u8]) {
+        // Who is no copy, such as an operator's command, is not the faults' business.
+        let sender = self.real.borrow().iter().position(|real| *real == from);
+        let way = sender.and_then(|from| self.ways.borrow().get(&(from, to)).copied());
+        let drops = if sender.is_none() { Drops::NONE } else { way.unwrap_or(self.all.get()) };
+        let mut chance = self.chance.borrow_mut();
+        if drops.silent || chance.random_bool(drops.loss) {
+            self.lost.set(self.lost.get() + 1);
+            return;
+        }
+        let copies = if chance.random_bool(drops.doubled) { 2 } else { 1 };
+        let real = self.real.borrow()[to];
+        for _ in 0..copies {
+            self.passed.set(self.passed.get() + 1);
+            self.bytes.set(self.bytes.get() + bytes.len() as u64);
+            if drops.delay == Duration::ZERO {
+                let _ = socket.try_send_to(bytes, real);
+                continue;
+            }
+            let held = drops.delay.mul_f64(chance.random::<f64>());
+            let (socket, bytes) = (socket.clone(), bytes.to_vec());
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(held).await;
+                let _ = socket.try_send_to(&bytes, real);
+            });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_direction_has_its_own_faults() {
+        let run = async {
+            let net = Net::new(1);
+            let (a, b) = (UdpSocket::bind("127.0.0.1:0").await?, UdpSocket::bind("127.0.0.1:0").await?);
+            let (to_a, to_b) = (net.relay(a.local_addr()?).await?, net.relay(b.local_addr()?).await?);
+            net.way(0, 1, Drops { silent: true, ..Drops::NONE });
+            net.way(1, 0, Drops { doubled: 1.0, ..Drops::NONE });
+            let mut bytes = [0; 9];
+            a.send_to(b"lost", to_b).await?;
+            b.send_to(b"twice", to_a).await?;
+            for _ in 0..2 {
+                assert_eq!(a.recv(&mut bytes).await?, 5);
+            }
+            net.heal();
+            a.send_to(b"passes", to_b).await?;
+            assert_eq!(b.recv(&mut bytes).await?, 6, "and what was lost stays lost");
+            net.all(Drops { loss: 1.0, ..Drops::NONE });
+            a.send_to(b"lost", to_b).await?;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            assert_eq!((net.counts().0, net.counts().2), (3, 2));
+            Ok(())
+        };
+        crate::trial::on_one_thread(Duration::from_secs(9), run).unwrap();
+    }
+}
--- a/crates/pipitcrank-rig/src/trial/mod.rs
+++ b/crates/pipitcrank-rig/src/trial/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod gateway;
 pub mod upgrade;
+pub mod zones;
 
 use std::path::Path;
 use std::time::Duration;
@@ -89,7 +90,7 @@
     })
 }
 
-pub const NAMES: &str = "upgrade, upgrade-overloaded, upgrade-known, gateway, gateway-table";
+pub const NAMES: &str = "upgrade, upgrade-overloaded, upgrade-known, gateway, gateway-table, zones";
 
 /// What of a trial can be told: the same seed plays the same script.
 pub struct Terms<'a> {
@@ -110,6 +111,7 @@
         "upgrade-known" => on_one_thread(limit, upgrade::known(program, seed))?,
         "gateway" => on_one_thread(limit, gateway::play(program, seed, !json))?,
         "gateway-table" => on_one_thread(limit * 3, gateway::table(program, seed))?,
+        "zones" => on_one_thread(limit * 2, zones::play(program, seed, only, !json))?,
         _ => bail!("no trial is named '{name}'; there are: {NAMES}"),
     };
     outcome.show(json)?;
--- /dev/null
+++ b/crates/pipitcrank-rig/src/trial/zones.rs
@@ -0,0 +1,890 @@
+//! Nine copies of the program in three zones, three of them voters, and one more without this part, as the version before;
+//! leaves in each zone; faults between copies, and between copies and leaves, from the seed. Who watches asks each copy
+//! ten times a second what it knows and does, and holds it against the promises.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result, ensure};
+use pipitcrank_failover::decision::{Decision, Order, Place, State, UNKNOWN};
+use pipitcrank_failover::instance::{Answer, Command, Shown};
+use pipitcrank_failover::shares::{Nearness, table};
+use pipitcrank_membership::envelope::{Kind, Sealer, key};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use rustix::process::Signal;
+use tokio::net::UdpSocket;
+
+use super::Outcome;
+use crate::client::Clients;
+use crate::fleet::{Load, free_address};
+use crate::leaf::{Manner, Work};
+use crate::ledger::{Ended, Ledger};
+use crate::net::{Drops, Net};
+use crate::process::Process;
+use crate::zoned::Zoned;
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const A_ZONE: usize = 3;
+const SECRET: &str = "a secret of the trial's own";
+/// A leaf does two hundred parts a second; its zone is asked about a third of what it does.
+const WORK: Work = Work { usual: Duration::from_millis(10), at_once: 2 };
+const LEAF_BEARS: f64 = 160.0;
+/// Queries a second at each copy.
+const RATE: f64 = 14.0;
+/// Rule 4 as the charter tells it: factor, share at the start, window, warming.
+const COLD: (f64, f64, Duration, Duration) = (4.0, 0.3, Duration::from_millis(1500), Duration::from_secs(8));
+/// Budget of one copy, and how long a call may wait at a leaf before it is seen to run.
+const BUDGET: (f64, f64, Duration) = (5.0, 0.1, Duration::from_secs(10));
+const SLACK: Duration = Duration::from_secs(2);
+/// The aim for moving off a zone that is lost.
+pub const MOVED_WITHIN: f64 = 3.0;
+const LOOK: Duration = Duration::from_millis(100);
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Trouble {
+    Calm,
+    /// All leaves of a zone vanish without a word, its copies live; it returns cold.
+    Leaves,
+    /// Leaves and copies of a zone.
+    Zone,
+    /// Copies of a zone are killed, its leaves live.
+    Copies,
+    /// Half of a zone's leaves.
+    Half,
+    /// A zone that comes and goes each 1.5 s.
+    Flaps,
+    /// Copies of a zone hear none of the others; its leaves are well for all.
+    Parted,
+    /// Copies of one zone do not reach the leaves of another, both ways round; the third reaches both.
+    Cut,
+    /// The voter that leads stands still for 5 s while a zone is lost, and wakes as if nothing were.
+    Leader,
+    /// Two of three voters die while a zone is lost, and come back without memory.
+    Majority,
+    /// A second zone is lost while the first is half moved.
+    Two,
+    /// A zone takes all and answers late.
+    Slow,
+    /// A copy ends by SIGTERM and another is upgraded while a zone is left.
+    Restarts,
+    /// An operator drains a zone while another is lost, and returns it.
+    Drain,
+    /// A zone is lost while datagrams are lost, doubled and late.
+    Lossy,
+    /// Datagrams that are forged, cut, replayed, too long, or of another version.
+    Strangers,
+}
+
+pub const ALL: [Trouble; 16] = [
+    Trouble::Calm,
+    Trouble::Leaves,
+    Trouble::Zone,
+    Trouble::Copies,
+    Trouble::Half,
+    Trouble::Flaps,
+    Trouble::Parted,
+    Trouble::Cut,
+    Trouble::Leader,
+    Trouble::Majority,
+    Trouble::Two,
+    Trouble::Slow,
+    Trouble::Restarts,
+    Trouble::Drain,
+    Trouble::Lossy,
+    Trouble::Strangers,
+];
+
+/// How copies go by zones.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Way {
+    Common,
+    /// Each by what it sees itself, near first.
+    Alone,
+    /// Zones do not count.
+    None,
+}
+
+struct Member {
+    process: Process,
+    zone: usize,
+    listen: SocketAddr,
+    known_as: SocketAddr,
+    file: Option<String>,
+    /// It is meant to be there.
+    up: Rc<Cell<bool>>,
+}
+
+/// What was seen of the copies.
+#[derive(Default)]
+struct Seen {
+    decisions: BTreeMap<u64, Decision>,
+    /// When each was first seen.
+    at: BTreeMap<u64, Instant>,
+    two_under_one: u64,
+    went_back: u64,
+    over_capacity: u64,
+    newest: BTreeMap<usize, u64>,
+    /// What each copy said last.
+    last: BTreeMap<usize, (Instant, Shown)>,
+}
+
+struct Scene {
+    zoned: Zoned,
+    net: Net,
+    members: Vec<Member>,
+    seen: Rc<RefCell<Seen>>,
+    way: Way,
+    seed: u64,
+}
+
+fn file(zone: usize, listen: SocketAddr, known_as: SocketAddr, voters: &[SocketAddr]) -> String {
+    let zones: Vec<String> =
+        ZONES.iter().map(|z| format!("{{ name = \"{z}\", region = \"north\" }}")).collect();
+    let seats: Vec<String> = voters
+        .iter()
+        .zip(ZONES)
+        .map(|(at, zone)| format!("{{ address = \"{at}\", zone = \"{zone}\" }}"))
+        .collect();
+    format!(
+        "{{ zones = Some {{ zone = \"{}\", listen = \"{listen}\", known_as = \"{known_as}\", zones = [ {} ] \
+         , peers = [] : List Text, voters = [ {} ], secret = \"{SECRET}\", suspect_s = 0.4, hold_down_s = 1.0 \
+         , hold_down_most_s = 8.0, calm_s = 6.0, hold_s = 6.0, leaf_bears = {LEAF_BEARS:?}, dry_run = False }} \
+         , upgrade = Some {{ start_s = 3.0, settle_s = 0.6, silent_s = 1.0, finish_s = 8.0 }} }}",
+        ZONES[zone],
+        zones.join(", "),
+        seats.join(", ")
+    )
+}
+
+impl Scene {
+    async fn start(program: &Path, seed: u64, way: Way) -> Result<Scene> {
+        let zoned = Zoned::start(seed, &ZONES, WORK, Ledger::default()).await?;
+        let net = Net::new(seed ^ 5);
+        let mut places = Vec::new();
+        for n in 0..ZONES.len() * A_ZONE {
+            let listen = free_udp().await?;
+            places.push((n % ZONES.len(), listen, net.relay(listen).await?));
+        }
+        // The first of each zone votes.
+        let voters: Vec<SocketAddr> = places[..ZONES.len()].iter().map(|p| p.2).collect();
+        let mut members = Vec::new();
+        for (n, &(zone, listen, known_as)) in places.iter().enumerate() {
+            let file = (way == Way::Common).then(|| file(zone, listen, known_as, &voters));
+            let told = zoned.charter(zone, seed ^ n as u64, way != Way::None)?;
+            let process = Process::start(program, told, file.clone()).await?;
+            members.push(Member { process, zone, listen, known_as, file, up: Rc::new(Cell::new(true)) });
+        }
+        // One of the version before: it knows of no others.
+        let told = zoned.charter(0, seed ^ 99, way != Way::None)?;
+        let process = Process::start(program, told, None).await?;
+        let nowhere = free_address()?;
+        let up = Rc::new(Cell::new(true));
+        members.push(Member { process, zone: 0, listen: nowhere, known_as: nowhere, file: None, up });
+        let scene = Scene { zoned, net, members, seen: Rc::default(), way, seed };
+        if way == Way::Common {
+            scene.watch().await?;
+            let all = |s: &Scene| s.copies().all(|n| s.shows(n, |shown| shown.standing == "following"));
+            ensure!(scene.until(all, 15.0).await.is_some(), "copies do not find together: {}", scene.logs());
+        }
+        Ok(scene)
+    }
+
+    /// Asks each copy what stands, for as long as the scene is.
+    async fn watch(&self) -> Result<()> {
+        let socket = UdpSocket::bind("127.0.0.1:0").await?;
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        let mut command = Command::new(key(SECRET), socket.local_addr()?, since);
+        let addresses: Vec<(SocketAddr, Rc<Cell<bool>>)> =
+            self.members.iter().filter(|m| m.file.is_some()).map(|m| (m.known_as, m.up.clone())).collect();
+        let seen = self.seen.clone();
+        let near = Nearness::new(&ZONES.map(|_| "north".to_string()));
+        tokio::task::spawn_local(async move {
+            let mut bytes = vec![0; 2048];
+            loop {
+                for (address, _) in &addresses {
+                    if let Some(asked) = command.ask(*address, None) {
+                        let _ = socket.send_to(&asked, address).await;
+                    }
+                }
+                let again = tokio::time::Instant::now() + LOOK;
+                while let Ok(came) = tokio::time::timeout_at(again, socket.recv_from(&mut bytes)).await {
+                    let Ok((length, _)) = came else { continue };
+                    let Some((from, Answer::Shown(shown))) = command.answer(&bytes[..length]) else {
+                        continue;
+                    };
+                    let Some(copy) = addresses.iter().position(|a| a.0 == from) else { continue };
+                    // What one says that has just been killed came before.
+                    if addresses[copy].1.get() {
+                        seen.borrow_mut().take(copy, shown, &near);
+                    }
+                }
+            }
+        });
+        Ok(())
+    }
+
+    /// Copies that take part and are meant to be there.
+    fn copies(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.members.len()).filter(|&n| self.members[n].file.is_some() && self.members[n].up.get())
+    }
+
+    fn shows(&self, copy: usize, what: impl Fn(&Shown) -> bool) -> bool {
+        let seen = self.seen.borrow();
+        let fresh = |at: &Instant| at.elapsed() < LOOK * 10;
+        seen.last.get(&copy).is_some_and(|(at, shown)| fresh(at) && what(shown))
+    }
+
+    /// All copies that are there but those of that zone know the zone to be so.
+    fn all_know(&self, zone: usize, what: impl Fn(State, u16) -> bool) -> bool {
+        self.copies().all(|n| {
+            self.shows(n, |shown| {
+                shown.decision.as_ref().is_some_and(|d| what(d.places[zone].state, d.places[zone].kept))
+            })
+        })
+    }
+
+    fn is_out(&self, zone: usize) -> bool {
+        self.all_know(zone, |state, _| state == State::Out)
+    }
+
+    fn all_home(&self) -> bool {
+        let home = |zone| self.all_know(zone, |state, kept| state == State::Serving && kept == 1000);
+        (0..ZONES.len()).all(home) && self.copies().all(|n| self.shows(n, |s| s.standing == "following"))
+    }
+
+    /// Waits for it; the seconds that it took, none where it did not come.
+    async fn until(&self, what: impl Fn(&Scene) -> bool, within: f64) -> Option<f64> {
+        let start = Instant::now();
+        while start.elapsed().as_secs_f64() < within {
+            if what(self) {
+                return Some(start.elapsed().as_secs_f64());
+            }
+            tokio::time::sleep(LOOK / 4).await;
+        }
+        None
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let seen = self.seen.borrow();
+        let of =
+            |n: usize| seen.last.get(&n).filter(|_| self.members[n].up.get()).and_then(|(_, s)| s.leader);
+        (0..ZONES.len()).find_map(of).map(usize::from)
+    }
+
+    fn kill(&mut self, copy: usize) {
+        self.members[copy].up.set(false);
+        self.members[copy].process.kill();
+        self.seen.borrow_mut().forget(copy);
+    }
+
+    async fn start_again(&mut self, copy: usize) -> Result<()> {
+        let file = self.members[copy].file.clone();
+        self.members[copy].process.start_again(file).await?;
+        self.seen.borrow_mut().forget(copy);
+        self.members[copy].up.set(true);
+        Ok(())
+    }
+
+    fn logs(&self) -> String {
+        let last = |m: &Member| {
+            let log = m.process.log();
+            log.lines().rev().take(12).collect::<Vec<_>>().join("\n")
+        };
+        self.members.iter().map(last).collect::<Vec<_>>().join("\n--\n")
+    }
+
+    async fn order(&self, order: Order) -> Result<Answer> {
+        let socket = UdpSocket::bind("127.0.0.1:0").await?;
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        let mut command = Command::new(key(SECRET), socket.local_addr()?, since);
+        let mut bytes = vec![0; 2048];
+        let until = Instant::now() + Duration::from_secs(6);
+        while Instant::now() < until {
+            for member in &self.members[..ZONES.len()] {
+                if let Some(asked) = command.ask(member.known_as, Some(order)) {
+                    let _ = socket.send_to(&asked, member.known_as).await;
+                }
+            }
+            let again = tokio::time::Instant::now() + Duration::from_millis(300);
+            while let Ok(came) = tokio::time::timeout_at(again, socket.recv_from(&mut bytes)).await {
+                let Ok((length, _)) = came else { continue };
+                match command.answer(&bytes[..length]) {
+                    Some((_, Answer::NotLeading(_))) | None => {}
+                    Some((_, answer)) => return Ok(answer),
+                }
+            }
+        }
+        Ok(Answer::Refused("no answer".to_string()))
+    }
+}
+
+impl Seen {
+    fn take(&mut self, copy: usize, shown: Shown, near: &Nearness) {
+        if let Some(decision) = &shown.decision {
+            match self.decisions.get(&decision.number) {
+                Some(known) => self.two_under_one += u64::from(known != decision),
+                None => {
+                    // More planned for a zone than it carries, by the figures all go by.
+                    let over =
+                        table(decision, near).load.iter().zip(&decision.places).any(|(load, place)| {
+                            place.carries != UNKNOWN && *load > u64::from(place.carries) + 1
+                        });
+                    self.over_capacity += u64::from(over);
+                    self.at.insert(decision.number, Instant::now());
+                    self.decisions.insert(decision.number, decision.clone());
+                }
+            }
+            let newest = self.newest.entry(copy).or_insert(0);
+            self.went_back += u64::from(decision.number < *newest);
+            *newest = decision.number.max(*newest);
+        }
+        self.last.insert(copy, (Instant::now(), shown));
+    }
+
+    /// Another process stands for the copy from now on.
+    fn forget(&mut self, copy: usize) {
+        self.newest.remove(&copy);
+        self.last.remove(&copy);
+    }
+}
+
+async fn free_udp() -> Result<SocketAddr> {
+    Ok(UdpSocket::bind((free_address()?.ip(), 0)).await?.local_addr()?)
+}
+
+/// What one trouble showed.
+#[derive(Default)]
+struct Shows {
+    moved: Option<f64>,
+    back: Option<f64>,
+    /// Utility in time over utility asked at copies that lived, while it lasted.
+    service: f64,
+    /// Things that should have been and were not.
+    missing: Vec<String>,
+}
+
+impl Scene {
+    /// Loses a zone's leaves, waits until all have left it, and has them come back cold.
+    async fn lose(&mut self, zone: usize, shows: &mut Shows, out_for: Duration) {
+        self.zoned.vanish(zone, 6, true);
+        let moved = self.until(|s| s.is_out(zone), 12.0).await;
+        shows.moved = moved;
+        if moved.is_some_and(|s| s > MOVED_WITHIN) {
+            shows.missing.push(format!("moved late: {}", self.history()));
+        }
+        if moved.is_none() {
+            shows.missing.push(format!("zone {} was not left: {}", ZONES[zone], self.history()));
+        }
+        tokio::time::sleep(out_for).await;
+        self.heal(zone);
+    }
+
+    fn heal(&self, zone: usize) {
+        self.zoned.vanish(zone, 6, false);
+        self.zoned.starts_cold(zone, COLD.3);
+    }
+
+    async fn home(&self, shows: &mut Shows, within: f64) {
+        shows.back = self.until(Scene::all_home, within).await;
+        if shows.back.is_none() {
+            let decision = self.seen.borrow().decisions.last_key_value().map(|(_, d)| format!("{d:?}"));
+            let standings: Vec<String> =
+                self.seen.borrow().last.values().map(|(_, s)| s.standing.clone()).collect();
+            shows.missing.push(format!("not all is home: {decision:?} {standings:?}"));
+        }
+    }
+
+    async fn trouble(&mut self, trouble: Trouble) -> Result<Shows> {
+        let mut chance = Pcg64::seed_from_u64(self.seed ^ trouble as u64);
+        let zone = chance.random_range(0..ZONES.len());
+        let other = (zone + 1 + chance.random_range(0..2)) % ZONES.len();
+        let mut shows = Shows::default();
+        let begun = self.decided();
+        let (secs, ms) = (Duration::from_secs, Duration::from_millis);
+        match trouble {
+            Trouble::Calm => tokio::time::sleep(secs(5)).await,
+            Trouble::Leaves => {
+                self.lose(zone, &mut shows, secs(2)).await;
+                self.home(&mut shows, 25.0).await;
+            }
+            Trouble::Lossy => {
+                self.net.all(Drops { loss: 0.2, doubled: 0.1, delay: ms(60), silent: false });
+                self.lose(zone, &mut shows, secs(1)).await;
+                self.net.heal();
+                self.home(&mut shows, 25.0).await;
+            }
+            Trouble::Zone => {
+                let copies: Vec<usize> = self.copies().filter(|&n| self.members[n].zone == zone).collect();
+                copies.iter().for_each(|&n| self.kill(n));
+                self.lose(zone, &mut shows, secs(1)).await;
+                for n in copies {
+                    self.start_again(n).await?;
+                }
+                self.home(&mut shows, 30.0).await;
+            }
+            Trouble::Copies => {
+                let copies: Vec<usize> = self.copies().filter(|&n| self.members[n].zone == zone).collect();
+                copies.iter().for_each(|&n| self.kill(n));
+                tokio::time::sleep(secs(4)).await;
+                if !self.all_know(zone, |_, kept| kept == 1000) {
+                    shows.missing.push("leaves that are well were left with their copies".to_string());
+                }
+                for n in copies {
+                    self.start_again(n).await?;
+                }
+                self.home(&mut shows, 15.0).await;
+            }
+            Trouble::Half => {
+                self.zoned.vanish(zone, 3, true);
+                tokio::time::sleep(secs(5)).await;
+                let left = self.since(begun).iter().any(|d| d.places[zone].kept < 1000);
+                if left {
+                    shows.missing.push("a zone with half of its leaves was left whole".to_string());
+                }
+                self.zoned.vanish(zone, 3, false);
+                self.home(&mut shows, 15.0).await;
+            }
+            Trouble::Flaps => {
+                for _ in 0..4 {
+                    self.zoned.vanish(zone, 6, true);
+                    tokio::time::sleep(ms(1500)).await;
+                    self.zoned.vanish(zone, 6, false);
+                    tokio::time::sleep(ms(1500)).await;
+                }
+                let history = self.since(begun);
+                let returns =
+                    history.windows(2).filter(|w| w[0].places[zone].kept == 0 && w[1].places[zone].kept > 0);
+                if returns.count() > 3 {
+                    shows.missing.push("it was let in again at each flap".to_string());
+                }
+                self.home(&mut shows, 40.0).await;
+            }
+            Trouble::Parted => {
+                let copies: Vec<usize> = self.copies().filter(|&n| self.members[n].zone == zone).collect();
+                self.net.part(&copies);
+                tokio::time::sleep(secs(4)).await;
+                let held = copies.iter().all(|&n| self.shows(n, |s| s.standing == "holding"));
+                if !held {
+                    shows.missing.push("copies that hear nobody do not hold what stands".to_string());
+                }
+                let left = self.since(begun).iter().any(|d| d.places.iter().any(|p| p.kept < 1000));
+                if left {
+                    shows.missing.push("a zone that is well for all was left".to_string());
+                }
+                self.net.heal();
+                self.home(&mut shows, 15.0).await;
+            }
+            Trouble::Cut => {
+                self.zoned.cut(zone, other, true);
+                tokio::time::sleep(secs(4)).await;
+                let left = self.since(begun).iter().any(|d| d.places.iter().any(|p| p.kept < 1000));
+                if left {
+                    shows.missing.push("a zone that the third reaches was left".to_string());
+                }
+                self.zoned.cut(zone, other, false);
+                self.home(&mut shows, 15.0).await;
+            }
+            Trouble::Leader => {
+                let Some(leader) = self.leader() else {
+                    shows.missing.push("nobody leads".to_string());
+                    return Ok(shows);
+                };
+                let zone = (self.members[leader].zone + 1) % ZONES.len();
+                self.members[leader].up.set(false);
+                let workers = self.members[leader].process.workers();
+                let stop =
+                    |signal| workers.iter().for_each(|&pid| crate::process::signal_worker(pid, signal));
+                stop(Signal::STOP);
+                let stopped = Instant::now();
+                self.lose(zone, &mut shows, ms(500)).await;
+                tokio::time::sleep(secs(5).saturating_sub(stopped.elapsed())).await;
+                stop(Signal::CONT);
+                self.members[leader].up.set(true);
+                self.home(&mut shows, 25.0).await;
+            }
+            Trouble::Majority => {
+                let dead = [zone, other];
+                dead.iter().for_each(|&n| self.kill(n));
+                tokio::time::sleep(ms(1000)).await;
+                let before = self.decided();
+                let third = 3 - zone - other;
+                self.zoned.vanish(third, 6, true);
+                tokio::time::sleep(secs(4)).await;
+                if self.decided() != before {
+                    shows.missing.push("a minority decided".to_string());
+                }
+                for n in dead {
+                    self.start_again(n).await?;
+                }
+                let moved = self.until(|s| s.is_out(third), 15.0).await;
+                if moved.is_none() {
+                    shows.missing.push("voters that came back did not decide".to_string());
+                }
+                self.heal(third);
+                self.home(&mut shows, 30.0).await;
+            }
+            Trouble::Two => {
+                self.zoned.vanish(zone, 6, true);
+                let half = self.until(|s| s.all_know(zone, |_, kept| kept < 1000), 8.0).await;
+                self.zoned.vanish(other, 6, true);
+                let moved = self.until(|s| s.is_out(zone) && s.is_out(other), 10.0).await;
+                shows.moved = half.zip(moved).map(|(a, b)| a + b);
+                let third = 3 - zone - other;
+                if moved.is_none() || !self.all_know(third, |_, kept| kept == 1000) {
+                    shows.missing.push("two zones were not left for the third".to_string());
+                }
+                tokio::time::sleep(secs(1)).await;
+                (self.heal(zone), self.heal(other));
+                self.home(&mut shows, 40.0).await;
+            }
+            Trouble::Slow => {
+                self.zoned.manner(zone, Manner::Slow(60.0));
+                tokio::time::sleep(secs(6)).await;
+                self.zoned.manner(zone, Manner::Answers);
+                self.home(&mut shows, 40.0).await;
+            }
+            Trouble::Restarts => {
+                let of_other = self.copies().filter(|&n| self.members[n].zone == other && n >= ZONES.len());
+                let [ends, upgraded] = of_other.collect::<Vec<_>>()[..] else {
+                    anyhow::bail!("two copies of a zone do not vote");
+                };
+                self.zoned.vanish(zone, 6, true);
+                self.until(|s| s.all_know(zone, |_, kept| kept < 1000), 8.0).await;
+                self.members[ends].up.set(false);
+                self.members[ends].process.signal(Signal::TERM)?;
+                let before = self.members[upgraded].process.count("upgrades done").await.unwrap_or(0);
+                self.members[upgraded].up.set(false);
+                self.members[upgraded].process.signal(Signal::USR2)?;
+                self.members[ends].process.end(secs(15)).await.context("its end after SIGTERM")?;
+                let start = Instant::now();
+                while self.members[upgraded].process.count("upgrades done").await != Some(before + 1) {
+                    ensure!(
+                        start.elapsed() < secs(20),
+                        "no upgrade: {}",
+                        self.members[upgraded].process.log()
+                    );
+                    tokio::time::sleep(ms(50)).await;
+                }
+                self.seen.borrow_mut().forget(upgraded);
+                self.members[upgraded].up.set(true);
+                self.start_again(ends).await?;
+                if self.until(|s| s.is_out(zone), 10.0).await.is_none() {
+                    shows.missing.push("the zone was not left while copies restarted".to_string());
+                }
+                self.heal(zone);
+                self.home(&mut shows, 25.0).await;
+            }
+            Trouble::Drain => {
+                self.zoned.vanish(zone, 6, true);
+                self.until(|s| s.all_know(zone, |_, kept| kept < 1000), 8.0).await;
+                match self.order(Order::Drain(other as u16)).await? {
+                    Answer::Done(_) => {
+                        if self.until(|s| s.is_out(other), 10.0).await.is_none() {
+                            shows.missing.push("a drained zone was not left".to_string());
+                        }
+                    }
+                    Answer::Refused(why) if why.contains("carry") => {}
+                    answer => {
+                        shows.missing.push(format!("a drain during a failover was answered {answer:?}"))
+                    }
+                }
+                let third = 3 - zone - other;
+                if let Answer::Done(_) = self.order(Order::Drain(third as u16)).await? {
+                    shows.missing.push("the last zone was let be drained".to_string());
+                }
+                self.heal(zone);
+                let back = self.until(|s| s.all_know(zone, |state, _| state == State::Serving), 25.0).await;
+                if back.is_none() {
+                    shows.missing.push("the lost zone did not come home".to_string());
+                }
+                if self.all_know(other, |state, _| state == State::Out)
+                    && !matches!(self.order(Order::Return(other as u16)).await?, Answer::Done(_))
+                {
+                    shows.missing.push("a drained zone that is well was not let return".to_string());
+                }
+                self.home(&mut shows, 25.0).await;
+            }
+            Trouble::Strangers => {
+                let decided = self.decided();
+                let sent = self.strangers(&mut chance).await?;
+                tokio::time::sleep(ms(500)).await;
+                let mut left = 0;
+                for reason in ["forged", "cut", "too_long", "other_version", "replayed", "unread"] {
+                    let n = self.members[0].process.count(&format!("peers_left {reason}")).await.unwrap_or(0);
+                    if n == 0 {
+                        shows.missing.push(format!("no datagram was counted as {reason}"));
+                    }
+                    left += n;
+                }
+                if left < sent {
+                    shows.missing.push(format!("{left} of {sent} bad datagrams were counted"));
+                }
+                let log = self.members[0].process.log();
+                if log.lines().filter(|l| l.contains("a datagram is left")).count() > 2 {
+                    shows.missing.push("bad datagrams flood the log".to_string());
+                }
+                if self.decided() > decided + 1 {
+                    shows.missing.push("bad datagrams had something decided".to_string());
+                }
+                self.home(&mut shows, 10.0).await;
+            }
+        }
+        Ok(shows)
+    }
+
+    /// Sends the first copy what it must leave; how many.
+    async fn strangers(&self, chance: &mut Pcg64) -> Result<u64> {
+        let socket = UdpSocket::bind("127.0.0.1:0").await?;
+        let (own, to) = (socket.local_addr()?, self.members[0].known_as);
+        // Straight to where it listens: the relay is the faults' own.
+        let at = self.members[0].listen;
+        let mut others = Sealer::new(key("another secret altogether"), own, 1);
+        let mut ours = Sealer::new(key(SECRET), own, 1);
+        let mut sent = 0;
+        for _ in 0..40 {
+            let body: Vec<u8> = (0..chance.random_range(1..300)).map(|_| chance.random()).collect();
+            let sound = ours.seal(to, Kind::Word, &[0xff; 9]).context("it is short")?;
+            let mut version = sound.clone();
+            version[2] = 9;
+            let cut = &sound[..chance.random_range(1..12)];
+            let forged = others.seal(to, Kind::Agree, &body).context("it is short")?;
+            for bytes in [&sound[..], &sound[..], &version[..], cut, &forged[..], &body[..], &[7; 1500][..]] {
+                socket.send_to(bytes, at).await?;
+                sent += 1;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Ok(sent)
+    }
+
+    /// The last decisions in short, and what the voters make of the evidence.
+    fn history(&self) -> String {
+        let seen = self.seen.borrow();
+        let place = |p: &Place| format!("{} {} of {}/{}", p.state.name(), p.kept, p.asked, p.carries);
+        let line = |d: &Decision| {
+            let places: Vec<String> = d.places.iter().map(place).collect();
+            let ago = seen.at.get(&d.number).map_or(0.0, |at| at.elapsed().as_secs_f64());
+            format!("{ago:.2} s ago {} {}: {}", d.number as u32, d.cause.name(), places.join(", "))
+        };
+        let lines: Vec<String> = seen.decisions.values().rev().take(12).map(line).collect();
+        let evidence: Vec<String> =
+            seen.last.values().take(ZONES.len()).map(|(_, s)| format!("{:?}", s.evidence)).collect();
+        format!("{} | evidence {}", lines.join("; "), evidence.join(" / "))
+    }
+
+    /// The newest number known anywhere.
+    fn decided(&self) -> u64 {
+        self.seen.borrow().decisions.last_key_value().map_or(0, |(n, _)| *n)
+    }
+
+    fn since(&self, number: u64) -> Vec<Decision> {
+        self.seen.borrow().decisions.range(number + 1..).map(|(_, d)| d.clone()).collect()
+    }
+
+    /// Plays one trouble under load; what it showed and the ledgers of its clients, by copy.
+    async fn under_load(&mut self, trouble: Trouble) -> Result<(Shows, Vec<Ledger>)> {
+        let ledgers: Vec<Ledger> = self.members.iter().map(|_| Ledger::default()).collect();
+        let loads: Vec<Load> = (0..self.members.len())
+            .map(|n| {
+                let clients = Clients::new(self.members[n].process.address, ledgers[n].clone());
+                let name = format!("{trouble:?}{n}x{:x}", self.seed);
+                Load::start(&name, self.seed ^ (n as u64) << 8, RATE, 0.0, clients)
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        let mut shows = self.trouble(trouble).await?;
+        for load in loads {
+            load.stop().await?;
+        }
+        // At copies that were there all the time.
+        let lived = self.lived(trouble);
+        let service: f64 = lived.iter().map(|&n| ledgers[n].service()).sum();
+        shows.service = service / lived.len().max(1) as f64;
+        Ok((shows, ledgers))
+    }
+
+    /// Copies that no fault killed, stopped or restarted: nothing may be lost at them.
+    fn lived(&self, trouble: Trouble) -> Vec<usize> {
+        let mut chance = Pcg64::seed_from_u64(self.seed ^ trouble as u64);
+        let zone = chance.random_range(0..ZONES.len());
+        let other = (zone + 1 + chance.random_range(0..2)) % ZONES.len();
+        let all = 0..self.members.len();
+        let here = |n: &usize| match trouble {
+            Trouble::Zone | Trouble::Copies => {
+                self.members[*n].file.is_none() || self.members[*n].zone != zone
+            }
+            // Any voter may have led.
+            Trouble::Leader => *n >= ZONES.len(),
+            Trouble::Majority => *n != zone && *n != other,
+            // One is ended in order, and its clients find it gone.
+            Trouble::Restarts => self.members[*n].zone != other || *n < ZONES.len(),
+            _ => true,
+        };
+        all.filter(here).collect()
+    }
+}
+
+/// A share of crossing parts, in percent, from the counters of the copies that take part.
+async fn crossing(scene: &Scene) -> (u64, u64) {
+    let mut sums = (0, 0);
+    for n in scene.copies() {
+        let process = &scene.members[n].process;
+        sums.0 += process.count("zones parts_near").await.unwrap_or(0);
+        sums.1 += process.count("zones parts_across").await.unwrap_or(0);
+    }
+    sums
+}
+
+/// Troubles in the seed's order, calm first; then the loss of a zone once more without the common decision, and without
+/// zones, from the same seed.
+pub async fn play(program: &Path, seed: u64, only: Option<&str>, say: bool) -> Result<Outcome> {
+    let mut chance = Pcg64::seed_from_u64(seed);
+    let mut troubles: Vec<Trouble> = ALL.to_vec();
+    match only {
+        Some(name) => {
+            troubles.retain(|t| format!("{t:?}").eq_ignore_ascii_case(name));
+            ensure!(!troubles.is_empty(), "no trouble is named '{name}'; there are: {ALL:?}");
+        }
+        None => {
+            // The loss of a zone is in each; of the others, some.
+            troubles.retain(|t| !matches!(t, Trouble::Calm | Trouble::Leaves));
+            troubles.shuffle(&mut chance);
+            troubles.truncate(5);
+            troubles.insert(0, Trouble::Leaves);
+            troubles.insert(0, Trouble::Calm);
+        }
+    }
+    let mut outcome = through(program, seed, &troubles, say).await?;
+    if only.is_none() {
+        for (way, name) in [(Way::Alone, "each copy alone"), (Way::None, "no zones")] {
+            let mut scene = Scene::start(program, seed, way).await?;
+            let (service, ledgers) = scene.lose_blindly(seed).await?;
+            outcome.figure(&format!("service while a zone is lost, {name}, %"), service * 100.0);
+            let lost: u64 = ledgers.iter().map(|l| l.count(Ended::Lost) + l.open()).sum();
+            outcome.nought(&format!("lost, {name}"), lost);
+        }
+    }
+    Ok(outcome)
+}
+
+impl Scene {
+    /// The same loss of a zone, with nobody to ask when it was left: as long as the common decision took at the most.
+    async fn lose_blindly(&mut self, seed: u64) -> Result<(f64, Vec<Ledger>)> {
+        let mut chance = Pcg64::seed_from_u64(seed ^ Trouble::Leaves as u64);
+        let zone = chance.random_range(0..ZONES.len());
+        let ledgers: Vec<Ledger> = self.members.iter().map(|_| Ledger::default()).collect();
+        let loads: Vec<Load> = (0..self.members.len())
+            .map(|n| {
+                let clients = Clients::new(self.members[n].process.address, ledgers[n].clone());
+                Load::start(&format!("blind{n}x{seed:x}"), seed ^ (n as u64) << 8, RATE, 0.0, clients)
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        self.zoned.vanish(zone, 6, true);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        self.heal(zone);
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        for load in loads {
+            load.stop().await?;
+        }
+        let service = ledgers.iter().map(Ledger::service).sum::<f64>() / ledgers.len() as f64;
+        Ok((service, ledgers))
+    }
+}
+
+/// Those troubles in their order, one scene.
+pub async fn through(program: &Path, seed: u64, troubles: &[Trouble], say: bool) -> Result<Outcome> {
+    let mut outcome = Outcome::default();
+    let mut scene = Scene::start(program, seed, Way::Common).await?;
+    let (mut moved, mut back, mut all_ledgers) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut lost, mut queries, mut odd, mut twice, mut over) = (0, 0, 0, 0, 0.0_f64);
+    for &trouble in troubles {
+        let before = crossing(&scene).await;
+        let (shows, ledgers) = scene.under_load(trouble).await?;
+        if say {
+            let figure = |x: Option<f64>| x.map_or("-".to_string(), |x| format!("{x:.2}"));
+            println!(
+                "{:<10} service {:>6.2} %  moved {:>6} s  back {:>6} s",
+                format!("{trouble:?}"),
+                shows.service * 100.0,
+                figure(shows.moved),
+                figure(shows.back)
+            );
+        }
+        let name = format!("{trouble:?}").to_lowercase();
+        outcome.figure(&format!("service, {name}, %"), shows.service * 100.0);
+        if trouble == Trouble::Calm {
+            let after = crossing(&scene).await;
+            let (near, across) = (after.0 - before.0, after.1 - before.1);
+            let share = across as f64 / (near + across).max(1) as f64;
+            outcome.figure("parts that cross zones on calm, %", share * 100.0);
+            outcome.promise(share < 0.05, "under 5 % of parts cross zones on calm");
+        }
+        if matches!(trouble, Trouble::Leaves | Trouble::Zone) {
+            outcome.promise(
+                shows.moved.is_some_and(|s| s <= MOVED_WITHIN),
+                &format!("moved within {MOVED_WITHIN} s of a zone's loss ({name}: {:?})", shows.moved),
+            );
+            outcome.promise(
+                shows.service >= 0.97,
+                &format!("service at least 97 % where the rest can carry it ({name}: {:.3})", shows.service),
+            );
+        }
+        moved.extend(shows.moved);
+        back.extend(shows.back);
+        shows.missing.iter().for_each(|what| outcome.promise(false, &format!("{name}: {what}")));
+        for n in scene.lived(trouble) {
+            lost += ledgers[n].count(Ended::Lost) + ledgers[n].open();
+        }
+        for ledger in ledgers {
+            queries += ledger.all();
+            odd += ledger.odd();
+            twice += ledger.answered_twice();
+            all_ledgers.push(ledger);
+        }
+        let copies = scene.members.len() as f64;
+        let (free, share, window) = BUDGET;
+        // Each copy has a budget of its own; their sum bounds all runs.
+        let asked: Vec<&Ledger> = all_ledgers.iter().collect();
+        over = over.max(scene.zoned.ledger.over_budget_of(&asked, free * copies, share, window, SLACK));
+    }
+    outcome.figure("queries", queries as f64);
+    outcome.nought("lost at copies that lived", lost);
+    outcome.nought("answered twice", twice);
+    outcome.nought("odd answers", odd);
+    outcome.nought("side-effecting parts run twice", scene.zoned.ledger.ran_again("sale-"));
+    {
+        let seen = scene.seen.borrow();
+        outcome.figure("decisions", seen.decisions.len() as f64);
+        outcome.nought("two decisions under one number", seen.two_under_one);
+        outcome.nought("acted on an older decision", seen.went_back);
+        outcome.nought("planned beyond capacity", seen.over_capacity);
+    }
+    let (factor, from, window, _) = COLD;
+    outcome.nought("parts over what a cold leaf may get", scene.zoned.pushed_over(factor, from, window));
+    outcome.figure("further runs over the budget", over);
+    outcome.promise(over <= 0.0, "further calls stay within the budgets");
+    for (name, mut values) in [("moved, s", moved), ("back home, s", back)] {
+        values.sort_by(f64::total_cmp);
+        if let (Some(middle), Some(longest)) = (values.get(values.len() / 2), values.last()) {
+            outcome.figure(&format!("{name}: middle"), *middle);
+            outcome.figure(&format!("{name}: longest"), *longest);
+        }
+    }
+    let (passed, bytes, dropped) = scene.net.counts();
+    outcome.figure("datagrams between copies", passed as f64);
+    outcome.figure("bytes a datagram", bytes as f64 / passed.max(1) as f64);
+    outcome.figure("datagrams dropped on purpose", dropped as f64);
+    let logs: String = scene.members.iter().map(|m| m.process.log()).collect();
+    let panicked = logs.lines().find(|l| l.contains("panicked"));
+    outcome.promise(panicked.is_none(), &format!("nothing panics: {panicked:?}"));
+    debug_assert_eq!(scene.way, Way::Common);
+    Ok(outcome)
+}
--- /dev/null
+++ b/crates/pipitcrank-rig/src/zoned.rs
@@ -0,0 +1,132 @@
+//! A fleet in zones: each zone's leaves hold all shards, and copies of each zone reach each leaf over a way of their own,
+//! so that a zone can vanish for all, or a way between two alone can be cut. Each zone has its own word of discovery.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::Result;
+use serde_json::{Value, json};
+
+use crate::discovery::{Discovery, row};
+use crate::fleet::{SHARDS, charter_of};
+use crate::leaf::{Leaf, Manner, Work};
+use crate::ledger::Ledger;
+use crate::link::{Link, Way};
+
+/// Cells, each with one leaf a zone; a shard is held by two cells.
+pub const CELLS: u32 = 6;
+/// One round trip within a zone, and across.
+const NEAR: Duration = Duration::from_micros(400);
+const ACROSS: Duration = Duration::from_millis(2);
+
+pub struct Zoned {
+    pub names: Vec<String>,
+    /// `[zone][cell]`.
+    pub leaves: Vec<Vec<Rc<Leaf>>>,
+    /// `[from][zone][cell]`.
+    links: Vec<Vec<Vec<Link>>>,
+    pub discoveries: Vec<Discovery>,
+    pub ledger: Ledger,
+}
+
+fn way(from: usize, to: usize) -> Way {
+    Way::of(if from == to { NEAR } else { ACROSS })
+}
+
+impl Zoned {
+    pub async fn start(seed: u64, names: &[&str], work: Work, ledger: Ledger) -> Result<Zoned> {
+        let zones = names.len();
+        let mut leaves = Vec::new();
+        for zone in 0..zones {
+            let mut of_zone = Vec::new();
+            for cell in 0..CELLS {
+                let seed = seed ^ (zone as u64) << 40 ^ u64::from(cell) << 32;
+                of_zone.push(Rc::new(Leaf::start(seed, work, ledger.clone()).await?));
+            }
+            leaves.push(of_zone);
+        }
+        let mut links = Vec::new();
+        let mut discoveries = Vec::new();
+        for from in 0..zones {
+            let mut to_zones = Vec::new();
+            let mut rows = Vec::new();
+            for zone in 0..zones {
+                let mut to_leaves = Vec::new();
+                for cell in 0..CELLS {
+                    let leaf = &leaves[zone][cell as usize];
+                    let link =
+                        Link::start(seed ^ (from * 64 + zone) as u64, leaf.address, way(from, zone)).await?;
+                    rows.push(zoned_row(names[zone], cell, link.address, "active", 0));
+                    to_leaves.push(link);
+                }
+                to_zones.push(to_leaves);
+            }
+            links.push(to_zones);
+            discoveries.push(Discovery::start(rows).await?);
+        }
+        let names = names.iter().map(|n| n.to_string()).collect();
+        Ok(Zoned { names, leaves, links, discoveries, ledger })
+    }
+
+    /// What a copy in that zone is told. `platform`: whether the platform says where leaves and the copy stand.
+    pub fn charter(&self, zone: usize, seed: u64, platform: bool) -> Result<Value> {
+        let discovery = &self.discoveries[zone];
+        let mut told = charter_of(discovery.address, discovery.known(), CELLS, SHARDS, seed, 1024, 3000)?;
+        if platform {
+            told["settings"]["zone"] = json!(self.names[zone]);
+            told["settings"]["zones"] = json!(self.names);
+        }
+        told["settings"]["classes"][1]["worth"] = json!(3.0);
+        Ok(told)
+    }
+
+    /// The ways from one zone's copies to another zone's leaves.
+    fn turn(&self, from: usize, to: usize, silent: bool) {
+        for link in &self.links[from][to] {
+            link.turns(Way { stalled_there: silent, stalled_back: silent, ..way(from, to) });
+        }
+    }
+
+    /// Machines of a zone, the first so many of its leaves, vanish without a word, or are back.
+    pub fn vanish(&self, zone: usize, leaves: usize, silent: bool) {
+        for from in 0..self.names.len() {
+            for link in &self.links[from][zone][..leaves] {
+                link.turns(Way { stalled_there: silent, stalled_back: silent, ..way(from, zone) });
+            }
+        }
+    }
+
+    /// Nothing passes between copies of one zone and leaves of the other, either way round, or does again.
+    pub fn cut(&self, a: usize, b: usize, silent: bool) {
+        self.turn(a, b, silent);
+        self.turn(b, a, silent);
+    }
+
+    pub fn manner(&self, zone: usize, manner: Manner) {
+        self.leaves[zone].iter().for_each(|l| l.turns(manner));
+    }
+
+    /// The zone's leaves have just started, and all are told so; the stand-ins count what comes to them cold.
+    pub fn starts_cold(&self, zone: usize, cold: Duration) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as i64;
+        for (from, discovery) in self.discoveries.iter().enumerate() {
+            for cell in 0..CELLS {
+                let address = self.links[from][zone][cell as usize].address;
+                discovery.changes(zoned_row(&self.names[zone], cell, address, "active", now));
+            }
+        }
+        self.leaves[zone].iter().for_each(|l| l.starts_cold(cold));
+    }
+
+    /// Parts that came to a cold leaf beyond what it may get in any window, over all leaves.
+    pub fn pushed_over(&self, factor: f64, from: f64, window: Duration) -> u64 {
+        self.leaves.iter().flatten().map(|l| l.pushed_over(factor, from, window)).sum()
+    }
+}
+
+fn zoned_row(zone: &str, cell: u32, address: SocketAddr, state: &str, started_ms: i64) -> Value {
+    let mut row = row(&format!("leaf-{zone}-{cell}"), address, cell, state, started_ms);
+    row["az"] = json!(zone);
+    row
+}
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -267,8 +267,9 @@
     /// It stands for the leaves of one cell at another site: the time that the hop there and back costs, none
     /// while nothing may go there.
     far: Option<Option<Span>>,
-    /// Calls and probes in a row that it left without a word.
+    /// Calls and probes in a row that it left without a word, and when it last gave one.
     mute: u32,
+    heard: Option<At>,
     /// Where it stands; none where nobody says.
     zone: Option<zones::Zone>,
     /// Lag, work out and calls out as last worked out, and for when; void with each call or word.
@@ -466,7 +467,7 @@
         let state = self.leaves.entry(id).or_default();
         if started > state.started {
             // A new process: what was held against the old one is void, and it is cold.
-            (state.faults, state.trial_at, state.mute) = (0.0, None, 0);
+            (state.faults, state.trial_at, state.mute, state.heard) = (0.0, None, 0, None);
         }
         (state.cell, state.listed, state.started) = (cell, up, started);
     }
@@ -788,7 +789,8 @@
         let state = self.leaves.get_mut(&leaf).expect("leaves outlive their calls");
         let Out { at, work, ahead, .. } = state.out.remove(&(part, nth)).expect("calls out are listed");
         state.seen.take();
-        state.heard_of(ending, now - at);
+        let overdue = Span::from_s(ahead * self.overdue.0.unwrap_or(1.0)) + Self::GRACE;
+        state.word(now, ending, now - at > overdue);
         match ending {
             // What a far site takes beside its hop is its lag; it tells nothing of how leaves work.
             Ending::Pass if state.far.is_some() => {
@@ -913,10 +915,11 @@
 
     pub fn probed(&mut self, now: At, leaf: Leaf, ending: Ending) {
         let Some(state) = self.leaves.get_mut(&leaf) else { return };
+        state.word(now, ending, false);
         match ending {
             Ending::TooSlow => {}
             Ending::NoRoute => state.trial_at = Some(now + LeafState::TRIAL_WAIT),
-            _ => (state.probed, state.mute) = (state.probed.map(|(at, _)| (at, false)), 0),
+            _ => state.probed = state.probed.map(|(at, _)| (at, false)),
         }
         self.moved = true;
     }
--- a/crates/pipitcrank/src/decide/zones.rs
+++ b/crates/pipitcrank/src/decide/zones.rs
@@ -139,10 +139,15 @@
             let usual = self.overdue.0.unwrap_or(1.0);
             let stuck = |o: &super::Out| {
                 now - o.at > (LeafState::SILENT + Span::from_s(o.ahead * usual)).min(Self::STUCK)
-                    && state.lag.1 < o.at
+                    && state.heard.is_none_or(|h| h < o.at)
             };
-            let silent = state.mute >= LeafState::MUTE || state.out.values().any(stuck);
-            let answered = state.probed.is_some_and(|(at, out)| !out && now - at < Self::RECENT);
+            let unheard = |at: At, long: Span| now - at > long && state.heard.is_none_or(|h| h < at);
+            let probe_lost = state.probed.is_some_and(|(at, _)| unheard(at, LeafState::PROBED));
+            let silent =
+                state.mute + u32::from(probe_lost) >= LeafState::MUTE || state.out.values().any(stuck);
+            let late = state.out.values().any(|o| unheard(o.at, LeafState::LATE));
+            seen.doubted += u32::from(state.mute > 0 || late);
+            let heard = state.heard.is_some_and(|h| now - h < Self::RECENT);
             // A site's leaves are out of reach while nothing may go there.
             if state.far == Some(None)
                 || state.trial_at.is_some_and(|t| t > now)
@@ -153,7 +158,7 @@
                 seen.silent += 1;
             } else if super::drained(state.lag, now) >= LeafState::FULL_LAG_S / 2.0 {
                 seen.full += 1;
-            } else if answered || state.lag.1 > At::default() && now - state.lag.1 < Self::RECENT {
+            } else if heard {
                 seen.answering += 1;
             }
             seen.cold += u32::from(self.fail_back.is_cold(state.started, now));
@@ -186,26 +191,32 @@
     /// A call out for longer than this, with nothing heard since, speaks of silence whatever its work.
     const STUCK: Span = Span::from_ms(2000);
     /// Heard of within this, a leaf answers.
-    const RECENT: Span = Span::from_ms(4000);
+    const RECENT: Span = Span::from_ms(2000);
 }
 
 impl LeafState {
     /// Silence of a call that counts as such: beyond a usual part's wait, within the aim for moving a zone.
     const SILENT: Span = Span::from_ms(700);
+    /// A probe out for longer has come to nothing: many round trips between regions.
+    const PROBED: Span = Span::from_ms(200);
+    /// A call out for longer, with nothing heard since, is reason to look.
+    const LATE: Span = Span::from_ms(300);
     /// Unheard calls and probes in a row that make a leaf silent: one may be lost.
     const MUTE: u32 = 2;
 
     /// A probe goes out; one before it may still be unanswered.
     pub(super) fn asks_again(&mut self, now: At) {
-        self.mute += u32::from(self.probed.is_some_and(|(_, out)| out));
+        let unheard = self.probed.is_some_and(|(at, _)| self.heard.is_none_or(|h| h < at));
+        self.mute += u32::from(unheard);
         self.probed = Some((now, true));
     }
 
-    /// A call that was out for so long ended.
-    pub(super) fn heard_of(&mut self, ending: Ending, out_for: Span) {
+    /// A call or a probe ended. One that was overdue and given up, as another answered instead, or was cut off, left
+    /// nothing to be heard either; a probe that came to nothing is counted when the next goes out.
+    pub(super) fn word(&mut self, now: At, ending: Ending, overdue: bool) {
         match ending {
-            Ending::Pass | Ending::Fault | Ending::NoRoom => self.mute = 0,
-            Ending::TooSlow | Ending::Undone if out_for >= Self::SILENT => self.mute += 1,
+            Ending::Pass | Ending::Fault | Ending::NoRoom => (self.mute, self.heard) = (0, Some(now)),
+            Ending::TooSlow | Ending::Undone | Ending::Cut if overdue => self.mute += 1,
             _ => {}
         }
     }
@@ -221,6 +232,8 @@
     pub failing: u32,
     pub full: u32,
     pub cold: u32,
+    /// Of those listed, such as left something without a word of late, be it too little to call them silent.
+    pub doubted: u32,
     pub out: u32,
     pub a_part_ms: u32,
 }
