--- a/crates/pipitcrank-cli/src/main.rs
+++ b/crates/pipitcrank-cli/src/main.rs
@@ -106,6 +106,24 @@
         #[arg(long)]
         json: bool,
     },
+    /// Play an experiment in simulated time; the same seed gives the same figures
+    Lab {
+        /// Its name: zones
+        name: String,
+        #[arg(long, default_value_t = 30)]
+        copies: usize,
+        /// Zones, 3 to 6
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(3..=6))]
+        zones: u8,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Figures as JSON to that file
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Service and load over time as a picture (SVG)
+        #[arg(long)]
+        plot: Option<PathBuf>,
+    },
     /// A worker under a keeper, which is its standard input
     #[command(hide = true)]
     Work {
@@ -136,6 +154,9 @@
                 },
             )
         }
+        What::Lab { name, copies, zones, seed, json, plot } => {
+            said(lab(&name, copies, usize::from(zones), seed, json.as_deref(), plot.as_deref()))
+        }
         What::Demo { seed } => said(keeper::program().and_then(|p| pipitcrank_rig::demo::play(&p, seed))),
         What::Trial { name, seed, rounds, only, json } => {
             let terms = Terms { seed, rounds, only: only.as_deref(), json };
@@ -229,6 +250,33 @@
     Ok(0)
 }
 
+/// Most copies that an experiment is played with: more take hours.
+const MOST_COPIES: usize = 10_000;
+
+fn lab(
+    name: &str,
+    copies: usize,
+    zones: usize,
+    seed: u64,
+    json: Option<&std::path::Path>,
+    plot: Option<&std::path::Path>,
+) -> Result<i32> {
+    anyhow::ensure!(name == "zones", "no experiment is named '{name}'; there is: zones");
+    anyhow::ensure!((zones..=MOST_COPIES).contains(&copies), "{copies} copies, not {zones} to {MOST_COPIES}");
+    let (figures, lines) = pipitcrank_lab::zones::play(copies, zones, seed);
+    let text = serde_json::to_string_pretty(&figures)?;
+    println!("{text}");
+    if let Some(path) = json {
+        std::fs::write(path, &text).with_context(|| path.display().to_string())?;
+    }
+    if let Some(path) = plot {
+        let service = ("share of what was asked that was answered in time", &lines.service[..]);
+        let load = ("load of each zone against what it bears, by the common decision", &lines.load[..]);
+        pipitcrank_lab::plot::draw(path, service, load)?;
+    }
+    Ok(0)
+}
+
 /// All faults that there are, one a line: the charter's first, then the operators' file's.
 fn check(operators: Option<PathBuf>, no_charter: bool) -> i32 {
     let mut code = 0;
--- a/crates/pipitcrank-failover/src/instance.rs
+++ b/crates/pipitcrank-failover/src/instance.rs
@@ -19,7 +19,7 @@
 /// The leader says so often that the voters are there.
 const BEAT: Span = Span::from_ms(500);
 /// Looked at by the leader: evidence comes each quarter of a second.
-const REVIEW: Span = Span::from_ms(100);
+const REVIEW: Span = Span::from_ms(50);
 /// A proposal that came to nothing in this time is made anew.
 const AGREED_WITHIN: Span = Span::from_ms(600);
 /// A copy that does not know what stands asks so often, this many others.
@@ -580,6 +580,16 @@
         self.follow.plan(now)
     }
 
+    /// Number of the decision that it goes by; 0 without one.
+    pub fn number(&self) -> u64 {
+        self.follow.decision().map_or(0, |d| d.number)
+    }
+
+    /// Members that another copy, or who set this up, knew of.
+    pub fn learn(&mut self, now: At, peers: impl Iterator<Item = Peer>) {
+        self.members.learn(now, peers);
+    }
+
     pub fn standing(&self) -> Standing {
         self.standing
     }
--- /dev/null
+++ b/crates/pipitcrank-lab/src/leaves.rs
@@ -0,0 +1,139 @@
+//! A zone's leaves as one queue: so many parts a second while all are well and warm, less while some are lost or cold. What
+//! waits longer than its SLO time allows is worth nothing; beyond a waiting room it is turned away.
+
+use std::collections::VecDeque;
+
+use pipitcrank::time::{At, Span};
+
+/// What waits for longer earns nothing.
+const SLO_S: f64 = 1.0;
+/// The waiting room, in seconds of work.
+const ROOM_S: f64 = 2.0;
+/// Warming: share of a warm leaf at the start, and for how long it grows; what a cold leaf may get over a window, as
+/// rule 4 has it.
+const COLD_FROM: f64 = 0.3;
+const COLD: Span = Span::from_ms(8000);
+const COLD_FACTOR: f64 = 4.0;
+const COLD_WINDOW_S: f64 = 1.5;
+
+pub struct Leaves {
+    /// Leaves, and parts a second that one bears.
+    pub count: u16,
+    bears: f64,
+    /// All give nothing; or they are so many times slower.
+    pub lost: bool,
+    pub slower: f64,
+    started: Option<At>,
+    queue: f64,
+    /// What came in the steps of the last window.
+    came: VecDeque<f64>,
+    pub pushed_over: f64,
+}
+
+/// What became of what came in a step, in parts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Step {
+    pub in_time: f64,
+    pub late: f64,
+    pub turned_away: f64,
+    /// Never answered.
+    pub unanswered: f64,
+}
+
+impl Leaves {
+    pub fn new(count: u16, bears: f64) -> Leaves {
+        let (queue, came) = (0.0, VecDeque::new());
+        Leaves { count, bears, lost: false, slower: 1.0, started: None, queue, came, pushed_over: 0.0 }
+    }
+
+    /// Parts a second when all are well and warm.
+    pub fn whole(&self) -> f64 {
+        f64::from(self.count) * self.bears
+    }
+
+    fn warmth(&self, now: At) -> f64 {
+        self.started.map_or(1.0, |t| COLD_FROM + (1.0 - COLD_FROM) * ((now - t).s() / COLD.s()).min(1.0))
+    }
+
+    pub fn is_cold(&self, now: At) -> bool {
+        self.started.is_some_and(|t| now - t < COLD)
+    }
+
+    pub fn lose(&mut self) {
+        (self.lost, self.queue) = (true, 0.0);
+    }
+
+    /// They start anew, cold.
+    pub fn start(&mut self, now: At) {
+        (self.lost, self.started, self.queue) = (false, Some(now), 0.0);
+    }
+
+    /// Seconds that what comes now has to wait.
+    pub fn wait_s(&self, now: At) -> f64 {
+        self.queue / (self.whole() * self.warmth(now) / self.slower).max(1e-9)
+    }
+
+    /// So many parts come within a step.
+    pub fn step(&mut self, now: At, parts: f64, step: Span) -> Step {
+        if self.lost {
+            return Step { unanswered: parts, ..Step::default() };
+        }
+        let steps = (COLD_WINDOW_S / step.s()).round() as usize;
+        self.came.push_back(parts);
+        if self.came.len() > steps {
+            self.came.pop_front();
+        }
+        let warm = self.warmth(now);
+        if self.is_cold(now) {
+            let may = COLD_FACTOR * warm * self.whole() * COLD_WINDOW_S;
+            self.pushed_over += (self.came.iter().sum::<f64>() - may).max(0.0).min(parts);
+        }
+        let does = self.whole() * warm / self.slower * step.s();
+        let room = (does / step.s() * ROOM_S - self.queue).max(0.0);
+        let taken = parts.min(room + does);
+        let wait = self.wait_s(now);
+        self.queue = (self.queue + taken - does).max(0.0);
+        let (in_time, late) = if wait <= SLO_S { (taken, 0.0) } else { (0.0, taken) };
+        Step { in_time, late, turned_away: parts - taken, unanswered: 0.0 }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const STEP: Span = Span::from_ms(100);
+
+    fn run(leaves: &mut Leaves, from: i64, steps: i64, parts: f64) -> Step {
+        let mut sum = Step::default();
+        for n in 0..steps {
+            let step = leaves.step(At::from_us((from + n) * 100_000), parts, STEP);
+            sum.in_time += step.in_time;
+            sum.late += step.late;
+            sum.turned_away += step.turned_away;
+            sum.unanswered += step.unanswered;
+        }
+        sum
+    }
+
+    #[test]
+    fn under_capacity_all_is_in_time_and_over_it_the_queue_fills() {
+        let mut leaves = Leaves::new(10, 100.0);
+        let calm = run(&mut leaves, 0, 50, 90.0);
+        assert!(calm.in_time > 4499.0 && calm.late == 0.0);
+        let jam = run(&mut leaves, 50, 100, 150.0);
+        assert!(jam.late > 0.0 && jam.turned_away > 0.0, "{jam:?}");
+        leaves.lose();
+        assert_eq!(run(&mut leaves, 150, 10, 90.0).unanswered, 900.0);
+    }
+
+    #[test]
+    fn cold_leaves_carry_less_and_say_when_they_are_pushed_over() {
+        let mut leaves = Leaves::new(10, 100.0);
+        leaves.start(At::default());
+        run(&mut leaves, 0, 20, 100.0);
+        assert_eq!(leaves.pushed_over, 0.0);
+        run(&mut leaves, 20, 20, 500.0);
+        assert!(leaves.pushed_over > 0.0);
+    }
+}
--- a/crates/pipitcrank-membership/src/members.rs
+++ b/crates/pipitcrank-membership/src/members.rs
@@ -259,11 +259,11 @@
         }
     }
 
-    /// Members that another copy knew of: they are asked after as any.
+    /// Members that another copy knew of: they are asked after as any, and are no news.
     pub fn learn(&mut self, now: At, peers: impl Iterator<Item = Peer>) {
         let own = self.own().address;
         let others = peers.filter(|p| p.address != own).map(foca::Member::alive);
-        if self.foca.apply_many(others, true, &mut self.runtime).is_err() {
+        if self.foca.apply_many(others, false, &mut self.runtime).is_err() {
             self.unread += 1;
         }
         self.drain(now);
--- a/crates/pipitcrank/src/decide/zones.rs
+++ b/crates/pipitcrank/src/decide/zones.rs
@@ -146,7 +146,7 @@
             let silent =
                 state.mute + u32::from(probe_lost) >= LeafState::MUTE || state.out.values().any(stuck);
             let late = state.out.values().any(|o| unheard(o.at, LeafState::LATE));
-            seen.doubted += u32::from(state.mute > 0 || late);
+            seen.doubted += u32::from(state.mute > 0 || probe_lost || late);
             let heard = state.heard.is_some_and(|h| now - h < Self::RECENT);
             // A site's leaves are out of reach while nothing may go there.
             if state.far == Some(None)
