A whole zone is left in 0.8 s, and calls unheard for 0.2 s are reason to look

Change: steps each 0.2 s instead of 0.25, leaves are looked into after 0.2 s of silence instead of 0.3.

--- a/crates/pipitcrank-failover/src/book.rs
+++ b/crates/pipitcrank-failover/src/book.rs
@@ -24,10 +24,10 @@
 
 /// Evidence has to stand for so long before anything is said of it: two words of each copy.
 const SEEN: Span = Span::from_ms(300);
-/// A step of leaving, in thousandths of the load, and the time between two: a whole zone in a second, so that leaves
+/// A step of leaving, in thousandths of the load, and the time between two: a whole zone in 0.8 s, so that leaves
 /// elsewhere take on a quarter of a zone each time.
 const STEP: u16 = 250;
-const STEP_TIME: Span = Span::from_ms(250);
+const STEP_TIME: Span = Span::from_ms(200);
 /// Coming home takes half a step each `RETURN_TIME`: leaves there are cold, and the others carry well meanwhile.
 const RETURN_STEP: u16 = 125;
 const RETURN_TIME: Span = Span::from_ms(500);
--- a/crates/pipitcrank/src/decide/zones.rs
+++ b/crates/pipitcrank/src/decide/zones.rs
@@ -200,7 +200,7 @@
     /// A probe out for longer has come to nothing: many round trips between regions.
     const PROBED: Span = Span::from_ms(200);
     /// A call out for longer, with nothing heard since, is reason to look.
-    const LATE: Span = Span::from_ms(300);
+    const LATE: Span = Span::from_ms(200);
     /// Unheard calls and probes in a row that make a leaf silent: one may be lost.
     const MUTE: u32 = 2;
 
