A second region in the trial; a zone cut off from all goes on for its own clients

Need: a region that is out while its links ping had no play; a zone whose own copies get on with it was left whole. Cause of the second: all others seeing nothing of a zone counted as cut off, whatever its own copies said; now only the ways there are closed. And copies took what they met of a site for evidence on one of its zones.

--- a/crates/pipitcrank-cli/src/peers.rs
+++ b/crates/pipitcrank-cli/src/peers.rs
@@ -99,6 +99,7 @@
     });
     // A site is a region: its leaves stand for all of its zones.
     let regions: Vec<String> = zones.zones.iter().map(|(_, region)| region.clone()).collect();
+    let region = regions.iter().map(|r| *r == regions[own]).collect();
     let stands_for = (0..regions.len())
         .map(|zone| match regions[zone] == regions[own] {
             true => zone,
@@ -127,6 +128,7 @@
             names,
             own,
             stands_for,
+            region,
             dry: zones.dry_run,
             utilities,
             watch,
@@ -171,6 +173,8 @@
     own: usize,
     /// By zone: the one whose leaves stand for it here. Its own for those of this region, the region's first for others.
     stands_for: Vec<usize>,
+    /// By zone: whether it is of this region.
+    region: Vec<bool>,
     dry: bool,
     utilities: Vec<f64>,
     watch: Watch,
@@ -209,7 +213,13 @@
     fn see(&mut self, now: At) {
         let (seen, tally) = self.hall.ask(|e| e.zones_seen(now));
         self.rates.take(now, &tally);
-        let rows = seen.iter().enumerate().map(|(zone, seen)| row(seen, self.rates.merged(zone))).collect();
+        // Of another region only its site is met here, which tells nothing of one of its zones.
+        let ours = |zone: usize| self.region[zone];
+        let of = |(zone, seen): (usize, &Seen)| match ours(zone) {
+            true => row(seen, self.rates.merged(zone)),
+            false => Row::default(),
+        };
+        let rows = seen.iter().enumerate().map(of).collect();
         self.instance.sees(now, rows, self.rates.asked());
         for (zone, seen) in seen.iter().enumerate() {
             let shut = self.plan.as_ref().is_some_and(|p| p.shut.contains(&(zone as u16)));
--- a/crates/pipitcrank-failover/src/book.rs
+++ b/crates/pipitcrank-failover/src/book.rs
@@ -601,6 +601,17 @@
         assert_eq!([0, 1, 2].map(|z| scene.decision.places[z].cut), [0, 0, 0]);
     }
 
+    #[test]
+    fn a_zone_that_nobody_else_reaches_goes_on_for_its_own_clients() {
+        let mut scene = scene();
+        scene.silent = [[0, 10, 0], [10, 0, 10], [0, 10, 0]];
+        scene.pass(4000);
+        assert!((0..3).all(|z| scene.state(z) == (State::Serving, 1000)));
+        assert_eq!([0, 1, 2].map(|z| scene.decision.places[z].cut), [0b010, 0b101, 0b010]);
+        let shares = table(&scene.decision, &scene.book.near);
+        assert_eq!((shares.of[1].clone(), shares.lack[1]), (vec![0, 1000, 0], 0));
+    }
+
     #[test]
     fn two_zones_a_second_apart_and_never_all() {
         let mut scene = scene();
--- a/crates/pipitcrank-rig/src/zoned.rs
+++ b/crates/pipitcrank-rig/src/zoned.rs
@@ -22,6 +22,7 @@
 
 pub struct Zoned {
     pub names: Vec<String>,
+    regions: Vec<String>,
     /// `[zone][cell]`.
     pub leaves: Vec<Vec<Rc<Leaf>>>,
     /// `[from][zone][cell]`.
@@ -35,7 +36,8 @@
 }
 
 impl Zoned {
-    pub async fn start(seed: u64, names: &[&str], work: Work, ledger: Ledger) -> Result<Zoned> {
+    /// Zones and the region of each: copies are told of leaves of their own region alone.
+    pub async fn start(seed: u64, names: &[(&str, &str)], work: Work, ledger: Ledger) -> Result<Zoned> {
         let zones = names.len();
         let mut leaves = Vec::new();
         for zone in 0..zones {
@@ -57,7 +59,9 @@
                     let leaf = &leaves[zone][cell as usize];
                     let link =
                         Link::start(seed ^ (from * 64 + zone) as u64, leaf.address, way(from, zone)).await?;
-                    rows.push(zoned_row(names[zone], cell, link.address, "active", 0));
+                    if names[zone].1 == names[from].1 {
+                        rows.push(zoned_row(names[zone].0, cell, link.address, "active", 0));
+                    }
                     to_leaves.push(link);
                 }
                 to_zones.push(to_leaves);
@@ -65,8 +69,9 @@
             links.push(to_zones);
             discoveries.push(Discovery::start(rows).await?);
         }
-        let names = names.iter().map(|n| n.to_string()).collect();
-        Ok(Zoned { names, leaves, links, discoveries, ledger })
+        let regions = names.iter().map(|n| n.1.to_string()).collect();
+        let names = names.iter().map(|n| n.0.to_string()).collect();
+        Ok(Zoned { names, regions, leaves, links, discoveries, ledger })
     }
 
     /// What a copy in that zone is told. `platform`: whether the platform says where leaves and the copy stand.
@@ -111,6 +116,9 @@
     pub fn starts_cold(&self, zone: usize, cold: Duration) {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as i64;
         for (from, discovery) in self.discoveries.iter().enumerate() {
+            if self.regions[from] != self.regions[zone] {
+                continue;
+            }
             for cell in 0..CELLS {
                 let address = self.links[from][zone][cell as usize].address;
                 discovery.changes(zoned_row(&self.names[zone], cell, address, "active", now));
