Quicker to know and to pass on: glances at quiet zones, news gossiped at once, words good for 1 s

Cause: a zone lost with its copies took 2.9 to 3.2 s to move. Its own copies' last words spoke well of it for 1.5 s more after they died, zones that nobody sends to were looked at once in 2 s, and a decision waited for the next gossip at each copy on its way. Change: words count for a second, leaves of a quiet zone are probed some a second by those who speak, whoever hears a decision first gossips at once.

--- a/crates/pipitcrank-cli/src/peers.rs
+++ b/crates/pipitcrank-cli/src/peers.rs
@@ -32,7 +32,8 @@
 const LOOKS: usize = 8;
 /// A zone is looked into where one in so many of its leaves left something without a word.
 const DOUBTED: u32 = 4;
-/// Of a zone that nothing was heard of lately, as on calm of all but the own: enough to know it before it is needed.
+/// Of a zone of which little was just heard, as on calm of all but the own: each leaf of some is asked each second, so
+/// that its loss is known before it is needed.
 const GLANCES: usize = 2;
 /// Rates are over so long: shorter ones jump with single queries.
 const RATE_OVER: Span = Span::from_ms(2000);
@@ -223,7 +224,7 @@
         self.instance.sees(now, rows, self.rates.asked());
         for (zone, seen) in seen.iter().enumerate() {
             let shut = self.plan.as_ref().is_some_and(|p| p.shut.contains(&(zone as u16)));
-            let unseen = seen.answering + seen.silent + seen.failing + seen.full == 0;
+            let unseen = seen.fresh * 2 < seen.listed;
             let doubted = seen.doubted * DOUBTED >= seen.listed && seen.doubted > 0;
             // Of many copies those look that speak for their zone: probes have their price.
             if self.instance.speaks() && (shut || unseen || doubted) {
--- a/crates/pipitcrank-failover/src/instance.rs
+++ b/crates/pipitcrank-failover/src/instance.rs
@@ -281,6 +281,7 @@
             }
             if let Ok(body) = postcard::to_allocvec(&decision) {
                 self.members.spread(DECISION, (decision.number, 0), &body);
+                self.members.hurry(now);
             }
             self.events.push(Event::Decided(decision));
         }
--- a/crates/pipitcrank-gateway/tests/link.rs
+++ b/crates/pipitcrank-gateway/tests/link.rs
@@ -86,6 +86,9 @@
             longest: Span::from_ms(6000),
             tickets: Arc::new(AtomicU64::new(0)),
             leaving: left.clone(),
+            end_called: watch::channel(None).1,
+            zones: None,
+            utilities: vec![1.0; 2],
         };
         let far = Far::new(&ground, "south", 77, vec!["north".into()]);
         tokio::task::spawn_local(far.listen(address));
--- a/crates/pipitcrank-lab/src/net.rs
+++ b/crates/pipitcrank-lab/src/net.rs
@@ -56,7 +56,7 @@
         self.at(now + delay, Next::Datagram(copy, bytes));
     }
 
-    pub fn next(&mut self) -> Option<(At, Next)> {
+    pub fn take_next(&mut self) -> Option<(At, Next)> {
         self.to_come.pop_first().map(|((at, _), next)| (at, next))
     }
 }
--- a/crates/pipitcrank-lab/src/zones.rs
+++ b/crates/pipitcrank-lab/src/zones.rs
@@ -306,8 +306,8 @@
         }
         let mut in_time = 0.0;
         let mut again = 0.0;
-        for zone in 0..zones {
-            let step = self.leaves[zone].step(now, parts[zone], STEP);
+        for (leaves, &parts) in self.leaves.iter_mut().zip(&parts) {
+            let step = leaves.step(now, parts, STEP);
             in_time += step.in_time;
             again += step.unanswered * AGAIN;
         }
@@ -338,7 +338,7 @@
     let (mut service, mut load) = (Vec::new(), vec![Vec::new(); zones]);
     let (mut lost, mut all, mut peak) = ((0.0, 0.0), (0.0, 0.0), 0.0_f64);
     let (mut calm, mut home) = ((0, 0), None);
-    while let Some((now, next)) = world.net.next() {
+    while let Some((now, next)) = world.net.take_next() {
         let at = now.s();
         if at > END {
             break;
--- a/crates/pipitcrank-membership/src/evidence.rs
+++ b/crates/pipitcrank-membership/src/evidence.rs
@@ -14,7 +14,7 @@
 pub const SPEAKERS: usize = 5;
 /// A word is good for so long: some of those who speak so often may be lost.
 pub const SPEAK: Span = Span::from_ms(250);
-const GOOD_FOR: Span = Span::from_ms(1500);
+const GOOD_FOR: Span = Span::from_ms(1000);
 /// Share of the leaves seen that are bad from which a zone is seen as bad, and from which it is seen as well again.
 pub const BAD: f64 = 0.8;
 pub const WELL: f64 = 0.2;
--- a/crates/pipitcrank-membership/src/members.rs
+++ b/crates/pipitcrank-membership/src/members.rs
@@ -269,6 +269,12 @@
         self.drain(now);
     }
 
+    /// Gossips at once, to as many as at any other time: whoever hears news first passes it on first.
+    pub fn hurry(&mut self, now: At) {
+        let _ = self.foca.gossip(&mut self.runtime);
+        self.drain(now);
+    }
+
     /// Says goodbye: nothing is sent after this but what `take_sent` still has.
     pub fn leave(&mut self, now: At, how: Gone) {
         if let Ok(data) = postcard::to_allocvec(&Rumour::Goodbye(self.own().clone(), how)) {
--- a/crates/pipitcrank-operators/src/lib.rs
+++ b/crates/pipitcrank-operators/src/lib.rs
@@ -318,7 +318,7 @@
             }
             voters.push((at, place(&format!("{key}/zone"), &voter.zone)?));
         }
-        if voters.len() % 2 == 0 || voters.len() > MOST_VOTERS {
+        if voters.len().is_multiple_of(2) || voters.len() > MOST_VOTERS {
             let what = format!(
                 "are {}; accepted: 1, 3, 5 or {MOST_VOTERS}, so that one half is larger",
                 voters.len()
--- a/crates/pipitcrank-rig/src/trial/zones.rs
+++ b/crates/pipitcrank-rig/src/trial/zones.rs
@@ -398,6 +398,8 @@
 struct Shows {
     moved: Option<f64>,
     back: Option<f64>,
+    /// What was decided, where a move took longer than it should.
+    late: Option<String>,
     /// Utility in time over utility asked at copies that lived, while it lasted.
     service: f64,
     /// Things that should have been and were not.
@@ -410,6 +412,7 @@
         self.zoned.vanish(zone, 6, true);
         let moved = self.until(|s| s.is_out(zone), 12.0).await;
         shows.moved = moved;
+        shows.late = moved.filter(|s| *s > MOVED_WITHIN).map(|_| self.history());
         if moved.is_none() {
             shows.missing.push(format!("zone {} was not left: {}", ALL_ZONES[zone].0, self.history()));
         }
@@ -572,7 +575,8 @@
                     shows.missing.push("two zones were not left for the third".to_string());
                 }
                 tokio::time::sleep(secs(1)).await;
-                (self.heal(zone), self.heal(other));
+                self.heal(zone);
+                self.heal(other);
                 self.home(&mut shows, 40.0).await;
             }
             Trouble::Slow => {
@@ -862,6 +866,9 @@
                 figure(shows.back)
             );
         }
+        if let Some(late) = shows.late.as_ref().filter(|_| say) {
+            println!("moved late: {late}");
+        }
         let name = format!("{trouble:?}").to_lowercase();
         outcome.figure(&format!("service, {name}, %"), shows.service * 100.0);
         if trouble == Trouble::Calm {
--- a/crates/pipitcrank/src/decide/zones.rs
+++ b/crates/pipitcrank/src/decide/zones.rs
@@ -136,6 +136,7 @@
             self.trades.iter().map(super::Trade::usual_work).sum::<f64>() / self.trades.len().max(1) as f64;
         for (_, state) in self.leaves.iter().filter(|(_, l)| l.zone == Some(zone) && l.listed) {
             seen.listed += 1;
+            seen.fresh += u32::from(state.heard.is_some_and(|h| now - h < Self::JUST));
             let usual = self.overdue.0.unwrap_or(1.0);
             let stuck = |o: &super::Out| {
                 now - o.at > (LeafState::SILENT + Span::from_s(o.ahead * usual)).min(Self::STUCK)
@@ -192,6 +193,8 @@
     const STUCK: Span = Span::from_ms(2000);
     /// Heard of within this, a leaf answers.
     const RECENT: Span = Span::from_ms(2000);
+    /// Heard of within this, it needs no glance.
+    const JUST: Span = Span::from_ms(500);
 }
 
 impl LeafState {
@@ -232,6 +235,8 @@
     pub failing: u32,
     pub full: u32,
     pub cold: u32,
+    /// Of those listed, such as gave a word within half a second.
+    pub fresh: u32,
     /// Of those listed, such as left something without a word of late, be it too little to call them silent.
     pub doubted: u32,
     pub out: u32,
