A sick copy among processes; a machine that starts gets nothing that was written to the one before

Cause: the stand-in way held what copies had written while a zone was silent for ten seconds and handed it all to the leaves as they came back cold (zoned.rs, vanish and starts_cold); no copy had sent it then. Looked at and ruled out: shares after the return (kept an eighth), copies that stand alone, restarted copies without a decision. Change: connections end as a machine starts; cold starts before the last one are counted, too. One copy of the trial has ways of its own to all leaves: trouble `sick`.

--- a/crates/pipitcrank-rig/src/leaf.rs
+++ b/crates/pipitcrank-rig/src/leaf.rs
@@ -68,6 +68,8 @@
     /// Until when it is cold and since when, and when parts came meanwhile.
     cold: RefCell<Option<(Instant, Duration)>>,
     came_cold: RefCell<Vec<Duration>>,
+    /// The same of earlier starts.
+    before: RefCell<Vec<Vec<Duration>>>,
 }
 
 impl Leaf {
@@ -86,6 +88,7 @@
             most_connections: Cell::new(0),
             cold: RefCell::new(None),
             came_cold: RefCell::default(),
+            before: RefCell::default(),
         });
         let ours = shared.clone();
         let accepting = tokio::task::spawn_local(async move {
@@ -117,23 +120,27 @@
 
     /// It has just started and is cold for so long.
     pub fn starts_cold(&self, cold: Duration) {
-        self.shared.came_cold.borrow_mut().clear();
+        let came = std::mem::take(&mut *self.shared.came_cold.borrow_mut());
+        self.shared.before.borrow_mut().push(came);
         *self.shared.cold.borrow_mut() = Some((Instant::now(), cold));
     }
 
     /// Parts beyond what the rule on cold leaves allows in any window: `factor` times what a leaf of that warmth does in
     /// it, where it begins with the share `from` and warms evenly.
     pub fn pushed_over(&self, factor: f64, from: f64, window: Duration) -> u64 {
-        let (came, cold) = (self.shared.came_cold.borrow(), *self.shared.cold.borrow());
-        let Some((_, cold)) = cold else { return 0 };
+        let Some((_, cold)) = *self.shared.cold.borrow() else { return 0 };
         let warm = self.shared.work.at_once as f64 / self.shared.work.usual.as_secs_f64();
-        let over = came.iter().enumerate().map(|(n, &at)| {
-            let first = came.partition_point(|t| *t + window < at);
-            let warmth = from + (1.0 - from) * (at.as_secs_f64() / cold.as_secs_f64()).min(1.0);
-            let may = factor * warmth * warm * window.as_secs_f64();
-            ((n + 1 - first) as f64 - may).max(0.0) as u64
-        });
-        over.max().unwrap_or(0)
+        let over = |came: &Vec<Duration>| {
+            let each = came.iter().enumerate().map(|(n, &at)| {
+                let first = came.partition_point(|t| *t + window < at);
+                let warmth = from + (1.0 - from) * (at.as_secs_f64() / cold.as_secs_f64()).min(1.0);
+                let may = factor * warmth * warm * window.as_secs_f64();
+                ((n + 1 - first) as f64 - may).max(0.0) as u64
+            });
+            each.max().unwrap_or(0)
+        };
+        let earlier: u64 = self.shared.before.borrow().iter().map(over).sum();
+        earlier + over(&self.shared.came_cold.borrow())
     }
 
     pub fn most_connections(&self) -> usize {
--- a/crates/pipitcrank-rig/src/trial/zones.rs
+++ b/crates/pipitcrank-rig/src/trial/zones.rs
@@ -32,6 +32,8 @@
 /// Zones of the region that has the troubles, and one of another, reached by the gateway alone.
 const ZONES: [&str; 3] = ["a", "b", "c"];
 const SOUTH: usize = 3;
+/// The copy that has ways of its own to all leaves.
+const SICK: usize = 7;
 const ALL_ZONES: [(&str, &str); 4] = [("a", "north"), ("b", "north"), ("c", "north"), ("d", "south")];
 const A_ZONE: usize = 3;
 const SECRET: &str = "a secret of the trial's own";
@@ -82,13 +84,15 @@
     Drain,
     /// A zone is lost while datagrams are lost, doubled and late.
     Lossy,
+    /// One copy reaches no leaf anywhere, and says so of all zones.
+    Sick,
     /// A whole region loses its leaves while its links go on pinging.
     Region,
     /// Datagrams that are forged, cut, replayed, too long, or of another version.
     Strangers,
 }
 
-pub const ALL: [Trouble; 17] = [
+pub const ALL: [Trouble; 18] = [
     Trouble::Calm,
     Trouble::Leaves,
     Trouble::Zone,
@@ -104,6 +108,7 @@
     Trouble::Restarts,
     Trouble::Drain,
     Trouble::Lossy,
+    Trouble::Sick,
     Trouble::Region,
     Trouble::Strangers,
 ];
@@ -194,7 +199,7 @@
 
 impl Scene {
     async fn start(program: &Path, seed: u64, way: Way) -> Result<Scene> {
-        let zoned = Zoned::start(seed, &ALL_ZONES, WORK, Ledger::default()).await?;
+        let zoned = Zoned::start(seed, &ALL_ZONES, SICK % ZONES.len(), WORK, Ledger::default()).await?;
         let net = Net::new(seed ^ 5);
         let mut places = Vec::new();
         for n in 0..ALL_ZONES.len() * A_ZONE {
@@ -211,7 +216,8 @@
             let other = if zone == SOUTH { n % A_ZONE } else { ZONES.len() * A_ZONE + n % A_ZONE };
             let gate = Gate { listen: gates[n], other: gates[other] };
             let file = (way == Way::Common).then(|| file(zone, listen, known_as, &voters, gate));
-            let told = charter(&zoned, zone, seed ^ n as u64, way)?;
+            let view = if n == SICK { zoned.apart() } else { zone };
+            let told = charter(&zoned, view, seed ^ n as u64, way)?;
             let process = Process::start(program, told, file.clone()).await?;
             members.push(Member { process, zone, listen, known_as, file, up: Rc::new(Cell::new(true)) });
         }
@@ -421,8 +427,8 @@
     }
 
     fn heal(&self, zone: usize) {
-        self.zoned.vanish(zone, 6, false);
         self.zoned.starts_cold(zone, COLD.3);
+        self.zoned.vanish(zone, 6, false);
     }
 
     async fn home(&self, shows: &mut Shows, within: f64) {
@@ -646,6 +652,16 @@
                 }
                 self.home(&mut shows, 25.0).await;
             }
+            Trouble::Sick => {
+                self.zoned.sicken(true);
+                tokio::time::sleep(secs(5)).await;
+                let touched = |d: &Decision| d.places.iter().any(|p| p.kept < 1000 || p.cut != 0);
+                if self.since(begun).iter().any(touched) {
+                    shows.missing.push(format!("one sick copy moved something: {}", self.history()));
+                }
+                self.zoned.sicken(false);
+                self.home(&mut shows, 15.0).await;
+            }
             Trouble::Region => {
                 self.lose(SOUTH, &mut shows, secs(3)).await;
                 self.home(&mut shows, 25.0).await;
@@ -765,6 +781,8 @@
             // Any voter may have led; the others go on.
             Trouble::Leader => *n >= ZONES.len(),
             Trouble::Majority => *n != zone && *n != other,
+            // It can't serve, and says so.
+            Trouble::Sick => *n != SICK,
             // One is ended in order, and its clients find it gone.
             Trouble::Restarts => self.members[*n].zone != other || *n < ZONES.len(),
             _ => true,
--- a/crates/pipitcrank-rig/src/zoned.rs
+++ b/crates/pipitcrank-rig/src/zoned.rs
@@ -25,9 +25,11 @@
     regions: Vec<String>,
     /// `[zone][cell]`.
     pub leaves: Vec<Vec<Rc<Leaf>>>,
-    /// `[from][zone][cell]`.
+    /// `[view][zone][cell]`.
     links: Vec<Vec<Vec<Link>>>,
     pub discoveries: Vec<Discovery>,
+    /// The zone that each view is from: one a zone, and one more of a copy that has ways of its own.
+    views: Vec<usize>,
     pub ledger: Ledger,
 }
 
@@ -36,8 +38,15 @@
 }
 
 impl Zoned {
-    /// Zones and the region of each: copies are told of leaves of their own region alone.
-    pub async fn start(seed: u64, names: &[(&str, &str)], work: Work, ledger: Ledger) -> Result<Zoned> {
+    /// Zones and the region of each: copies are told of leaves of their own region alone. One copy of zone `apart` has
+    /// ways of its own (`view`).
+    pub async fn start(
+        seed: u64,
+        names: &[(&str, &str)],
+        apart: usize,
+        work: Work,
+        ledger: Ledger,
+    ) -> Result<Zoned> {
         let zones = names.len();
         let mut leaves = Vec::new();
         for zone in 0..zones {
@@ -50,7 +59,8 @@
         }
         let mut links = Vec::new();
         let mut discoveries = Vec::new();
-        for from in 0..zones {
+        let views: Vec<usize> = (0..zones).chain([apart]).collect();
+        for (view, &from) in views.iter().enumerate() {
             let mut to_zones = Vec::new();
             let mut rows = Vec::new();
             for zone in 0..zones {
@@ -58,7 +68,7 @@
                 for cell in 0..CELLS {
                     let leaf = &leaves[zone][cell as usize];
                     let link =
-                        Link::start(seed ^ (from * 64 + zone) as u64, leaf.address, way(from, zone)).await?;
+                        Link::start(seed ^ (view * 64 + zone) as u64, leaf.address, way(from, zone)).await?;
                     if names[zone].1 == names[from].1 {
                         rows.push(zoned_row(names[zone].0, cell, link.address, "active", 0));
                     }
@@ -71,12 +81,26 @@
         }
         let regions = names.iter().map(|n| n.1.to_string()).collect();
         let names = names.iter().map(|n| n.0.to_string()).collect();
-        Ok(Zoned { names, regions, leaves, links, discoveries, ledger })
+        Ok(Zoned { names, regions, leaves, links, discoveries, views, ledger })
     }
 
-    /// What a copy in that zone is told. `platform`: whether the platform says where leaves and the copy stand.
-    pub fn charter(&self, zone: usize, seed: u64, platform: bool) -> Result<Value> {
-        let discovery = &self.discoveries[zone];
+    /// The view of the copy that has ways of its own.
+    pub fn apart(&self) -> usize {
+        self.views.len() - 1
+    }
+
+    /// The copy that has ways of its own reaches nothing, or all again.
+    pub fn sicken(&self, silent: bool) {
+        let view = self.apart();
+        for (zone, links) in self.links[view].iter().enumerate() {
+            let way = way(self.views[view], zone);
+            links.iter().for_each(|l| l.turns(Way { stalled_there: silent, stalled_back: silent, ..way }));
+        }
+    }
+
+    /// What a copy with that view is told. `platform`: whether the platform says where leaves and the copy stand.
+    pub fn charter(&self, view: usize, seed: u64, platform: bool) -> Result<Value> {
+        let (zone, discovery) = (self.views[view], &self.discoveries[view]);
         let mut told = charter_of(discovery.address, discovery.known(), CELLS, SHARDS, seed, 1024, 3000)?;
         if platform {
             told["settings"]["zone"] = json!(self.names[zone]);
@@ -88,15 +112,17 @@
 
     /// The ways from one zone's copies to another zone's leaves.
     fn turn(&self, from: usize, to: usize, silent: bool) {
-        for link in &self.links[from][to] {
-            link.turns(Way { stalled_there: silent, stalled_back: silent, ..way(from, to) });
+        for (view, _) in self.views.iter().enumerate().filter(|(_, zone)| **zone == from) {
+            for link in &self.links[view][to] {
+                link.turns(Way { stalled_there: silent, stalled_back: silent, ..way(from, to) });
+            }
         }
     }
 
     /// Machines of a zone, the first so many of its leaves, vanish without a word, or are back.
     pub fn vanish(&self, zone: usize, leaves: usize, silent: bool) {
-        for from in 0..self.names.len() {
-            for link in &self.links[from][zone][..leaves] {
+        for (view, &from) in self.views.iter().enumerate() {
+            for link in &self.links[view][zone][..leaves] {
                 link.turns(Way { stalled_there: silent, stalled_back: silent, ..way(from, zone) });
             }
         }
@@ -114,13 +140,15 @@
 
     /// The zone's leaves have just started, and all are told so; the stand-ins count what comes to them cold.
     pub fn starts_cold(&self, zone: usize, cold: Duration) {
+        // A machine that starts knows of no connection: guards against what was written to the one before it.
+        self.links.iter().flat_map(|to| &to[zone]).for_each(Link::break_now);
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as i64;
-        for (from, discovery) in self.discoveries.iter().enumerate() {
-            if self.regions[from] != self.regions[zone] {
+        for (view, discovery) in self.discoveries.iter().enumerate() {
+            if self.regions[self.views[view]] != self.regions[zone] {
                 continue;
             }
             for cell in 0..CELLS {
-                let address = self.links[from][zone][cell as usize].address;
+                let address = self.links[view][zone][cell as usize].address;
                 discovery.changes(zoned_row(&self.names[zone], cell, address, "active", now));
             }
         }
