A beat told by a member is as old as its first hearer had it; parted copies hold in time

Cause: a copy that was some beats behind took the last one from a member of the same parted set as new (instance.rs, Stands), and followed for another 2.5 s. Answers now carry how long ago the beat was heard.

--- a/crates/pipitcrank-failover/src/follow.rs
+++ b/crates/pipitcrank-failover/src/follow.rs
@@ -108,6 +108,11 @@
         self.beat
     }
 
+    /// How long ago the newest beat was heard by whoever heard it first here.
+    pub fn beat_age(&self, now: At) -> Span {
+        now - self.fresh
+    }
+
     /// A decision was heard, from wherever; whether it is taken.
     pub fn decided(&mut self, now: At, decision: Decision) -> bool {
         let newer = self.decision.as_ref().is_none_or(|held| decision.number > held.number);
@@ -124,14 +129,15 @@
         true
     }
 
-    /// The voters' beat was heard: they stand by the decision of that number. Beats are ranked, an old one says nothing.
-    pub fn beats(&mut self, now: At, rank: (u64, u64), number: u64) {
+    /// The voters' beat was heard at that time, here or by another who says so: they stand by the decision of that number.
+    /// Beats are ranked, an old one says nothing.
+    pub fn beats(&mut self, heard: At, rank: (u64, u64), number: u64) {
         if rank <= self.beat {
             return;
         }
         self.beat = rank;
         if self.decision.as_ref().is_some_and(|held| held.number >= number) {
-            (self.fresh, self.behind, self.woke) = (now, false, None);
+            (self.fresh, self.behind, self.woke) = (self.fresh.max(heard), false, None);
         } else {
             // It missed a decision: what it holds is not what they stand by.
             self.behind = true;
@@ -289,6 +295,20 @@
         assert!(!follow.looks(at(3200)));
     }
 
+    #[test]
+    fn a_beat_heard_of_late_is_as_old_as_it_is() {
+        let mut follow = follow();
+        follow.decided(at(0), out(5));
+        follow.beats(at(0), (1, 1), 5);
+        // At 2.4 s a member says that it heard a newer one, two seconds ago.
+        follow.beats(at(400), (1, 2), 5);
+        assert_eq!(follow.standing(at(2800)), Standing::Following);
+        assert_eq!(
+            (follow.standing(at(3000)), follow.beat_age(at(3000))),
+            (Standing::Holding, Span::from_ms(2600))
+        );
+    }
+
     #[test]
     fn it_holds_for_the_stated_time_and_then_moves_no_more_than_the_stated_share() {
         let mut follow = follow();
--- a/crates/pipitcrank-failover/src/instance.rs
+++ b/crates/pipitcrank-failover/src/instance.rs
@@ -45,6 +45,8 @@
         decision: Option<Decision>,
         rank: (u64, u64),
         beat_number: u64,
+        /// How long ago its newest beat was heard.
+        age: Span,
     },
     /// An operator's command; none only shows.
     Ask {
@@ -256,18 +258,22 @@
                     self.answered.1 += 1;
                     let decision = self.follow.decision().cloned();
                     let rank = self.follow.beat();
-                    let said = Said::Stands { nonce, decision, rank, beat_number: self.beat_number };
+                    let age = self.follow.beat_age(now);
+                    let said = Said::Stands { nonce, decision, rank, beat_number: self.beat_number, age };
                     self.say(from, &said);
                 }
             }
-            Said::Stands { nonce, decision, rank, beat_number } => {
+            Said::Stands { nonce, decision, rank, beat_number, age } => {
                 // Guards against an answer of long ago, said again.
                 let Some(place) = self.nonces.iter().position(|n| *n == nonce) else { return };
                 self.nonces.remove(place);
                 if let Some(decision) = decision {
                     self.takes(now, decision);
                 }
-                self.heard_beat(now, rank, beat_number);
+                // Guards against a parted set that keeps each other following: a beat is as old as its first hearer had it.
+                if age >= Span::ZERO {
+                    self.heard_beat(now - age, rank, beat_number);
+                }
             }
             Said::Ask { ticket, order } => self.asked(now, from, ticket, order),
             Said::Told { .. } => self.events.push(Event::Unread),
