Review: the plan is worked out once a datagram, a zone's place is looked up in one place

Seen on reading the whole change: the shares' table was made twice for each datagram (peers.rs, pass_on), and the mix of verticals also where nothing is lacking; three spellings of the same look-up in the exchange; an order's whole decision copied where its cause and zone are compared; regions, the clock of a start and a copy's sight written twice.

--- a/crates/pipitcrank-cli/src/main.rs
+++ b/crates/pipitcrank-cli/src/main.rs
@@ -10,7 +10,7 @@
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use anyhow::{Context, Result, anyhow};
 use clap::{Parser, Subcommand};
@@ -230,8 +230,7 @@
             return ground.leaves as Rc<RefCell<dyn LeafSide>>;
         };
         // Told apart from any process before or beside this one: by its number and its start.
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let instance = (since.as_micros() as u64) << 22 ^ u64::from(std::process::id());
+        let instance = peers::since_1970_us() << 22 ^ u64::from(std::process::id());
         let names = sites.iter().map(|(name, _)| name.clone()).collect();
         tokio::task::spawn_local(Far::new(&ground, &site, instance, names).listen(listen));
         let peers = sites.into_iter().map(|(name, address)| Peer { name, address }).collect();
--- a/crates/pipitcrank-cli/src/peers.rs
+++ b/crates/pipitcrank-cli/src/peers.rs
@@ -38,7 +38,8 @@
 /// Rates are over so long: shorter ones jump with single queries.
 const RATE_OVER: Span = Span::from_ms(2000);
 
-fn since_1970_us() -> u64 {
+/// Tells a process apart from any before it.
+pub fn since_1970_us() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
 }
 
@@ -74,15 +75,8 @@
     }
 }
 
-/// Each region, as sites are named, and its first zone.
-fn firsts(zones: &Zones) -> Vec<(String, String)> {
-    let mut firsts: Vec<(String, String)> = Vec::new();
-    for (name, region) in &zones.zones {
-        if firsts.iter().all(|(known, _)| known != region) {
-            firsts.push((region.clone(), name.clone()));
-        }
-    }
-    firsts
+fn regions(zones: &Zones) -> Vec<String> {
+    zones.zones.iter().map(|(_, region)| region.clone()).collect()
 }
 
 /// What a copy is that stands there with others; or a fault by its key.
@@ -91,22 +85,24 @@
     let (hall, utilities) = (ground.hall.clone(), ground.utilities.clone());
     let (mut leaving, end_called) = (ground.leaving.clone(), ground.end_called.clone());
     let names: Vec<String> = zones.zones.iter().map(|(name, _)| name.clone()).collect();
+    let regions = regions(&zones);
+    let region: Vec<bool> = regions.iter().map(|r| *r == regions[own]).collect();
+    // A site is a region: its leaves stand for all of its zones.
+    let stands_for: Vec<usize> = (0..regions.len())
+        .map(|zone| match region[zone] {
+            true => zone,
+            false => regions.iter().position(|r| *r == regions[zone]).unwrap_or(zone),
+        })
+        .collect();
+    let sites = (0..regions.len()).filter(|&zone| !region[zone] && stands_for[zone] == zone);
+    let site_zones = sites.map(|zone| (regions[zone].clone(), names[zone].clone())).collect();
     hall.tell(|e| {
         e.name_zones(names.clone());
-        e.name_site_zones(firsts(&zones).into_iter().collect());
+        e.name_site_zones(site_zones);
         if !zones.dry_run {
             e.set_shares(Shares { of: vec![(Zone(own as u16), 1.0)], ..Shares::default() });
         }
     });
-    // A site is a region: its leaves stand for all of its zones.
-    let regions: Vec<String> = zones.zones.iter().map(|(_, region)| region.clone()).collect();
-    let region = regions.iter().map(|r| *r == regions[own]).collect();
-    let stands_for = (0..regions.len())
-        .map(|zone| match regions[zone] == regions[own] {
-            true => zone,
-            false => regions.iter().position(|r| *r == regions[zone]).unwrap_or(zone),
-        })
-        .collect();
     Ok(async move {
         let socket = loop {
             match UdpSocket::bind(zones.listen).await {
@@ -150,8 +146,7 @@
 }
 
 fn instance(now: At, zones: &Zones, own: usize) -> Instance {
-    let regions: Vec<String> = zones.zones.iter().map(|(_, region)| region.clone()).collect();
-    let near = Nearness::new(&regions);
+    let near = Nearness::new(&regions(zones));
     let pace = Pace {
         suspect: span(zones.suspect),
         hold_down: span(zones.hold_down),
@@ -215,8 +210,7 @@
         let (seen, tally) = self.hall.ask(|e| e.zones_seen(now));
         self.rates.take(now, &tally);
         // Of another region only its site is met here, which tells nothing of one of its zones.
-        let ours = |zone: usize| self.region[zone];
-        let of = |(zone, seen): (usize, &Seen)| match ours(zone) {
+        let of = |(zone, seen): (usize, &Seen)| match self.region[zone] {
             true => row(seen, self.rates.merged(zone)),
             false => Row::default(),
         };
@@ -245,10 +239,12 @@
         counters.set("zones", "older_decisions_left", self.instance.older_left());
         counters.set("peers_sent", "bytes", self.instance.sent.0);
         counters.set("peers_sent", "datagrams", self.instance.sent.1);
-        counters.set("zones", "decision", self.instance.plan(now).number);
         let plan = self.instance.plan(now);
-        let mix = self.rates.mix(&self.utilities);
-        let away = if plan.lack > 0 { turned_away(plan.lack, &mix) } else { Vec::new() };
+        counters.set("zones", "decision", plan.number);
+        let away = match plan.lack {
+            0 => Vec::new(),
+            lack => turned_away(lack, &self.rates.mix(&self.utilities)),
+        };
         // What verticals ask changes from moment to moment: followed where it matters.
         let differs = away.len() != self.turned_away.len()
             || away.iter().zip(&self.turned_away).any(|(a, b)| (a - b).abs() > 0.02);
--- a/crates/pipitcrank-failover/src/agreement.rs
+++ b/crates/pipitcrank-failover/src/agreement.rs
@@ -603,6 +603,11 @@
         self.group.as_ref().map_or(0, |g| g.generation)
     }
 
+    /// Whether this process is among the voters of its group as it knows it.
+    pub fn votes(&self) -> bool {
+        self.group.as_ref().is_some_and(|g| g.node.raft.prs().conf().voters().ids().contains(g.id))
+    }
+
     /// Voters heard of late, this one counted.
     pub fn voters_heard(&self, now: At) -> usize {
         1 + self.heard.values().filter(|h| now - h.at <= HEARD).count()
@@ -638,10 +643,3 @@
         }
     }
 }
-
-impl Agreement {
-    /// Whether this process is among the voters of its group as it knows it.
-    pub fn votes(&self) -> bool {
-        self.group.as_ref().is_some_and(|g| g.node.raft.prs().conf().voters().ids().contains(g.id))
-    }
-}
--- a/crates/pipitcrank-failover/src/instance.rs
+++ b/crates/pipitcrank-failover/src/instance.rs
@@ -108,13 +108,14 @@
     Order(Order, Answer),
 }
 
+#[derive(Clone, Copy)]
 struct Ordered {
     ticket: u64,
     from: SocketAddr,
     order: Order,
     since: At,
-    /// What has been asked of the voters for it.
-    proposed: Option<Decision>,
+    /// Cause and zone of what has been asked of the voters for it.
+    proposed: Option<(Cause, u16)>,
 }
 
 /// Where the datagrams are to go, and what they are.
@@ -137,7 +138,7 @@
     /// For which state of the members, and since when, it is or is not among those that speak.
     speaks: (u64, At, bool),
     led: bool,
-    /// The first number of a term's beats and how many since.
+    /// Sent by this process so far.
     beats: u64,
     beat_at: At,
     beat_number: u64,
@@ -422,19 +423,18 @@
             return;
         }
         let matrix = self.words.join(now);
-        let pending = self.orders.front().map(|o| (o.ticket, o.from, o.order));
-        let ordered = pending
-            .map(|(ticket, from, order)| ((ticket, from, order), self.book.order(&matrix, &current, order)));
         let mut next = None;
-        match ordered {
-            Some((_, Ok(decision))) => {
-                if let Some(first) = self.orders.front_mut() {
-                    first.proposed = Some(decision.clone());
+        if let Some(first) = self.orders.front_mut() {
+            match self.book.order(&matrix, &current, first.order) {
+                Ok(decision) => {
+                    first.proposed = Some((decision.cause, decision.zone));
+                    next = Some(decision);
+                }
+                Err(why) => {
+                    let refused = *first;
+                    self.tell(refused, Answer::Refused(why));
                 }
-                next = Some(decision);
             }
-            Some((done, Err(why))) => self.tell(done, Answer::Refused(why)),
-            None => {}
         }
         let Some(next) = next.or_else(|| self.book.next(now, &matrix, &current)) else { return };
         let zone = usize::from(next.zone);
@@ -476,7 +476,8 @@
         self.orders.push_back(Ordered { ticket, from, order, since: now, proposed: None });
     }
 
-    fn tell(&mut self, (ticket, from, order): (u64, SocketAddr, Order), answer: Answer) {
+    fn tell(&mut self, ordered: Ordered, answer: Answer) {
+        let Ordered { ticket, from, order, .. } = ordered;
         self.orders.retain(|o| o.ticket != ticket);
         self.answers.push_back((ticket, answer.clone()));
         if self.answers.len() > MOST_ORDERS {
@@ -525,18 +526,16 @@
         }
         let decided = self.agreement.as_mut().map(Agreement::take_decided).unwrap_or_default();
         for decision in decided {
-            let done = self.orders.iter().find(|o| {
-                o.proposed.as_ref().is_some_and(|p| (p.cause, p.zone) == (decision.cause, decision.zone))
-            });
-            if let Some(done) = done {
-                let done = (done.ticket, done.from, done.order);
+            let done = self.orders.iter().find(|o| o.proposed == Some((decision.cause, decision.zone)));
+            if let Some(&done) = done {
                 self.tell(done, Answer::Done(decision.number));
             }
             self.takes(now, decision);
         }
-        let over: Vec<_> = self.orders.iter().filter(|o| now - o.since >= ORDER_TIME).collect();
-        for (ticket, from, order) in over.iter().map(|o| (o.ticket, o.from, o.order)).collect::<Vec<_>>() {
-            self.tell((ticket, from, order), Answer::Refused("the voters did not agree in time".to_string()));
+        let over: Vec<Ordered> =
+            self.orders.iter().filter(|o| now - o.since >= ORDER_TIME).copied().collect();
+        for ordered in over {
+            self.tell(ordered, Answer::Refused("the voters did not agree in time".to_string()));
         }
         let voters = self.agreement.as_mut().map(Agreement::take_out).unwrap_or_default();
         for (seat, out) in voters {
--- a/crates/pipitcrank-lab/src/zones.rs
+++ b/crates/pipitcrank-lab/src/zones.rs
@@ -176,13 +176,11 @@
 
     /// What the copy sees of each zone at that moment.
     fn rows(&self, now: At, copy: usize) -> Vec<Row> {
-        let sees = self.copies[copy].sees;
-        let silent = |zone: usize| self.lost.is_some_and(|(z, at)| z == zone && (now - at).s() >= sees);
         let row = |(zone, leaves): (usize, &Leaves)| {
             let count = leaves.count;
             let full = if leaves.wait_s(now) > 1.0 { count } else { 0 };
             let cold = if leaves.is_cold(now) { count } else { 0 };
-            match silent(zone) {
+            match self.sees_silent(now, copy, zone) {
                 true => Row { listed: count, silent: count, ..Row::default() },
                 false => Row { listed: count, answering: count - full, full, cold, ..Row::default() },
             }
@@ -194,7 +192,7 @@
     fn call(&mut self, now: At, copy: usize, datagram: Option<&[u8]>) {
         let wants = self.copies[copy].instance.as_mut().is_some_and(|i| i.wants_to_see(now));
         let rows = if wants { self.rows(now, copy) } else { Vec::new() };
-        let asked = self.asked() / self.copies.len() as f64;
+        let (asked, count) = (self.asked() / self.copies.len() as f64, self.copies.len());
         let held = &mut self.copies[copy];
         let Some(instance) = &mut held.instance else { return };
         if let Some(datagram) = datagram {
@@ -215,19 +213,14 @@
         if known != held.known {
             self.older += u64::from(known.0 < held.known.0);
             if known.0 != held.known.0 {
-                let count = self.copies.len();
                 let acted = self.acted.entry(known.0).or_insert((now, 0, None));
                 acted.1 += 1;
                 if acted.1 * 100 >= count * 99 && acted.2.is_none() {
                     acted.2 = Some(now);
                 }
             }
-            let held = &mut self.copies[copy];
-            held.known = known;
-            held.plan = held.instance.as_ref().map_or(held.plan.clone(), |i| i.plan(now));
+            (held.known, held.plan) = (known, instance.plan(now));
         }
-        let held = &mut self.copies[copy];
-        let Some(instance) = &mut held.instance else { return };
         let zone = held.zone as u16;
         for (to, bytes) in instance.take_out() {
             let to = self.addresses.get(&to).map(|&n| (n, (n % self.leaves.len()) as u16));
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -284,6 +284,12 @@
     }
 }
 
+/// A zone's place among those that there are.
+fn place(zones: &[String], name: &Option<String>) -> Option<Zone> {
+    let place = zones.iter().position(|known| Some(known) == name.as_ref())?;
+    Some(Zone(place as u16))
+}
+
 /// Parts that went, by index and id, how many further calls with them, and until when.
 type LentOut = (Vec<(Part, Rc<str>)>, u32, At);
 
@@ -454,12 +460,12 @@
             // No name of discovery's has a blank.
             let leaf = Leaf(self.desk.leaves.enter(&format!("site {name} {cell}")));
             let zone = self.site_zones.get(name).cloned();
-            let place = zone.as_ref().and_then(|z| self.zones.iter().position(|known| known == z));
+            let place = place(&self.zones, &zone);
             let held = HeldLeaf { address: None, cell, zone, started: None, site: Some(site), off: None };
             self.desk.held_leaves.insert(leaf.0, held);
             self.root.leaf(leaf, cell, true, None);
             self.root.far(leaf, None);
-            self.root.stands_in(leaf, place.map(|p| Zone(p as u16)));
+            self.root.stands_in(leaf, place);
             leaves.push(leaf);
         }
         self.root.list_end(&mut self.desk);
@@ -526,8 +532,8 @@
     pub fn name_zones(&mut self, names: Vec<String>) {
         self.zones = names;
         for (&leaf, held) in &self.desk.held_leaves {
-            let place = held.zone.as_ref().and_then(|z| self.zones.iter().position(|known| known == z));
-            self.root.stands_in(Leaf(leaf), place.map(|p| Zone(p as u16)));
+            let place = place(&self.zones, &held.zone);
+            self.root.stands_in(Leaf(leaf), place);
         }
     }
 
@@ -766,7 +772,7 @@
             let held = self.desk.held_leaves.entry(leaf.0).or_insert(fresh);
             (held.cell, held.started) = (cell, started);
             held.zone = zone.or(held.zone.take());
-            let place = held.zone.as_ref().and_then(|z| self.zones.iter().position(|known| known == z));
+            let place = place(&self.zones, &held.zone);
             if place.is_none() && held.zone.is_some() && !self.zones.is_empty() {
                 self.desk.counters.add("discovery", "unknown_zone");
             }
@@ -776,7 +782,7 @@
                 self.desk.wishes.push(Wish::Meet(leaf, address));
             }
             self.root.leaf(leaf, cell, up, started);
-            self.root.stands_in(leaf, place.map(|p| Zone(p as u16)));
+            self.root.stands_in(leaf, place);
         }
         self.root.list_end(&mut self.desk);
     }
