--- a/crates/pipitcrank-cli/src/main.rs
+++ b/crates/pipitcrank-cli/src/main.rs
@@ -88,6 +88,21 @@
         #[arg(long, default_value_t = 5.0)]
         wait: f64,
     },
+    /// Say in which waves the copies can be restarted: voters one by one and last, of each zone a share at once
+    RestartPlan {
+        /// The operators' file of a copy
+        #[arg(long)]
+        operators: PathBuf,
+        /// Of all copies, and of each zone's, at most this share is away at once
+        #[arg(long, default_value_t = 0.25)]
+        share: f64,
+        /// The copy to be asked, by the address that others know it by; without it the file's own
+        #[arg(long)]
+        at: Option<std::net::SocketAddr>,
+        /// Seconds to wait for an answer
+        #[arg(long, default_value_t = 5.0)]
+        wait: f64,
+    },
     /// Show it at work on this machine: stand-in leaves, some hundred queries, a leaf killed half way
     Demo {
         #[arg(long, default_value_t = 1)]
@@ -145,18 +160,11 @@
         What::Upgrade { pid, address, wait } => {
             said(asking::upgrade(pid, address, Duration::from_secs_f64(wait)))
         }
-        What::Zones { what, zone, operators, at, wait } => {
-            let read = Operators::read(&operators).map_err(|wrong| {
-                eprintln!("ERROR {wrong}");
-                2
-            });
-            read.map_or_else(
-                |code| code,
-                |operators| {
-                    let wait = Duration::from_secs_f64(wait);
-                    said(peers::command(operators.zones, &what, zone.as_deref(), at, wait))
-                },
-            )
+        What::Zones { what, zone, operators, at, wait } => asked_of(&operators, |zones| {
+            peers::command(zones, &what, zone.as_deref(), at, Duration::from_secs_f64(wait))
+        }),
+        What::RestartPlan { operators, share, at, wait } => {
+            asked_of(&operators, |zones| peers::restart_plan(zones, share, at, Duration::from_secs_f64(wait)))
         }
         What::Lab { name, copies, zones, seed, json, plot } => {
             said(lab(&name, copies, usize::from(zones), seed, json.as_deref(), plot.as_deref()))
@@ -171,6 +179,20 @@
     std::process::exit(code);
 }
 
+/// What an operator asks of the copies that a file joins.
+fn asked_of(
+    path: &std::path::Path,
+    ask: impl FnOnce(Option<pipitcrank_operators::Zones>) -> Result<i32>,
+) -> i32 {
+    match Operators::read(path) {
+        Ok(operators) => said(ask(operators.zones)),
+        Err(wrong) => {
+            eprintln!("ERROR {wrong}");
+            2
+        }
+    }
+}
+
 /// A wrong ending in words, for a person.
 fn said(ended: Result<i32>) -> i32 {
     ended.unwrap_or_else(|wrong| {
--- a/crates/pipitcrank-cli/src/peers.rs
+++ b/crates/pipitcrank-cli/src/peers.rs
@@ -10,7 +10,7 @@
 use pipitcrank::decide::zones::{Seen, Shares, Tally, Zone};
 use pipitcrank::time::{At, Span};
 use pipitcrank_failover::book::{Book, Pace};
-use pipitcrank_failover::decision::{Order, UNKNOWN, WHOLE};
+use pipitcrank_failover::decision::{Order, State, UNKNOWN, WHOLE};
 use pipitcrank_failover::follow::{Follow, Plan};
 use pipitcrank_failover::instance::{Answer, Command, Event, Instance, Shown};
 use pipitcrank_failover::shares::{Nearness, turned_away};
@@ -22,6 +22,7 @@
 use pipitcrank_node::discovery::Rev;
 use pipitcrank_node::serve::Ground;
 use pipitcrank_operators::Zones;
+use pipitcrank_recovery::turns::{self, Copy};
 use tokio::net::UdpSocket;
 
 use crate::disk::{Disk, Past};
@@ -538,7 +539,7 @@
         Some(Answer::Shown(shown)) => show(&zones, &shown),
         Some(Answer::Done(number)) => println!("decided, number {}.{}", number >> 32, number as u32),
         Some(Answer::Refused(why)) => bail!("refused: {why}"),
-        Some(Answer::NotLeading(_)) => bail!("no voter leads: {} asked", to.len()),
+        Some(Answer::NotLeading(_) | Answer::Who(..)) => bail!("no voter leads: {} asked", to.len()),
         None => bail!(
             "no answer of {} within {wait:?}",
             to.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
@@ -573,8 +574,51 @@
     Ok(0)
 }
 
+/// Prints in which waves the copies can be restarted, each with at most `share` of them and of each zone's; the exit code.
+pub fn restart_plan(zones: Option<Zones>, share: f64, at: Option<SocketAddr>, wait: Duration) -> Result<i32> {
+    let zones = zones.context("/zones is off in that operators' file")?;
+    anyhow::ensure!((0.0..=1.0).contains(&share), "--share is {share}, not from 0 to 1");
+    let to = [at.unwrap_or(zones.known_as)];
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let silent = || format!("no answer of {} within {wait:?}", to[0]);
+    let Some(Answer::Shown(shown)) = runtime.block_on(ask(&zones, &to, Asks::Order(None), wait))? else {
+        bail!(silent())
+    };
+    let decision = shown.decision.with_context(|| format!("{} knows of no decision", to[0]))?;
+    let mut copies = Vec::new();
+    let mut after = None;
+    loop {
+        let Some(Answer::Who(some, more)) = runtime.block_on(ask(&zones, &to, Asks::Who(after), wait))?
+        else {
+            bail!(silent())
+        };
+        after = some.last().map(|p| p.address);
+        copies.extend(some.into_iter().map(|p| Copy {
+            votes: zones.voters.iter().any(|v| v.0 == p.address),
+            address: p.address,
+            zone: p.zone,
+        }));
+        if !more {
+            break;
+        }
+    }
+    let leader = shown.leader.and_then(|seat| Some(zones.voters.get(usize::from(seat))?.0));
+    let home: Vec<bool> =
+        decision.places.iter().map(|p| p.state == State::Serving && p.kept == WHOLE).collect();
+    let waves = turns::plan(&copies, zones.voters.len(), leader, &home, share)?;
+    for (n, wave) in waves.iter().enumerate() {
+        let named = |c: &Copy| {
+            let zone = zones.zones.get(usize::from(c.zone)).map_or("?", |z| z.0.as_str());
+            format!("{} ({zone}{})", c.address, if c.votes { ", voter" } else { "" })
+        };
+        println!("{}: {}", n + 1, wave.iter().map(named).collect::<Vec<_>>().join(", "));
+    }
+    Ok(0)
+}
+
 enum Asks {
     Order(Option<Order>),
+    Who(Option<SocketAddr>),
     StayAway(Vec<u8>),
 }
 
@@ -587,6 +631,7 @@
         for &at in to {
             let asked = match &asks {
                 Asks::Order(order) => command.ask(at, *order),
+                Asks::Who(after) => command.who(at, *after),
                 Asks::StayAway(seats) => command.stay_away(at, seats.clone()),
             };
             if let Some(asked) = asked {
--- a/crates/pipitcrank-failover/src/instance.rs
+++ b/crates/pipitcrank-failover/src/instance.rs
@@ -31,6 +31,9 @@
 const MOST_ORDERS: usize = 16;
 const ORDER_TIME: Span = Span::from_ms(3000);
 
+/// Copies named in one datagram.
+const A_PIECE: usize = 40;
+
 const DECISION: u8 = 0;
 const BEATS: u8 = 1;
 
@@ -63,6 +66,11 @@
         ticket: u64,
         seats: Vec<u8>,
     },
+    /// Which copies are there, in the order of their addresses, from after that one on.
+    Who {
+        ticket: u64,
+        after: Option<SocketAddr>,
+    },
 }
 
 /// The answer to an operator's command.
@@ -74,6 +82,8 @@
     Refused(String),
     /// This copy does not lead the voters; the seat that does, where it knows.
     NotLeading(Option<u8>),
+    /// Copies that are there, a piece of the list, and whether more follow.
+    Who(Vec<Peer>, bool),
 }
 
 /// What a copy shows of zones.
@@ -343,6 +353,15 @@
                 }
             }
             Said::Ask { ticket, order } => self.asked(now, from, ticket, order),
+            Said::Who { ticket, after } => {
+                let mut all: Vec<Peer> = self.members.there().chain([&self.own]).cloned().collect();
+                all.sort_by_key(|p| p.address);
+                all.retain(|p| after.is_none_or(|after| p.address > after));
+                let more = all.len() > A_PIECE;
+                all.truncate(A_PIECE);
+                let answer = Answer::Who(all, more);
+                self.say(from, &Said::Told { ticket, answer });
+            }
             Said::StayAway { ticket, seats } => {
                 let answer = self.stay_away(&seats);
                 self.say(from, &Said::Told { ticket, answer });
@@ -727,6 +746,12 @@
         self.sealer.seal(to, Kind::Word, &said)
     }
 
+    /// Asks which copies are there, from after that address on.
+    pub fn who(&mut self, to: SocketAddr, after: Option<SocketAddr>) -> Option<Vec<u8>> {
+        let said = postcard::to_allocvec(&Said::Who { ticket: self.ticket, after }).ok()?;
+        self.sealer.seal(to, Kind::Word, &said)
+    }
+
     /// Tells one voter which seats stay away for good.
     pub fn stay_away(&mut self, to: SocketAddr, seats: Vec<u8>) -> Option<Vec<u8>> {
         let said = postcard::to_allocvec(&Said::StayAway { ticket: self.ticket, seats }).ok()?;
