--- a/crates/pipitcrank-failover/tests/agreement.rs
+++ b/crates/pipitcrank-failover/tests/agreement.rs
@@ -453,3 +453,28 @@
         net.goes_on(15_000, &format!("seed {seed} healed"));
     }
 }
+
+/// What the noting of runs is for: with an older memory a voter would help decide a number that it had decided already.
+#[test]
+fn an_older_memory_helps_no_minority_to_a_second_decision_under_one_number() {
+    let mut net = Net::new(15, 3);
+    net.disks = true;
+    net.goes_on(5000, "first start");
+    let old = net.kept[1].len();
+    net.start_with(1, 0);
+    net.goes_on(3000, "another run, noted by the others");
+    net.part(&[2]);
+    net.goes_on(3000, "two decide, the third hears nothing");
+    // The other of the two is cut off, and the one comes back on what it had before its last run.
+    net.cut.clear();
+    net.part(&[0]);
+    net.on_way.clear();
+    let later = net.kept[1].len() - old;
+    net.start_with(1, later);
+    let decided = net.all.len();
+    net.pass(8000);
+    net.sound("put back beside one that missed what it decided");
+    assert_eq!(net.all.len(), decided, "the two that are left are no majority of those that decided");
+    net.cut.clear();
+    net.goes_on(6000, "healed");
+}
