Jams by stuck leaves: parts that only add are spared, what waits is bounded from the start

`place` let an answer take 0.7 of the time left at first.

Change: a part that an answer can do without is not sent where what waits takes over a tenth of the SLO time; what waits, not a query's own work, is bounded by the share, which begins at 0.25. Each with its case; set aside, they fail.

--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -171,13 +171,8 @@
         }
         match self.purse {
             _ if now < self.shut => 0.0,
-            Some((left, until)) => {
-                if now < until {
-                    left
-                } else {
-                    0.0
-                }
-            }
+            Some((left, until)) if now < until => left,
+            Some(_) => 0.0,
             None => self.lasting(self.lent.values().map(|l| l.1).max().unwrap_or(now)),
         }
     }
@@ -423,7 +418,7 @@
         asks_list: bool,
         tick: Span,
     ) -> Root {
-        let (fill, overdue) = (Self::FILL.1, Mark(Some(Self::FIRST_OVERDUE)));
+        let (fill, overdue) = (Self::FIRST_FILL, Mark(Some(Self::FIRST_OVERDUE)));
         Root { chance, cover, budget, fail_back, tries, asks_list, tick, overdue, fill, ..Root::default() }
     }
 
@@ -656,9 +651,10 @@
         (self.trades[v.0 as usize].terms.slo * Self::WAIT_SHARE).min(most)
     }
 
-    /// A leaf is given work that it should answer within a share of the time left, between what leaves room
-    /// for spread and what keeps leaves busy. It settles where one begun query in fifteen to twenty is late.
-    const FILL: (f64, f64) = (0.3, 0.7);
+    /// What waits at a leaf may fill this share of the time left: room for spread, and leaves kept busy. It settles
+    /// where one begun query in fifteen to twenty is late; first low, as reports of a jam come late and to all.
+    const FILL: (f64, f64) = (0.2, 0.7);
+    const FIRST_FILL: f64 = 0.25;
 
     fn judge(&mut self, in_time: bool) {
         let fill = if in_time { self.fill + 0.01 } else { self.fill * 0.8 };
@@ -978,7 +974,7 @@
         }
         let open = &self.queries[&query];
         let due = if now < open.slo { open.slo } else { open.ends };
-        let span = (due - now) * self.fill;
+        let (left, (floor, need)) = (due - now, self.bounds(open));
         let level = self.level(now, &uncovered).max(soon);
         let (rate, usual) = (self.rate.0.unwrap_or(1.0), drained(self.lag, now));
         let mut plan = Plan::new();
@@ -989,7 +985,9 @@
             }
             let first = uncovered[self.chance.below(uncovered.len())];
             let oldest = self.parts[&first].sent.iter().filter(|s| s.out).map(|s| now - s.at).max();
-            let span = oldest.map_or(span, |age| span.min(age * Self::COPY_SHARE));
+            let most = oldest.map_or(left, |age| age * Self::COPY_SHARE).min(left * Self::FILL.1);
+            // Guards against parts that only add to an answer and take a jammed leaf from queries that need theirs.
+            let spared = floor < need && 1.0 - stuck - self.parts[&first].weight >= floor;
             let mut covers: Vec<(Leaf, Vec<Part>)> = Vec::new();
             let mut who = self.candidates(now, first, &plan);
             let ready = |l: Leaf| self.expected(now, l, &plan)(0.0) + self.crossing(l, query);
@@ -998,6 +996,12 @@
             for (leaf, room) in who {
                 let mut bundle = self.bundle(leaf, room, first, &uncovered);
                 let takes = self.expected(now, leaf, &plan);
+                // What waits there may fill a share of the time left beside this query's own work.
+                let waits = self.expected(now, leaf, &Plan::new())(0.0);
+                let span = most.min(left - waits * (1.0 / self.fill - 1.0));
+                if spared && waits > soon {
+                    continue;
+                }
                 let sums = self.sums(&bundle);
                 // A query is as slow as its slowest bundle; a leaf late even for one part is left out.
                 while bundle.len() > 1 && takes(sums[bundle.len() - 1]) > span.min(level) {
--- a/crates/pipitcrank/tests/cases.rs
+++ b/crates/pipitcrank/tests/cases.rs
@@ -423,3 +423,37 @@
         assert!((850..1150).contains(&share), "{n} came {share} times of 6000");
     }
 }
+
+#[test]
+fn a_part_that_only_adds_is_not_sent_where_much_waits_and_one_that_all_hangs_on_is() {
+    // On the fleet's herd and join days queries that may be partial, of 200 parts, filled the one good holder of each
+    // shard whose other holder was stuck; queries that need every part were rejected unsent, three of four.
+    for (vertical, goes) in [(1, false), (0, true)] {
+        let (mut root, mut tape) = fresh(3);
+        // All holders of shard 2 have something out, which takes a sixth of the SLO time.
+        for n in 0..3 {
+            ask(&mut root, &mut tape, n, 2, n as u32, &[2]);
+            turned(&mut root, n);
+        }
+        ask(&mut root, &mut tape, 100, vertical, 50, &[2, 5, 0]);
+        let calls = turned(&mut root, 100).calls();
+        assert_eq!(calls.iter().any(|c| c.0 == Part(50)), goes, "{calls:?}");
+        assert!(calls.iter().any(|c| c.0 == Part(51)), "others go in any case: {calls:?}");
+    }
+}
+
+#[test]
+fn what_waits_is_bounded_first_and_a_long_part_of_ones_own_is_not() {
+    // A share of the time left for all, own work included, kept a vertical of long parts from ever beginning.
+    let (mut root, mut tape) = fresh(3);
+    ask(&mut root, &mut tape, 0, 0, 0, &[2]);
+    turned(&mut root, 0);
+    // A part takes over a fifth of the SLO time; nobody else asks anything.
+    end(&mut root, 330, Part(0), 0, Ending::Pass);
+    for n in 1..20 {
+        let t = n * 5000;
+        ask(&mut root, &mut tape, t, 0, 0, &[2]);
+        assert_eq!(turned(&mut root, t).calls().len(), 1, "query {n}");
+        end(&mut root, t + 330, Part(0), 0, Ending::Pass);
+    }
+}
