A copy that stood still answers at once what its clients have given up on

Change: `awake.rs` tells a process that stood still for over a second; a query read within 0.25 s after that has its time less the sleep, and is rejected at once where none is left (`queries unread_too_long`). The stand-in client looks whether a kept connection was closed before it uses it again, as clients do.

--- /dev/null
+++ b/crates/pipitcrank-node/src/awake.rs
@@ -0,0 +1,68 @@
+//! Whether this process has just stood still: what lies in its sockets then is as old as that, and nobody says how old.
+
+use std::sync::atomic::{AtomicI64, Ordering};
+
+use pipitcrank::time::{At, Span};
+
+/// Looks that come each quarter of a second are this late only where the process or its machine stood still.
+const ASLEEP: Span = Span::from_ms(1000);
+/// What had come before is read within this after waking: some thousand requests.
+const BACKLOG: Span = Span::from_ms(250);
+
+/// Microseconds of the process's clock; one thread writes.
+pub struct Awake {
+    looked: AtomicI64,
+    woke: AtomicI64,
+    slept: AtomicI64,
+}
+
+impl Awake {
+    pub fn new(now: At) -> Awake {
+        Awake {
+            looked: AtomicI64::new(now.us()),
+            woke: AtomicI64::new(i64::MIN / 2),
+            slept: AtomicI64::new(0),
+        }
+    }
+
+    /// Called all the time, and with each request.
+    pub fn look(&self, now: At) {
+        let late = now.us() - self.looked.swap(now.us(), Ordering::Relaxed);
+        if late > ASLEEP.us() {
+            self.woke.store(now.us(), Ordering::Relaxed);
+            self.slept.store(late, Ordering::Relaxed);
+        }
+    }
+
+    /// How long a request read now may have waited to be read, beyond what is usual.
+    pub fn unread_for(&self, now: At) -> Span {
+        let since = now.us() - self.woke.load(Ordering::Relaxed);
+        if since < BACKLOG.us() {
+            Span::from_ms(self.slept.load(Ordering::Relaxed) / 1000)
+        } else {
+            Span::ZERO
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_read_on_waking_is_as_old_as_the_sleep_and_what_comes_later_is_new() {
+        let at = |ms| At::from_s(5.0) + Span::from_ms(ms);
+        let awake = Awake::new(at(0));
+        for ms in (0..2000).step_by(50) {
+            awake.look(at(ms));
+            assert_eq!(awake.unread_for(at(ms)), Span::ZERO);
+        }
+        // Late, as a busy machine is.
+        awake.look(at(2700));
+        assert_eq!(awake.unread_for(at(2700)), Span::ZERO);
+        awake.look(at(8700));
+        awake.look(at(8750));
+        assert_eq!(awake.unread_for(at(8900)), Span::from_ms(6000));
+        assert_eq!(awake.unread_for(at(8951)), Span::ZERO);
+    }
+}
--- a/crates/pipitcrank-node/src/front.rs
+++ b/crates/pipitcrank-node/src/front.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
+use crate::awake::Awake;
 use crate::clock::{Clock, duration};
 use crate::counters::Counters;
 use crate::exchange::{Asked, AskedPart, Final};
@@ -65,6 +66,7 @@
     pub knocks: UnboundedSender<Knock>,
     pub end_called: EndCalled,
     pub tickets: Arc<AtomicU64>,
+    pub awake: Arc<Awake>,
 }
 
 /// What a client asks.
@@ -155,6 +157,13 @@
             return bad(&door, kind, status, what);
         }
     };
+    // Guards against a wave of queries whose clients have long gone, after this process stood still: all leaves were
+    // asked for them at once, and nobody was served for ten seconds.
+    let now = door.clock.now();
+    if asked.ends <= now && door.awake.unread_for(now) > Span::ZERO {
+        door.counters.add("queries", "unread_too_long");
+        return encode(Final::Rejected { stay_away: Span::ZERO });
+    }
     let ticket = door.tickets.fetch_add(1, Ordering::Relaxed);
     let (answer, answered) = oneshot::channel();
     if door.knocks.send(Knock::Ask(ticket, asked, answer)).is_err() {
@@ -185,6 +194,8 @@
     body: Body,
 ) -> Result<Asked, Wrong> {
     let received = door.clock.now();
+    door.awake.look(received);
+    let unread = door.awake.unread_for(received);
     let wrong = |what: &'static str| (StatusCode::BAD_REQUEST, what);
     // Guards against a request hidden in the body of another: neither is taken.
     if arrival.is_some_and(|a| a.mixed) {
@@ -211,7 +222,7 @@
     let body = tokio::time::timeout_at(whole_by, to_bytes(body, MOST_BODY)).await;
     let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))?;
     let body = body.map_err(|e| too_large_or_broken(&e))?;
-    let ends = ends(received + left, *door.end_called.borrow());
+    let ends = ends(received + left - unread, *door.end_called.borrow());
     decode(&body, id, vertical, ends, door.shards).map_err(wrong)
 }
 
--- a/crates/pipitcrank-node/src/lib.rs
+++ b/crates/pipitcrank-node/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the co-ordinator on sockets is made of, one job a file.
 
+pub mod awake;
 pub mod charter;
 pub mod clock;
 pub mod counters;
--- a/crates/pipitcrank-node/src/serve.rs
+++ b/crates/pipitcrank-node/src/serve.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::watch;
 
+use crate::awake::Awake;
 use crate::charter::Charter;
 use crate::clock::Clock;
 use crate::counters::Counters;
@@ -28,6 +29,9 @@
 use crate::reload;
 use crate::worker::{FirstList, Worker};
 
+/// How often it looks whether it stood still.
+const LOOK: std::time::Duration = std::time::Duration::from_millis(250);
+
 /// The file that `NODE_CONFIG` names, and its text.
 pub fn charter_text() -> Result<(String, String), String> {
     let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
@@ -89,6 +93,7 @@
     let door_tickets = tickets.clone();
     let verticals = charter.verticals()?;
     let worker_verticals = verticals.len();
+    let awake = Arc::new(Awake::new(clock.now()));
     let router = front::router(Door {
         clock,
         counters: counters.clone(),
@@ -97,6 +102,7 @@
         knocks,
         end_called: end_called.clone(),
         tickets: tickets.clone(),
+        awake: awake.clone(),
     });
     let (move_watch, watched) = watch::channel(charter.discovery()?);
     let (tick, name, listen) = (charter.tick()?, charter.name()?, charter.listen()?);
@@ -191,6 +197,12 @@
             rev: ground_rev,
         }),
     };
+    tokio::task::spawn_local(async move {
+        loop {
+            awake.look(clock.now());
+            tokio::time::sleep(LOOK).await;
+        }
+    });
     let quiet = || hall.ask(Exchange::quiet) && relay.quiet();
     tokio::select! {
         () = hall.take_turns(tick, &leaf_side) => {}
--- a/crates/pipitcrank-rig/src/client.rs
+++ b/crates/pipitcrank-rig/src/client.rs
@@ -125,9 +125,19 @@
         }
     }
 
+    /// A kept connection that was not closed meanwhile, as clients look before they use one again.
+    fn kept_open(&self) -> Option<BufReader<TcpStream>> {
+        loop {
+            let stream = self.kept.borrow_mut().pop()?;
+            match stream.get_ref().try_read(&mut [0; 1]) {
+                Err(nothing) if nothing.kind() == std::io::ErrorKind::WouldBlock => return Some(stream),
+                _ => self.closed.set(self.closed.get() + 1),
+            }
+        }
+    }
+
     async fn exchange(&self, question: &Question) -> Result<Answer, Ended> {
-        let kept = self.kept.borrow_mut().pop();
-        let mut stream = match kept {
+        let mut stream = match self.kept_open() {
             Some(stream) => stream,
             None => BufReader::new(connect(self.address).await.map_err(|_| Ended::Refused)?),
         };
