Review: one section of zones for both trials, one question whether a voter may speak

Read again: the trial of a return wrote the operators' section on zones out once more; whether a voter's words may go out was asked by two closures; spans were made by hand beside `peers::span`; `Store::is_opened` was called by nobody; a third figure of `service` and a copied list were read by nobody; a case's line said what it does not do. Change: one piece for each, nothing moved in behaviour; the decision module is untouched.

--- a/crates/pipitcrank-cli/src/disk.rs
+++ b/crates/pipitcrank-cli/src/disk.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pipitcrank::time::{At, Span};
+use pipitcrank::time::At;
 use pipitcrank_failover::agreement::Memory;
 use pipitcrank_failover::decision::Decision;
 use pipitcrank_handover::passing::mono_us;
@@ -17,7 +17,7 @@
 use pipitcrank_recovery::store::{Fault, Store};
 use tokio::sync::Notify;
 
-use crate::peers::since_1970_us;
+use crate::peers::{since_1970_us, span};
 
 /// A start is held up by the disk for no longer than this.
 const OPENS_WITHIN: Duration = Duration::from_millis(500);
@@ -97,7 +97,7 @@
             tracing::warn!("/store/path {at}: what was known can't be read, and is left");
             return Past { memory, ..Past::default() };
         };
-        let recalled = beliefs.recall(clocks(), Span::from_s(self.told.oldest.as_secs_f64()));
+        let recalled = beliefs.recall(clocks(), span(self.told.oldest));
         if recalled.known.is_none() {
             tracing::info!(
                 "/store/path {at}: what was known of leaves is too old, or a clock was set; it is left"
@@ -129,7 +129,7 @@
         agreed: impl FnOnce() -> (Option<Decision>, Vec<Peer>),
     ) {
         self.say(&hall.counters);
-        if self.written.is_some_and(|at| now - at < Span::from_s(self.told.every.as_secs_f64())) {
+        if self.written.is_some_and(|at| now - at < span(self.told.every)) {
             return;
         }
         self.written = Some(now);
@@ -141,7 +141,7 @@
 
     /// When `look` is due.
     pub fn due(&self) -> At {
-        self.written.map_or(At::default(), |at| at + Span::from_s(self.told.every.as_secs_f64()))
+        self.written.map_or(At::default(), |at| at + span(self.told.every))
     }
 
     fn say(&mut self, counters: &Counters) {
--- a/crates/pipitcrank-cli/src/peers.rs
+++ b/crates/pipitcrank-cli/src/peers.rs
@@ -47,7 +47,7 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
 }
 
-fn span(d: Duration) -> Span {
+pub fn span(d: Duration) -> Span {
     Span::from_s(d.as_secs_f64())
 }
 
--- a/crates/pipitcrank-failover/src/instance.rs
+++ b/crates/pipitcrank-failover/src/instance.rs
@@ -612,6 +612,12 @@
 
     // Passing on.
 
+    /// Whether the voter's words may go out and be acted on. Guards against one given and then forgotten.
+    fn is_free(&self) -> bool {
+        let changed = self.agreement.as_ref().is_some_and(Agreement::has_changed);
+        !self.keeps || !self.owes && !changed
+    }
+
     fn settle(&mut self, now: At) {
         for news in self.members.take_news() {
             self.events.push(Event::Member(news));
@@ -629,9 +635,9 @@
                 _ => self.events.push(Event::Unread),
             }
         }
-        // Guards against a word given or acted on and then forgotten.
-        let free = |a: &&mut Agreement| !self.keeps || !self.owes && !a.has_changed();
-        let decided = self.agreement.as_mut().filter(free).map(Agreement::take_decided).unwrap_or_default();
+        let free = self.is_free();
+        let decided =
+            self.agreement.as_mut().filter(|_| free).map(Agreement::take_decided).unwrap_or_default();
         for decision in decided {
             let done = self.orders.iter().find(|o| o.proposed == Some((decision.cause, decision.zone)));
             if let Some(&done) = done {
@@ -644,8 +650,9 @@
         for ordered in over {
             self.tell(ordered, Answer::Refused("the voters did not agree in time".to_string()));
         }
-        let free = |a: &&mut Agreement| !self.keeps || !self.owes && !a.has_changed();
-        let voters = self.agreement.as_mut().filter(free).map(Agreement::take_out).unwrap_or_default();
+        // Asked anew: what was taken above may have changed it.
+        let free = self.is_free();
+        let voters = self.agreement.as_mut().filter(|_| free).map(Agreement::take_out).unwrap_or_default();
         for (seat, out) in voters {
             let to = self.seats[seat];
             match out {
--- a/crates/pipitcrank-recovery/src/store.rs
+++ b/crates/pipitcrank-recovery/src/store.rs
@@ -135,7 +135,7 @@
         Store { shared, thread: spawned.ok(), next: 0 }
     }
 
-    /// What was found, waited for no longer than `within`. Once.
+    /// What was found, waited for no longer than `within`.
     pub fn found(&self, within: Duration) -> Result<Found, Fault> {
         let until = Instant::now() + within;
         let mut slots = self.shared.slots();
@@ -154,11 +154,6 @@
         }
     }
 
-    /// Whether the file has been opened, or never will be.
-    pub fn is_opened(&self) -> bool {
-        self.shared.slots().opened.is_some()
-    }
-
     /// To be synced; the number is that which `synced` reaches then.
     pub fn keep(&mut self, promises: Vec<u8>) -> u64 {
         self.next += 1;
--- a/crates/pipitcrank-rig/src/trial/returns.rs
+++ b/crates/pipitcrank-rig/src/trial/returns.rs
@@ -18,7 +18,7 @@
 use rustix::process::Signal;
 
 use super::Outcome;
-use super::zones::{SECRET, Seen, free_udp, tell, watch};
+use super::zones::{Seen, free_udp, section, tell, watch};
 use crate::client::Clients;
 use crate::fleet::Load;
 use crate::leaf::Work;
@@ -33,7 +33,6 @@
 const DRAINED: usize = 2;
 /// A leaf does two hundred parts a second.
 const WORK: Work = Work { usual: Duration::from_millis(10), at_once: 2 };
-const LEAF_BEARS: f64 = 160.0;
 /// Queries a second at each copy; a query has 5.7 parts. Two zones of six leaves are left: eight tenths of what they bear.
 const RATE: f64 = 22.0;
 /// Budget of one copy as the charter tells it, and how long a call may wait at a leaf before it is seen to run.
@@ -66,7 +65,7 @@
     Torn,
     /// All die, and die again a second after they came back.
     Twice,
-    /// Eight stand still for six seconds, while what is drained is let return.
+    /// Eight stand still for six seconds.
     Stopped,
     /// All die while a zone is lost, which comes back later.
     Failover,
@@ -124,24 +123,10 @@
     voters: &[SocketAddr],
     store: Option<&Path>,
 ) -> String {
-    let zones: Vec<String> = ZONES
-        .iter()
-        .map(|(name, region)| format!("{{ name = \"{name}\", region = \"{region}\" }}"))
-        .collect();
-    let seats: Vec<String> = (voters.iter().zip(ZONES))
-        .map(|(at, (zone, _))| format!("{{ address = \"{at}\", zone = \"{zone}\" }}"))
-        .collect();
     let store = store.map_or(String::new(), |path| {
         format!(", store = Some {{ path = \"{}\", every_s = 0.5, oldest_s = 30.0 }}", path.display())
     });
-    format!(
-        "{{ zones = Some {{ zone = \"{}\", listen = \"{listen}\", known_as = \"{known_as}\", zones = [ {} ] \
-         , peers = [] : List Text, voters = [ {} ], secret = \"{SECRET}\", suspect_s = 0.4, hold_down_s = 1.0 \
-         , hold_down_most_s = 8.0, calm_s = 6.0, hold_s = 6.0, leaf_bears = {LEAF_BEARS:?}, dry_run = False }}{store} }}",
-        ZONES[zone].0,
-        zones.join(", "),
-        seats.join(", "),
-    )
+    format!("{{ {}{store} }}", section(&ZONES, zone, listen, known_as, voters))
 }
 
 impl Scene {
@@ -273,11 +258,11 @@
     missing: Vec<String>,
 }
 
-/// Each second's service, over all copies.
-fn service(ledgers: &[Ledger], from: Instant, to: Instant) -> (f64, u64, f64) {
+/// The share served of what was asked within that time, over all copies, and how many got nothing that serves.
+fn service(ledgers: &[Ledger], from: Instant, to: Instant) -> (f64, u64) {
     let sums = ledgers.iter().map(|l| l.between(from, to));
     let (earned, all, failed) = sums.fold((0.0, 0.0, 0), |s, l| (s.0 + l.0, s.1 + l.1, s.2 + l.2));
-    (earned / all.max(1e-9), failed, all)
+    (earned / all.max(1e-9), failed)
 }
 
 impl Scene {
@@ -308,8 +293,7 @@
         let usual = service(ledgers, from, to - ms(500)).0;
         shows.before = self.zoned.most_in(secs(1), from, to);
         let newest = self.seen.borrow().decisions.last_key_value().map_or(0, |(n, _)| *n);
-        let all: Vec<usize> = (0..COPIES).collect();
-        let mut order = all.clone();
+        let mut order: Vec<usize> = (0..COPIES).collect();
         order.shuffle(&mut chance);
         let dead: Vec<usize> = match case {
             Case::Survivors => order.iter().copied().filter(|&n| n != COPIES - 1).collect(),
@@ -432,7 +416,7 @@
         let good = |ms: u64| service(ledgers, from(ms), from(ms + 1000)).0 >= FULL * usual;
         let full = (0..=(10_000 / 250)).map(|n| n * 250).find(|&ms| (0..HOLDS).all(|s| good(ms + s * 1000)));
         shows.full = full.map(|ms| ms as f64 / 1000.0);
-        let (_, failed, _) = service(ledgers, started, from(10_000));
+        let (_, failed) = service(ledgers, started, from(10_000));
         let asked = RATE * COPIES as f64 * 10.0;
         shows.errors = failed as f64 / asked;
         shows.after = self.zoned.most_in(secs(1), started, end);
--- a/crates/pipitcrank-rig/src/trial/zones.rs
+++ b/crates/pipitcrank-rig/src/trial/zones.rs
@@ -163,27 +163,38 @@
     other: SocketAddr,
 }
 
-fn file(zone: usize, listen: SocketAddr, known_as: SocketAddr, voters: &[SocketAddr], gate: Gate) -> String {
-    let zones: Vec<String> = ALL_ZONES
-        .iter()
-        .map(|(name, region)| format!("{{ name = \"{name}\", region = \"{region}\" }}"))
+/// The operators' section on zones that trials give a copy of zone `own`: short times, voters with their zones.
+pub(super) fn section(
+    zones: &[(&str, &str)],
+    own: usize,
+    listen: SocketAddr,
+    known_as: SocketAddr,
+    voters: &[SocketAddr],
+) -> String {
+    let seats: Vec<String> = (voters.iter().zip(zones))
+        .map(|(at, (zone, _))| format!("{{ address = \"{at}\", zone = \"{zone}\" }}"))
         .collect();
-    let (site, other) = if zone == SOUTH { ("south", "north") } else { ("north", "south") };
-    let seats: Vec<String> = voters
+    let named: Vec<String> = zones
         .iter()
-        .zip(ZONES)
-        .map(|(at, zone)| format!("{{ address = \"{at}\", zone = \"{zone}\" }}"))
+        .map(|(name, region)| format!("{{ name = \"{name}\", region = \"{region}\" }}"))
         .collect();
     format!(
-        "{{ zones = Some {{ zone = \"{}\", listen = \"{listen}\", known_as = \"{known_as}\", zones = [ {} ] \
+        "zones = Some {{ zone = \"{}\", listen = \"{listen}\", known_as = \"{known_as}\", zones = [ {} ] \
          , peers = [] : List Text, voters = [ {} ], secret = \"{SECRET}\", suspect_s = 0.4, hold_down_s = 1.0 \
-         , hold_down_most_s = 8.0, calm_s = 6.0, hold_s = 6.0, leaf_bears = {LEAF_BEARS:?}, dry_run = False }} \
-         , gateway = Some {{ site = \"{site}\", listen = \"{}\", connections = 1, prefer_near_s = 0.02 \
+         , hold_down_most_s = 8.0, calm_s = 6.0, hold_s = 6.0, leaf_bears = {LEAF_BEARS:?}, dry_run = False }}",
+        zones[own].0,
+        named.join(", "),
+        seats.join(", "),
+    )
+}
+
+fn file(zone: usize, listen: SocketAddr, known_as: SocketAddr, voters: &[SocketAddr], gate: Gate) -> String {
+    let (site, other) = if zone == SOUTH { ("south", "north") } else { ("north", "south") };
+    format!(
+        "{{ {}, gateway = Some {{ site = \"{site}\", listen = \"{}\", connections = 1, prefer_near_s = 0.02 \
          , sites = [ {{ name = \"{other}\", address = \"{}\" }} ] }} \
          , upgrade = Some {{ start_s = 3.0, settle_s = 0.6, silent_s = 1.0, finish_s = 8.0 }} }}",
-        ALL_ZONES[zone].0,
-        zones.join(", "),
-        seats.join(", "),
+        section(&ALL_ZONES, zone, listen, known_as, voters),
         gate.listen,
         gate.other
     )
