No list of copies or leaves under 1,024: indented lists, changes counted once, peers and lanes by need

Need: the users play up to 350 processes and some hundreds of leaves. Read and counted: - a watch's list was cut at lines, so an indented one was no list (bad_bytes, the watch asked again for ever): objects are cut out of the stream now (objects.rs), up to 4 MiB, and a longer one is left by name; - each changed leaf had a look at all leaves: changes of one turn are taken together; - peers of the operators' file 64 -> 4,096, members remembered likewise (the rest was cut in silence); - a copy asked all named peers that are no members each second, and looked through all members for each: eight a second by turns (a thousand copies sent a million datagrams a second at a common start); - the gateway's 128 connections and 256 lanes: connections are of the sockets told, lanes 4,096; - parts for one leaf were found by a look through all bundles of the turn: by the leaf.

--- a/crates/pipitcrank-cli/tests/sockets.rs
+++ b/crates/pipitcrank-cli/tests/sockets.rs
@@ -508,9 +508,10 @@
     }
     let silent: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(node.address).unwrap()).collect();
     assert_eq!(answer(node.send(&post("usual", &ask))).0, 200);
-    // Each of the silent ones is closed, too, and so is one that stops within its request.
+    // Each of the silent ones is closed, too, and one that stops within its request is told so.
     let half = node.send("POST /view HTTP/1.1\r\nHost: x\r\nReq-Id: ha");
-    for mut stream in silent.into_iter().chain([half]) {
+    assert_eq!(answer(half).0, 408);
+    for mut stream in silent {
         stream.set_read_timeout(Some(LIMIT)).unwrap();
         let end = stream.read(&mut [0; 9]);
         assert!(
--- a/crates/pipitcrank-gateway/src/far.rs
+++ b/crates/pipitcrank-gateway/src/far.rs
@@ -28,8 +28,6 @@
 const GREETS_WITHIN: Duration = Duration::from_millis(1500);
 /// A peer's heartbeats come each 50 ms; without any for so long its link is dead.
 const SILENT: Duration = Duration::from_secs(5);
-/// Connections from peers, at most: several lanes from each of a dozen sites, old ones on their way out included.
-const MOST_CONNECTIONS: usize = 128;
 /// Between two tries to listen: while an upgrade passes, the address is the old process's.
 const LISTEN_AGAIN: Duration = Duration::from_millis(100);
 
@@ -71,7 +69,6 @@
     /// The newest connection of each lane, by its generation; older ones are not heard any more.
     connections: RefCell<BTreeMap<Lane, (u64, Say)>>,
     generation: Cell<u64>,
-    open: Cell<usize>,
     leaving: watch::Receiver<bool>,
 }
 
@@ -89,7 +86,6 @@
             in_hand: RefCell::default(),
             connections: RefCell::default(),
             generation: Cell::default(),
-            open: Cell::default(),
             leaving: ground.leaving.clone(),
         })
     }
@@ -126,18 +122,19 @@
                 tokio::time::sleep(LISTEN_AGAIN).await;
                 continue;
             };
-            // Until links are encrypted nobody from elsewhere is heard.
-            if !from.ip().is_loopback() || self.open.get() >= MOST_CONNECTIONS {
+            // Until links are encrypted nobody from elsewhere is heard. Peers' connections are of the sockets told, as leaves'
+            // are: however many copies a site has, what is told holds.
+            let place = self.hall.sockets.place().filter(|_| from.ip().is_loopback());
+            let Some(place) = place else {
                 self.hall.counters.add("peers", "turned_away");
                 continue;
-            }
+            };
             let far = self.clone();
-            far.open.set(far.open.get() + 1);
             tokio::task::spawn_local(async move {
                 let why = far.clone().serve(stream).await;
                 far.hall.counters.add("peers", why);
                 tracing::info!("a peer's link ended: {why}");
-                far.open.set(far.open.get() - 1);
+                drop(place);
             });
         }
     }
--- a/crates/pipitcrank-gateway/src/ledger.rs
+++ b/crates/pipitcrank-gateway/src/ledger.rs
@@ -74,8 +74,8 @@
     longest: Span,
 }
 
-/// Lanes held, at most: those of some instances for each of some dozen sites. The one not heard of for longest goes.
-const MOST_LANES: usize = 256;
+/// Lanes held, at most: four of each of a thousand copies. The one not heard of for longest goes, of those with nothing held.
+const MOST_LANES: usize = 4096;
 
 impl Ledger {
     pub fn new(own: &str, longest: Span) -> Ledger {
--- a/crates/pipitcrank-membership/src/members.rs
+++ b/crates/pipitcrank-membership/src/members.rs
@@ -7,7 +7,7 @@
 //! that grows with the fleet's logarithm.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::rc::Rc;
@@ -38,8 +38,10 @@
 const FANOUT: usize = 3;
 /// Members held to be dead are asked again so often: a cut that healed is seen within some of these.
 const ASK_DEAD: Duration = Duration::from_millis(1000);
-/// Peers of the operators' file that are no members are asked so often.
+/// Peers of the operators' file that are no members are asked so often, so many of them, by turns: one that answers
+/// tells of all others. Guards against a thousand copies that start at once and ask a thousand each.
 const ASK_NAMED: Span = Span::from_ms(1000);
+const NAMED_AT_ONCE: usize = 8;
 /// Longest word that goes round as a rumour: fits beside what foca itself says.
 pub const LONGEST_RUMOUR: usize = 900;
 /// Goodbyes remembered.
@@ -171,6 +173,7 @@
     next_timer: u64,
     /// Peers of the operators' file, and when they are asked next.
     named: Vec<SocketAddr>,
+    next_named: usize,
     ask_named: At,
     news: Vec<News>,
     send: Vec<(SocketAddr, Vec<u8>)>,
@@ -183,7 +186,7 @@
 impl Members {
     /// `named`: addresses of copies to begin with; the own one among them is left.
     pub fn new(own: Peer, named: &[SocketAddr], seed: u64) -> Members {
-        let named = named.iter().copied().filter(|a| *a != own.address).collect();
+        let named: Vec<SocketAddr> = named.iter().copied().filter(|a| *a != own.address).collect();
         let chance = Pcg64Mcg::seed_from_u64(seed);
         let rumours = Shared::default();
         let foca = Foca::with_custom_broadcast(own, config(), chance, foca::PostcardCodec, rumours.clone());
@@ -193,6 +196,7 @@
             runtime: AccumulatingRuntime::new(),
             timers: BTreeMap::new(),
             next_timer: 0,
+            next_named: seed as usize % named.len().max(1),
             named,
             ask_named: At::from_us(i64::MIN),
             news: Vec::new(),
@@ -239,8 +243,12 @@
         }
         if now >= self.ask_named {
             self.ask_named = now + ASK_NAMED;
-            let missing: Vec<SocketAddr> =
-                self.named.iter().copied().filter(|a| !self.there().any(|p| p.address == *a)).collect();
+            let there: BTreeSet<SocketAddr> = self.there().map(|p| p.address).collect();
+            let (before, after) = self.named.split_at(self.next_named.min(self.named.len()));
+            let missing = after.iter().chain(before).copied().filter(|a| !there.contains(a));
+            let missing: Vec<SocketAddr> = missing.take(NAMED_AT_ONCE).collect();
+            let last = missing.last().and_then(|last| self.named.iter().position(|a| a == last));
+            self.next_named = last.map_or(0, |last| last + 1);
             for address in missing {
                 // Whoever is there now: an announcement is taken by any process at that address.
                 let _ = self.foca.announce(Peer { address, instance: 0, zone: 0 }, &mut self.runtime);
--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
@@ -19,11 +19,12 @@
 use crate::ends::ConnectionEnd;
 use crate::exchange::Listed;
 use crate::hall::Hall;
+use crate::objects::{Objects, Spoilt};
 
 /// A watch that brings nothing for so long has died unnoticed: an empty line is due every 2 s.
 const SILENT: Duration = Duration::from_secs(5);
-/// Longest line taken: some thousands of leaves.
-const LONGEST: usize = 1 << 20;
+/// Longest list taken: some ten thousand leaves, indented, and a tenth of the least memory that platforms tell.
+const LONGEST: usize = 4 << 20;
 
 /// A list, or the changes of one.
 #[derive(Deserialize)]
@@ -121,8 +122,8 @@
 }
 
 /// Hands on what discovery sent; its version.
-fn take(hall: &Hall, line: &[u8]) -> Result<u64, ConnectionEnd> {
-    let news: Result<News, String> = serde_json::from_slice(line).map_err(|e| e.to_string());
+fn take(hall: &Hall, news: &[u8]) -> Result<u64, ConnectionEnd> {
+    let news: Result<News, String> = serde_json::from_slice(news).map_err(|e| e.to_string());
     let taken = news.and_then(|n| Ok((n.rev, n.rows(&hall.clock)?)));
     let (rev, (whole, rows)) = taken.map_err(|wrong| {
         tracing::warn!("discovery sent what can't be read: {wrong}");
@@ -132,6 +133,14 @@
     Ok(rev)
 }
 
+fn spoilt(what: Spoilt) -> ConnectionEnd {
+    match what {
+        Spoilt::Between => tracing::warn!("discovery sent what is no list"),
+        Spoilt::TooLong => tracing::warn!("discovery sent a list of over {LONGEST} bytes: it is left"),
+    }
+    ConnectionEnd::BadBytes
+}
+
 /// The whole list, where no version of it is known.
 async fn whole_list(hall: &Hall, client: &Asker, address: &str) -> Result<u64, ConnectionEnd> {
     let body = Limited::new(ask(client, address, "").await?, LONGEST).collect();
@@ -155,22 +164,17 @@
     };
     rev.set(Some(known));
     let mut body = ask(client, address, &format!("?stream=1&index={known}")).await?;
-    let mut buffer = BytesMut::new();
+    // A list may come indented: a line is no object.
+    let mut objects = Objects::new(LONGEST);
     loop {
         match tokio::time::timeout(SILENT, body.frame()).await {
             Err(_) => return Err(ConnectionEnd::Silent),
             Ok(None) => return Err(ConnectionEnd::Closed),
             Ok(Some(Err(_))) => return Err(ConnectionEnd::Reset),
-            Ok(Some(Ok(frame))) => buffer.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
-        }
-        while let Some(end) = buffer.iter().position(|&b| b == b'\n') {
-            let line = buffer.split_to(end + 1);
-            if !line.trim_ascii().is_empty() {
-                rev.set(Some(take(hall, &line)?));
-            }
+            Ok(Some(Ok(frame))) => objects.came(frame.data_ref().unwrap_or(&Bytes::new())),
         }
-        if buffer.len() > LONGEST {
-            return Err(ConnectionEnd::BadBytes);
+        while let Some(news) = objects.take().map_err(spoilt)? {
+            rev.set(Some(take(hall, &news)?));
         }
     }
 }
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -372,6 +372,7 @@
 
     /// News of the list of leaves; a whole list names all there are.
     pub fn list(&mut self, now: At, whole: bool, rows: Vec<Listed>) {
+        self.desk.counters.add("discovery", if whole { "whole_list" } else { "changes" });
         self.inbox.push(Happened::List(now, whole, rows));
     }
 
@@ -567,7 +568,16 @@
     // Turns.
 
     pub fn turn(&mut self, now: At, leaf_side: &mut dyn LeafSide) {
-        for happened in std::mem::take(&mut self.inbox) {
+        let mut inbox = std::mem::take(&mut self.inbox).into_iter().peekable();
+        while let Some(mut happened) = inbox.next() {
+            // Guards against a look at all leaves for each of hundreds that change in one moment. Told one by one they
+            // count from the first.
+            if let Happened::List(_, false, rows) = &mut happened {
+                let change = |h: &Happened| matches!(h, Happened::List(_, false, _));
+                while let Some(Happened::List(.., more)) = inbox.next_if(change) {
+                    rows.extend(more);
+                }
+            }
             self.hand_in(now, happened);
         }
         while let Some((_, label)) = self.desk.alarms.first().copied().filter(|a| a.0 <= now) {
@@ -791,7 +801,6 @@
     }
 
     fn take_list(&mut self, at: At, whole: bool, rows: Vec<Listed>) {
-        self.desk.counters.add("discovery", if whole { "whole_list" } else { "changes" });
         self.root.list_begin(whole);
         if whole {
             let near = self.desk.held_leaves.values_mut().filter(|l| l.site.is_none());
@@ -825,13 +834,18 @@
     /// Passes on what the module asked for: the parts for one leaf travel together, up to the call size told.
     fn carry_out(&mut self, leaf_side: &mut dyn LeafSide) {
         let wishes = std::mem::take(&mut self.desk.wishes);
+        // In the order of their first part.
         let mut bundles: Vec<(Leaf, Vec<CallNo>)> = Vec::new();
+        let mut places: BTreeMap<Leaf, usize> = BTreeMap::new();
         for wish in wishes {
             match wish {
-                Wish::Call(leaf, call) => match bundles.iter_mut().find(|(l, _)| *l == leaf) {
-                    Some((_, bundle)) => bundle.push(call),
-                    None => bundles.push((leaf, vec![call])),
-                },
+                Wish::Call(leaf, call) => {
+                    let place = *places.entry(leaf).or_insert(bundles.len());
+                    match bundles.get_mut(place) {
+                        Some((_, bundle)) => bundle.push(call),
+                        None => bundles.push((leaf, vec![call])),
+                    }
+                }
                 Wish::GiveUp(leaf, call) => {
                     leaf_side.give_up(leaf, call);
                     self.ended(call, Ending::Undone, None, None);
--- a/crates/pipitcrank-node/src/lib.rs
+++ b/crates/pipitcrank-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gate;
 pub mod hall;
 pub mod leaves;
+pub mod objects;
 pub mod relay;
 pub mod reload;
 pub mod serve;
--- a/crates/pipitcrank-operators/src/lib.rs
+++ b/crates/pipitcrank-operators/src/lib.rs
@@ -294,10 +294,11 @@
     }
 }
 
-/// Most zones, as the core has it; most voters, as the agreement has it; most copies to ask first.
+/// Most zones, as the core has it; most voters, as the agreement has it; most copies to ask first: some times the largest
+/// fleets, and a list of them still is a small part of the longest file.
 const MOST_ZONES: usize = 16;
 const MOST_VOTERS: usize = 7;
-const MOST_PEERS: usize = 64;
+const MOST_PEERS: usize = 4096;
 /// A secret shorter than this can be guessed.
 const LEAST_SECRET: usize = 16;
 
--- a/crates/pipitcrank-recovery/src/beliefs.rs
+++ b/crates/pipitcrank-recovery/src/beliefs.rs
@@ -15,8 +15,8 @@
 
 /// Two clocks tell the same time that has passed if they differ by no more: one that was set, by any amount that matters.
 const CLOCKS_AGREE: i64 = 2_000_000;
-/// Most members kept: whom to ask first.
-pub const MOST_MEMBERS: usize = 64;
+/// Most members kept, as many as an operators' file may name: whom to ask first. Each takes some twenty bytes.
+pub const MOST_MEMBERS: usize = 4096;
 
 /// Now, by the machine's clock of the day, in microseconds since 1970, and by the one that runs since its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -114,7 +114,7 @@
         )
         .known(pipitcrank::time::At::default());
         let snapshot = Snapshot { known, ..Snapshot::default() };
-        Beliefs::new(now, &snapshot, Some(Decision::first(3, 7 << 32)), vec![peer; 80])
+        Beliefs::new(now, &snapshot, Some(Decision::first(3, 7 << 32)), vec![peer; MOST_MEMBERS + 80])
     }
 
     #[test]
--- a/crates/pipitcrank-rig/src/discovery.rs
+++ b/crates/pipitcrank-rig/src/discovery.rs
@@ -17,7 +17,7 @@
 pub struct Discovery {
     pub address: SocketAddr,
     /// Changes so far, each its own version; version 1 is the first list.
-    changes: Rc<RefCell<Vec<Value>>>,
+    changes: Rc<RefCell<Vec<String>>>,
     newest: watch::Sender<usize>,
     first: Value,
 }
@@ -37,7 +37,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (newest, seen) = watch::channel(1);
-        let changes: Rc<RefCell<Vec<Value>>> = Rc::default();
+        let changes: Rc<RefCell<Vec<String>>> = Rc::default();
         let (told, rows_held) = (changes.clone(), rows.clone());
         tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -54,8 +54,17 @@
 
     /// Watches are told of a changed row.
     pub fn changes(&self, row: Value) {
+        self.tells(|rev| list(rev, false, vec![row]).to_string());
+    }
+
+    /// Watches are told of a whole new list, indented.
+    pub fn is_now(&self, rows: Vec<Value>) {
+        self.tells(|rev| format!("{:#}", list(rev, true, rows)));
+    }
+
+    fn tells(&self, what: impl FnOnce(usize) -> String) {
         let rev = self.changes.borrow().len() + 2;
-        self.changes.borrow_mut().push(list(rev, false, vec![row]));
+        self.changes.borrow_mut().push(what(rev));
         self.newest.send_replace(rev);
     }
 }
@@ -63,7 +72,7 @@
 async fn answer(
     stream: TcpStream,
     rows: Vec<Value>,
-    changes: Rc<RefCell<Vec<Value>>>,
+    changes: Rc<RefCell<Vec<String>>>,
     mut seen: watch::Receiver<usize>,
 ) -> std::io::Result<()> {
     let (from, mut to) = stream.into_split();
@@ -79,8 +88,7 @@
     };
     to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
     loop {
-        let news: Vec<String> =
-            changes.borrow().iter().skip(told.saturating_sub(1)).map(|c| c.to_string()).collect();
+        let news: Vec<String> = changes.borrow().iter().skip(told.saturating_sub(1)).cloned().collect();
         told += news.len();
         let lines = if news.is_empty() { "\n".to_string() } else { news.join("\n") + "\n" };
         to.write_all(format!("{:x}\r\n{lines}\r\n", lines.len()).as_bytes()).await?;
