--- a/crates/pipitcrank-cli/tests/ending.rs
+++ b/crates/pipitcrank-cli/tests/ending.rs
@@ -100,6 +100,16 @@
         tokio::time::sleep(Duration::from_millis(60)).await;
         let grace = grace(longest);
         (0..120).for_each(|n| ask(format!("view-kept-{n}"), grace * n / 120));
+        // Some never say anything, and some ask and do not read.
+        let mut quiet = Vec::new();
+        for n in 0..8 {
+            let mut stream = connect(process.address).await?;
+            if n < 4 {
+                let request = asks(&format!("view-unread-{n}")).request();
+                tokio::io::AsyncWriteExt::write_all(&mut stream, request.as_bytes()).await?;
+            }
+            quiet.push(stream);
+        }
         process.signal(Signal::TERM)?;
         let asked = Instant::now();
         // One stops in its head, one in its body; as late as clients come for certain.
--- a/crates/pipitcrank-node/src/gate.rs
+++ b/crates/pipitcrank-node/src/gate.rs
@@ -354,6 +354,9 @@
 
     use super::*;
 
+    /// More than the sockets of both sides hold.
+    const LONG_ANSWER: usize = 32 << 20;
+
     async fn asked(stream: &mut TcpStream) -> String {
         stream.write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
         let mut answer = Vec::new();
@@ -368,7 +371,9 @@
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let mut stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-            let router = Router::new().route("/", get(async || "served"));
+            let router = Router::new()
+                .route("/", get(async || "served"))
+                .route("/long", get(async || "x".repeat(LONG_ANSWER)));
             let (call, called) = watch::channel(None);
             let ended = Rc::new(Cell::new(false));
             let (order, ordered) = unbounded_channel();
@@ -397,6 +402,21 @@
         });
     }
 
+    #[test]
+    fn an_answer_half_written_at_the_last_moment_is_not_cut_while_its_client_reads() {
+        play(Span::ZERO, async |mut stream, call, ended| {
+            stream.write_all(b"GET /long HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+            tokio::time::sleep(2 * LOOK).await;
+            call.send_replace(Some(At::default()));
+            // Well past the last answer.
+            tokio::time::sleep(10 * LOOK).await;
+            assert!(!ended.get());
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).await.unwrap();
+            assert!(answer.len() > LONG_ANSWER, "{} bytes came", answer.len());
+        });
+    }
+
     #[test]
     fn then_connections_end_and_so_does_the_gate() {
         play(Span::ZERO, async |mut stream, call, ended| {
--- a/crates/pipitcrank-node/src/visits.rs
+++ b/crates/pipitcrank-node/src/visits.rs
@@ -191,11 +191,12 @@
         self.0.borrow_mut().retain(|v| !Rc::ptr_eq(v, visit));
     }
 
-    /// Closes all that have no request open.
+    /// Closes all that have no request open. Guards against an answer cut by us that a slow client still reads: that is
+    /// left to the kill.
     pub fn end(&self) {
         let visits = self.0.borrow();
-        let left = visits.iter().filter(|v| !v.leaving.get() && v.doing() != Doing::Open);
-        left.for_each(|v| v.call_to_leave());
+        let reads = |v: &Visit| v.doing() == Doing::Open || v.doing() == Doing::Idle && !v.is_flushed();
+        visits.iter().filter(|v| !v.leaving.get() && !reads(v)).for_each(|v| v.call_to_leave());
     }
 
     /// Closes what has been at something for too long; then those that may give way, the longest ready first,
@@ -244,6 +245,22 @@
         assert_eq!(left(), [false, true, true, true, true], "an open request is never closed");
     }
 
+    #[test]
+    fn at_the_last_moment_all_leave_but_what_is_asked_or_still_read() {
+        let (visits, start) = (Visits::default(), Instant::now());
+        let [open, idle, unread, silent, begun] = [0; 5].map(|_| visits.enter(start));
+        for asked in [&open, &idle, &unread] {
+            asked.turns_to(Doing::Open, start);
+        }
+        idle.turns_to(Doing::Idle, start);
+        idle.flushed();
+        unread.turns_to(Doing::Idle, start);
+        begun.turns_to(Doing::Begun, start);
+        visits.end();
+        let left = [&open, &idle, &unread, &silent, &begun].map(|v| v.leaving.get());
+        assert_eq!(left, [false, true, false, true, true]);
+    }
+
     #[test]
     fn a_request_is_whole_in_time_from_connecting_or_from_its_first_byte() {
         let (visits, start) = (Visits::default(), Instant::now());
--- a/crates/pipitcrank-operators/src/lib.rs
+++ b/crates/pipitcrank-operators/src/lib.rs
@@ -470,6 +470,18 @@
         }
     }
 
+    #[test]
+    fn a_thousand_peers_are_taken_and_too_many_are_named() {
+        let with = |count: usize| {
+            let peers: Vec<String> =
+                (0..count).map(|n| format!("\"127.0.{}.{}:7000\"", n / 250, n % 250 + 1)).collect();
+            ZONES.replace("[ \"127.0.0.1:7202\" ]", &format!("[ {} ]", peers.join(", ")))
+        };
+        assert_eq!(Operators::parse(&with(1024)).unwrap().zones.unwrap().peers.len(), 1024);
+        let wrong = Operators::parse(&with(MOST_PEERS + 1)).unwrap_err();
+        assert_eq!(wrong.key, "/zones/peers", "{wrong}");
+    }
+
     const GATEWAY: &str = "{ gateway = Some { site = \"north\", listen = \"127.0.0.1:7001\", connections = 2
         , prefer_near_s = 0.02, sites = [ { name = \"south\", address = \"127.0.0.1:7002\" } ] } }";
 
