Least odds of the lot for cold leaves: three times one part in work, as for what is carried

Cause: a copy that was just restarted carries nothing, so its odds came from one part in work at a time alone, while those of a copy in service count three times what it carries (decide.rs, FailBack::room).

--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -227,7 +227,7 @@
         let share = self.cold_from + (1.0 - self.cold_from) * age;
         let before = sent.iter().filter(|(t, _)| now - *t <= self.window).map(|(_, w)| w).sum::<f64>();
         let all = |carried: f64| Self::USED * self.factor * share * carried * self.window.s();
-        let first = lot < all((carried * Self::IN_USE).max(1.0 / f64::from(self.among.max(1))));
+        let first = lot < all(Self::IN_USE * carried.max(1.0 / f64::from(self.among.max(1))));
         match before == 0.0 {
             true if first => all(carried).max(f64::MIN_POSITIVE),
             true => 0.0,
