A whole list over the bound is left by name, as one that comes on the watch is

Cause: the changelog says that a list over 4 MiB is left with a line in the log. That held on the watch alone (Objects); the whole list, asked for after a move, ended as a plain reset without a word (discovery.rs, whole_list).

Checked and dropped: reading the whole list through Objects too: the body's own limit already stops it.

Change: the limit's error is told apart and takes the same way, `spoilt`. Counted as bad_bytes, not as reset.

Result: a test with an endless list, asked for and watched, on sockets; it fails without the change. Found on reading the change again; decide.rs is untouched.

--- a/crates/pipitcrank-cli/tests/sockets.rs
+++ b/crates/pipitcrank-cli/tests/sockets.rs
@@ -492,6 +492,32 @@
     assert!(log.contains("the old one stays: /settings/allowed/dial_timeout_s has no number"), "{log}");
 }
 
+/// Asked for or watched, a list over the bound is left and said to be, the old one stands, and it is asked for again.
+#[test]
+fn a_list_that_does_not_end_is_left_by_name() {
+    let leaf = Leaf::start(answers);
+    let (old, new) = (Discovery::start(), Discovery::start());
+    let known = list(700, true, &[(0, leaf.address, "active")]);
+    let node = Node::start(29, &old, known.clone());
+    node.up();
+    let endless = format!("{{\"rev\":3,\"all\":true,\"targets\":[{}", " ".repeat(5 << 20));
+    node.reload("/discovery", json!(new.address.to_string()));
+    let (first, whole_list) = new.watch();
+    assert_eq!(first, "GET /discovery/hosts HTTP/1.1\r\n");
+    whole_list.send(endless.clone()).unwrap();
+    node.counted("discovery bad_bytes 1");
+    let (again, whole_list) = new.watch();
+    assert_eq!(again, first);
+    whole_list.send(known.to_string()).unwrap();
+    drop(whole_list);
+    let (then, feed) = new.watch();
+    assert!(then.contains("stream=1&index=700 "), "{then}");
+    feed.send(endless).unwrap();
+    node.counted("discovery bad_bytes 2");
+    let ask = ASK.replace(r#"},{"shard":1,"weight":0.5}"#, "}").replace("0.5", "1.0");
+    assert_eq!(answer(node.send(&post("q", &ask))).0, 200);
+}
+
 #[test]
 fn clients_that_stay_or_say_nothing_do_not_keep_others_out() {
     let leaf = Leaf::start(answers);
--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy::Client;
@@ -146,6 +146,7 @@
     let body = Limited::new(ask(client, address, "").await?, LONGEST).collect();
     match tokio::time::timeout(SILENT, body).await {
         Ok(Ok(body)) => take(hall, &body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(spoilt(Spoilt::TooLong)),
         Ok(Err(_)) => Err(ConnectionEnd::Reset),
         Err(_) => Err(ConnectionEnd::Silent),
     }
