Deduplicated queries: the client's Idempotency-Key goes out with each part, as k= in its list

At fault: the front read no such header, and frames::call had no place for it. The new messages between processes stand last, so older ones keep their form. With it: a repeat is looked at once more as its first byte goes out (`may_begin`), as one that waited for its connection could reach its leaf outside the window for repeats.

--- a/crates/pipitcrank-cost/src/main.rs
+++ b/crates/pipitcrank-cost/src/main.rs
@@ -176,6 +176,7 @@
         id: format!("q1.{n}").into(),
         shard: n,
         wait: Span::from_ms(900),
+        idempotency_key: None,
         text: "c41e".into(),
     };
     let parts: Vec<_> = (0..8).map(part).collect();
--- a/crates/pipitcrank-cost/src/stage.rs
+++ b/crates/pipitcrank-cost/src/stage.rs
@@ -90,6 +90,7 @@
             vertical: Vertical(vertical),
             ends: self.now + Span::from_ms(wait_ms),
             parts: (0..parts).map(part).collect(),
+            idempotency_key: None,
             text: "c41e".into(),
         };
         let finals = self.finals.clone();
--- a/crates/pipitcrank-gateway/src/far.rs
+++ b/crates/pipitcrank-gateway/src/far.rs
@@ -220,7 +220,10 @@
                             say.send(Said::Credit { bytes });
                         }
                         match said {
-                            Said::Forward(forward) => self.forwarded(lane, forward, say),
+                            Said::Forward(forward) => self.forwarded(lane, forward, None, say),
+                            Said::ForwardWithKey(forward, key) => {
+                                self.forwarded(lane, forward, Some(key.into()), say)
+                            }
                             Said::GiveUp { number } => self.given_up(lane, number, say),
                             Said::Ask { numbers } => {
                                 numbers.into_iter().for_each(|n| self.tell_again(lane, n, say))
@@ -262,7 +265,7 @@
         }
     }
 
-    fn forwarded(self: &Rc<Far>, lane: &Lane, forward: Forward, say: &Say) {
+    fn forwarded(self: &Rc<Far>, lane: &Lane, forward: Forward, key: Option<Arc<str>>, say: &Say) {
         let vertical = self.verticals.iter().position(|v| *v == forward.vertical);
         let known = vertical.is_some() && forward.parts.iter().all(|(shard, ..)| *shard < self.shards);
         let now = self.hall.clock.now();
@@ -279,7 +282,7 @@
         match verdict {
             Verdict::Begin(mark) => {
                 self.hall.counters.add("forwarded", "begun");
-                self.begin(mark, lane, Vertical(vertical.unwrap_or(0) as u16), forward);
+                self.begin(mark, lane, Vertical(vertical.unwrap_or(0) as u16), forward, key);
             }
             Verdict::Again => {
                 self.hall.counters.add("forwarded", "again");
@@ -292,7 +295,14 @@
         }
     }
 
-    fn begin(self: &Rc<Far>, mark: u64, lane: &Lane, vertical: Vertical, forward: Forward) {
+    fn begin(
+        self: &Rc<Far>,
+        mark: u64,
+        lane: &Lane,
+        vertical: Vertical,
+        forward: Forward,
+        idempotency_key: Option<Arc<str>>,
+    ) {
         let all: f64 = forward.parts.iter().map(|(_, w, _)| w).sum();
         let even = 1.0 / forward.parts.len() as f64;
         // Of the parts that came the weights are shares again.
@@ -307,6 +317,7 @@
             vertical,
             ends: self.hall.clock.now() + forward.left,
             parts: forward.parts.iter().map(part).collect(),
+            idempotency_key,
             text: forward.text.into(),
         };
         let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
--- a/crates/pipitcrank-gateway/src/frames.rs
+++ b/crates/pipitcrank-gateway/src/frames.rs
@@ -60,12 +60,15 @@
         sent_us: i64,
         mine_us: i64,
     },
+    /// A forward whose query came with a key by which leaves know a repeat. Last, so that the older messages keep their
+    /// form; a peer that does not know it ends the link.
+    ForwardWithKey(Forward, String),
 }
 
 impl Said {
     /// What carries queries and answers is sent on credit; the rest is small, and bounded by that.
     pub fn costs_credit(&self) -> bool {
-        matches!(self, Said::Forward(_) | Said::Part { .. } | Said::End { .. })
+        matches!(self, Said::Forward(_) | Said::ForwardWithKey(..) | Said::Part { .. } | Said::End { .. })
     }
 }
 
@@ -144,7 +147,7 @@
 fn sound(said: &Said) -> bool {
     match said {
         Said::Hello { site, .. } => !site.is_empty() && site.len() <= LONGEST_NAME,
-        Said::Forward(f) => {
+        Said::Forward(f) | Said::ForwardWithKey(f, _) => {
             let good = |x: f64| x.is_finite() && (0.0..=1e6).contains(&x);
             let mut shards: Vec<u32> = f.parts.iter().map(|p| p.0).collect();
             shards.sort_unstable();
--- a/crates/pipitcrank-gateway/src/near.rs
+++ b/crates/pipitcrank-gateway/src/near.rs
@@ -460,7 +460,11 @@
                         parts: going.parts,
                         text: going.text.to_string(),
                     };
-                    self.next.push_back((encode(&Said::Forward(forward)), Some(number)));
+                    let said = match going.idempotency_key {
+                        None => Said::Forward(forward),
+                        Some(key) => Said::ForwardWithKey(forward, key.to_string()),
+                    };
+                    self.next.push_back((encode(&said), Some(number)));
                 }
                 tell_hop(self.side, self.site);
             }
@@ -524,7 +528,11 @@
                 tracing::trace!(site = self.site.name, trip_us = took.us(), apart_us = apart);
             }
             Said::Ping { sent_us } => self.say(&Said::Pong { sent_us, mine_us: now.us() }),
-            Said::Hello { .. } | Said::Forward(_) | Said::GiveUp { .. } | Said::Ask { .. } => {
+            Said::Hello { .. }
+            | Said::Forward(_)
+            | Said::ForwardWithKey(..)
+            | Said::GiveUp { .. }
+            | Said::Ask { .. } => {
                 return Err("bad_bytes");
             }
         }
--- a/crates/pipitcrank-handover/src/words.rs
+++ b/crates/pipitcrank-handover/src/words.rs
@@ -77,6 +77,8 @@
         further: u32,
         counters: Vec<(String, String, u64)>,
     },
+    /// A query that came with a key by which leaves know a repeat. Last, so that the older messages keep their form.
+    AskWithKey(RelayedAsk, String),
 }
 
 /// From the new worker to the old one.
--- a/crates/pipitcrank-node/src/charter.rs
+++ b/crates/pipitcrank-node/src/charter.rs
@@ -128,6 +128,13 @@
         self.settings()?.verticals()
     }
 
+    /// Whether leaves know a repeat by the client's key, by vertical.
+    pub fn deduplicated(&self) -> Result<Vec<bool>, Faulty> {
+        let settings = self.settings()?;
+        let keyed = |n| Ok(settings.text(&format!("/classes/{n}/idempotency"))? == "keyed");
+        (0..settings.verticals()?.len()).map(keyed).collect()
+    }
+
     /// Utility of a vertical's whole answer, in the module's order; 1 where nothing is said.
     pub fn utilities(&self) -> Result<Vec<f64>, Faulty> {
         let settings = self.settings()?;
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -29,6 +29,8 @@
     pub vertical: Vertical,
     pub ends: At,
     pub parts: Vec<AskedPart>,
+    /// By which leaves know a repeat of a deduplicated vertical's.
+    pub idempotency_key: Option<Arc<str>>,
     pub text: Arc<str>,
 }
 
@@ -76,6 +78,7 @@
     pub until: At,
     /// Shard, weight, work in seconds.
     pub parts: Vec<(u32, f64, Option<f64>)>,
+    pub idempotency_key: Option<Arc<str>>,
     pub text: Arc<str>,
     pub repeatable: bool,
     /// Further calls lent with it, under that number.
@@ -126,6 +129,7 @@
     /// In the order asked.
     parts: Vec<u32>,
     vertical: Vertical,
+    idempotency_key: Option<Arc<str>>,
     lent: Option<Lent>,
 }
 
@@ -430,13 +434,20 @@
             };
             *released = true;
             let part = &self.desk.held_parts[&call.0.0];
-            let open = self.desk.held_queries.contains_key(&part.query);
-            if drained || !open || now >= *until {
+            let query = self.desk.held_queries.get(&part.query);
+            let Some(query) =
+                query.filter(|_| !drained && now < *until && self.root.may_begin(now, call.0, call.1))
+            else {
                 self.ended(call, Ending::Stale, None, None);
                 return false;
-            }
-            let wait = *until - now;
-            going.push(CallPart { id: part.id.clone(), shard: part.shard, wait, text: part.text.clone() });
+            };
+            going.push(CallPart {
+                id: part.id.clone(),
+                shard: part.shard,
+                wait: *until - now,
+                idempotency_key: query.idempotency_key.clone(),
+                text: part.text.clone(),
+            });
             true
         });
         going
@@ -509,6 +520,7 @@
                 vertical: held.vertical,
                 until,
                 parts: calls.iter().map(|c| (part(c).shard, part(c).weight, part(c).work)).collect(),
+                idempotency_key: held.idempotency_key.clone(),
                 text: calls.first().map_or_else(|| "".into(), |c| part(c).text.clone()),
                 repeatable: self.root.may_repeat(held.vertical),
                 who: self.next_lent,
@@ -619,7 +631,7 @@
     }
 
     fn take(&mut self, now: At, ticket: u64, asked: Asked, then: Then, lent: Option<Lent>) {
-        let Asked { id, vertical, ends, parts, text } = asked;
+        let Asked { id, vertical, ends, parts, idempotency_key, text } = asked;
         let ids: Vec<Rc<str>> = parts.iter().map(|p| format!("{id}.{}", p.shard).into()).collect();
         let desk = &mut self.desk;
         if desk.queries.find(&id).is_some() || ids.iter().any(|p| desk.parts.find(p).is_some()) {
@@ -637,8 +649,9 @@
         let query = Query(desk.queries.enter(&id));
         let indices: Vec<u32> = ids.iter().map(|p| desk.parts.enter(p)).collect();
         desk.tickets.insert(ticket, query.0);
-        desk.held_queries
-            .insert(query.0, HeldQuery { ticket, then: Some(then), parts: indices.clone(), vertical, lent });
+        let (then, held_parts) = (Some(then), indices.clone());
+        let held = HeldQuery { ticket, then, parts: held_parts, vertical, idempotency_key, lent };
+        desk.held_queries.insert(query.0, held);
         let works: Option<Vec<f64>> = parts.iter().map(|p| p.work).collect();
         let work = works.map(|w| w.iter().sum());
         for ((&index, id), part) in indices.iter().zip(ids).zip(&parts) {
--- a/crates/pipitcrank-node/src/frames.rs
+++ b/crates/pipitcrank-node/src/frames.rs
@@ -20,6 +20,8 @@
     pub id: Rc<str>,
     pub shard: u32,
     pub wait: Span,
+    /// As the client gave it: leaves know a repeat by it.
+    pub idempotency_key: Option<Arc<str>>,
     pub text: Arc<str>,
 }
 
@@ -60,7 +62,9 @@
 pub fn call(parts: &[CallPart]) -> Bytes {
     let mut rest = Vec::new();
     for part in parts {
-        let head = format!("{} {} d={} {}\n", part.id, part.shard, part.wait.us() / 1000, part.text.len());
+        let key = part.idempotency_key.as_ref().map_or(String::new(), |key| format!(",k={key}"));
+        let wait_ms = part.wait.us() / 1000;
+        let head = format!("{} {} d={wait_ms}{key} {}\n", part.id, part.shard, part.text.len());
         rest.extend_from_slice(head.as_bytes());
         rest.extend_from_slice(part.text.as_bytes());
     }
--- a/crates/pipitcrank-node/src/front.rs
+++ b/crates/pipitcrank-node/src/front.rs
@@ -59,6 +59,8 @@
     pub clock: Clock,
     pub counters: Counters,
     pub verticals: Arc<[String]>,
+    /// Whether a repeat of the vertical's is known by the client's key.
+    pub deduplicated: Arc<[bool]>,
     pub shards: u32,
     pub knocks: UnboundedSender<Knock>,
     pub end_called: EndCalled,
@@ -212,6 +214,14 @@
     if headers.contains_key("Req-Key") && !header("Req-Key").is_some_and(is_key) {
         return Err(wrong("Req-Key is no key"));
     }
+    let key = header("Idempotency-Key");
+    // Guards against a repeat that leaves could not know, and against one that they would read as something else.
+    if headers.contains_key("Idempotency-Key") && !key.is_some_and(is_idempotency_key) {
+        return Err(wrong("Idempotency-Key is no key, or there are several"));
+    }
+    if key.is_none() && door.deduplicated[vertical.0 as usize] {
+        return Err(wrong("Idempotency-Key is missing"));
+    }
     let left = header("Req-Deadline-Ms").filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
     let left = left.and_then(|v| v.parse().ok()).filter(|&ms: &i64| ms <= LONGEST_WAIT);
     let left = Span::from_ms(left.ok_or(wrong("Req-Deadline-Ms is not a number of milliseconds"))?);
@@ -227,7 +237,8 @@
     };
     let body = body.map_err(|e| too_large_or_broken(&e))?;
     let ends = ends(received + left - unread, *door.end_called.borrow(), door.last_answer);
-    decode(&body, id, vertical, ends, door.shards).map_err(wrong)
+    let asked = decode(&body, id, vertical, ends, door.shards).map_err(wrong)?;
+    Ok(Asked { idempotency_key: key.map(Into::into), ..asked })
 }
 
 /// Guards against an answer that would come when this process has been killed.
@@ -284,7 +295,13 @@
         weight: p.weight,
         work: p.cost.map(|us| us / 1e6),
     });
-    Ok(Asked { id: id.to_string(), vertical, ends, parts: parts.collect(), text: q.into() })
+    let (id, parts) = (id.to_string(), parts.collect());
+    Ok(Asked { id, vertical, ends, parts, idempotency_key: None, text: q.into() })
+}
+
+/// Leaves read it behind `k=` in a list that commas and blanks divide.
+fn is_idempotency_key(key: &str) -> bool {
+    (1..=LONGEST_ID).contains(&key.len()) && key.bytes().all(|b| b.is_ascii_graphic() && b != b',')
 }
 
 fn is_key(key: &str) -> bool {
--- a/crates/pipitcrank-node/src/relay.rs
+++ b/crates/pipitcrank-node/src/relay.rs
@@ -68,7 +68,13 @@
                 relay.hall.counters.add("upgrades", "not_answered_in_time");
             }
         });
-        to.send(&ToNew::Ask(to_words(ticket, left - BEFORE_TIME, asked)), None);
+        let key = asked.idempotency_key.clone();
+        let words = to_words(ticket, left - BEFORE_TIME, asked);
+        let ask = match key {
+            None => ToNew::Ask(words),
+            Some(key) => ToNew::AskWithKey(words, key.to_string()),
+        };
+        to.send(&ask, None);
         Ok(())
     }
 
@@ -111,7 +117,13 @@
 }
 
 /// A query as handed on; none if its vertical or a shard is not known here.
-pub fn asked(hall: &Hall, verticals: usize, shards: u32, ask: RelayedAsk) -> Option<Asked> {
+pub fn asked(
+    hall: &Hall,
+    verticals: usize,
+    shards: u32,
+    ask: RelayedAsk,
+    idempotency_key: Option<String>,
+) -> Option<Asked> {
     let RelayedAsk { id, vertical, left, parts, text, .. } = ask;
     let known =
         usize::from(vertical) < verticals && !parts.is_empty() && parts.iter().all(|(s, ..)| *s < shards);
@@ -121,6 +133,7 @@
         vertical: Vertical(vertical),
         ends: hall.clock.now() + left,
         parts: parts.into_iter().map(part).collect(),
+        idempotency_key: idempotency_key.map(Into::into),
         text: text.into(),
     })
 }
--- a/crates/pipitcrank-node/src/serve.rs
+++ b/crates/pipitcrank-node/src/serve.rs
@@ -101,6 +101,7 @@
         clock,
         counters: counters.clone(),
         verticals: verticals.into(),
+        deduplicated: charter.deduplicated()?.into(),
         shards: charter.shards()?,
         knocks,
         end_called: end_called.clone(),
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -331,7 +331,14 @@
         exchange.list(clock.now(), true, vec![row]);
         let parts = vec![AskedPart { shard: 0, weight: 1.0, work: None }];
         let ends = clock.now() + Span::from_ms(50_000);
-        let asked = Asked { id: "q".into(), vertical: Vertical(0), ends, parts, text: "t".into() };
+        let asked = Asked {
+            id: "q".into(),
+            vertical: Vertical(0),
+            ends,
+            parts,
+            idempotency_key: None,
+            text: "t".into(),
+        };
         exchange.asked(1, asked, Box::new(|_| ()));
         exchange.turn(clock.now(), &mut Nobody);
         let call = (Part(0), 0);
--- a/crates/pipitcrank-node/src/worker.rs
+++ b/crates/pipitcrank-node/src/worker.rs
@@ -284,7 +284,8 @@
                 old.lent = Some(self.learn(&bytes));
                 to_keeper.send(&ToKeeper::Learned, None);
             }
-            ToNew::Ask(ask) => self.asked(old, ask),
+            ToNew::Ask(ask) => self.asked(old, ask, None),
+            ToNew::AskWithKey(ask, key) => self.asked(old, ask, Some(key)),
             ToNew::Gone { ticket } => {
                 if let Some(ours) = old.tickets.borrow_mut().remove(&ticket) {
                     self.hall.tell(|e| e.client_gone(ours));
@@ -341,10 +342,10 @@
         }
     }
 
-    fn asked(&self, old: &Old, ask: RelayedAsk) {
+    fn asked(&self, old: &Old, ask: RelayedAsk, key: Option<String>) {
         let (theirs, to) = (ask.ticket, old.to.clone());
         let answer = move |last: RelayedFinal| to.send(&ToOld::Answer { ticket: theirs, last }, None);
-        let Some(asked) = relay::asked(&self.hall, self.verticals, self.shards, ask) else {
+        let Some(asked) = relay::asked(&self.hall, self.verticals, self.shards, ask, key) else {
             return answer(RelayedFinal::Rejected { stay_away: Span::ZERO });
         };
         let ours = self.tickets.fetch_add(1, Ordering::Relaxed);
--- a/crates/pipitcrank-node/tests/exchange.rs
+++ b/crates/pipitcrank-node/tests/exchange.rs
@@ -97,8 +97,14 @@
     fn ask(&mut self, id: &str, vertical: u16, shards: std::ops::Range<u32>, ends: i64) -> u64 {
         let weight = 1.0 / shards.len() as f64;
         let parts = shards.map(|shard| AskedPart { shard, weight, work: Some(0.02) }).collect();
-        let asked =
-            Asked { id: id.into(), vertical: Vertical(vertical), ends: at(ends), parts, text: "text".into() };
+        let asked = Asked {
+            id: id.into(),
+            vertical: Vertical(vertical),
+            ends: at(ends),
+            parts,
+            idempotency_key: None,
+            text: "text".into(),
+        };
         let (answers, name) = (self.answers.clone(), id.to_string());
         self.tickets += 1;
         self.exchange.asked(
@@ -586,8 +592,14 @@
         let far = stage.exchange.add_site(0, "west", 3);
         stage.exchange.set_hop(0, Some(Span::from_ms(1)));
         let parts = vec![AskedPart { shard: 0, weight: 1.0, work: None }];
-        let asked =
-            Asked { id: "q@n".into(), vertical: Vertical(0), ends: at(3000), parts, text: "t".into() };
+        let asked = Asked {
+            id: "q@n".into(),
+            vertical: Vertical(0),
+            ends: at(3000),
+            parts,
+            idempotency_key: None,
+            text: "t".into(),
+        };
         let (made, seen) = (Rc::new(Cell::new(0)), Rc::new(RefCell::new(Vec::new())));
         let noted = seen.clone();
         let as_in =
--- a/crates/pipitcrank-node/tests/leaves.rs
+++ b/crates/pipitcrank-node/tests/leaves.rs
@@ -86,7 +86,8 @@
         let ends = self.hall.clock.now() + Span::from_ms(59_000);
         let weight = 1.0 / f64::from(parts);
         let parts = (0..parts).map(|shard| AskedPart { shard, weight, work: None }).collect();
-        let asked = Asked { id: format!("q{}", self.asked), vertical: Vertical(0), ends, parts, text };
+        let id = format!("q{}", self.asked);
+        let asked = Asked { id, vertical: Vertical(0), ends, parts, idempotency_key: None, text };
         let then = Box::new(move |last| {
             let _ = tell.send(last);
         });
--- a/crates/pipitcrank-node/tests/protocol.rs
+++ b/crates/pipitcrank-node/tests/protocol.rs
@@ -27,8 +27,11 @@
         id: format!("9b1f.{shard}").into(),
         shard,
         wait: Span::from_s(0.2407),
+        idempotency_key: None,
         text: "c41e77d0".into(),
     };
+    let keyed = CallPart { idempotency_key: Some("19dd61b8".into()), ..part(3) };
+    assert_eq!(&frames::call(&[keyed])[..], framed(b"Q9b1f.3 3 d=240,k=19dd61b8 8\nc41e77d0"));
     let bytes = frames::call(&[part(3), part(9)]);
     assert_eq!(&bytes[..], framed(b"Q9b1f.3 3 d=240 8\nc41e77d09b1f.9 9 d=240 8\nc41e77d0"));
     assert_eq!(&frames::give_up("9b1f.3")[..], framed(b"X9b1f.3"));
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -716,18 +716,23 @@
         self.could_go(now, id) && (self.parts[&id].sent.is_empty() || further(self))
     }
 
-    /// Rules 1 and 2 alone: an exhausted budget refills.
-    fn could_go(&self, now: At, id: Part) -> bool {
+    /// Rule 2 for that call of the part's, also as it goes out: a repeat may wait until none knows it as one.
+    pub fn may_begin(&self, now: At, id: Part, nth: u32) -> bool {
         let part = &self.parts[&id];
-        let Some(open) = self.queries.get(&part.query) else { return false };
-        let terms = self.terms(open);
-        let risky = part.sent.iter().find(|s| !s.never_ran).map(|s| s.at);
-        let effect_ok = match (terms.effect, risky) {
+        let risky = part.sent.iter().take(nth as usize).find(|s| !s.never_ran).map(|s| s.at);
+        let terms = &self.trades[part.vertical.0 as usize].terms;
+        match (terms.effect, risky) {
             (_, None) | (Effect::Repeatable, _) => true,
             (Effect::Deduplicated, Some(first)) => now - first < terms.dedup_window,
             (Effect::SideEffecting, Some(_)) => false,
-        };
-        effect_ok
+        }
+    }
+
+    /// Rules 1 and 2 alone: an exhausted budget refills.
+    fn could_go(&self, now: At, id: Part) -> bool {
+        let part = &self.parts[&id];
+        let Some(open) = self.queries.get(&part.query) else { return false };
+        self.may_begin(now, id, part.sent.len() as u32)
             && !part.done
             && now < open.ends - self.tick
             && part.tried() < self.tries.limit
