Tests of the node's files stand in files of their own

Moved as they were, without a change of a line but the indentation; each is mod tests; beside its file, where private parts are needed. Ruled out: moving them to the package's tests/, as they look at what is private.

--- /dev/null
+++ b/crates/pipitcrank-node/src/hall/tests.rs
@@ -0,0 +1,42 @@
+use proptest::prelude::*;
+
+use super::*;
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Beside a plain count: whoever asks, here or at another process, all together never hold more than there are.
+    #[test]
+    fn sides_share_what_there_is(
+        all in 3usize..40,
+        steps in proptest::collection::vec((0u8..5, 0usize..40), 0..200),
+    ) {
+        let (leaves, clients) = Sockets::shared(all);
+        let (mut of_leaves, mut of_clients, mut elsewhere) = (Vec::new(), Vec::new(), 0);
+        for (what, n) in steps {
+            let (side, held, others) = match what % 2 {
+                0 => (&leaves, &mut of_leaves, of_clients.len()),
+                _ => (&clients, &mut of_clients, of_leaves.len()),
+            };
+            match what {
+                0 | 1 => {
+                    let room = held.len() + others + elsewhere < all && held.len() < side.most();
+                    let place = side.place();
+                    prop_assert_eq!(place.is_some(), room);
+                    held.extend(place);
+                }
+                2 | 3 if n < held.len() => drop(held.swap_remove(n)),
+                // Another process holds so many clients' ones of what is not held here.
+                4 => {
+                    elsewhere = n.min(all - of_leaves.len() - of_clients.len());
+                    clients.leave_to_other(elsewhere);
+                }
+                _ => {}
+            }
+            prop_assert_eq!((leaves.open(), clients.open()), (of_leaves.len(), of_clients.len()));
+            prop_assert!(leaves.open() + clients.open() + elsewhere <= all);
+        }
+        let least = leaves.most().min(clients.most().max(elsewhere));
+        prop_assert!(least >= all / 3 || elsewhere > 0, "a third is each one's own");
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-node/src/objects/tests.rs
@@ -0,0 +1,53 @@
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+use super::*;
+
+fn list(leaves: usize, name: &str) -> Value {
+    let target = |n| json!({"uid": format!("{name}{n}"), "endpoint": "127.0.0.1:1", "pod_group": n, "more": {"x": []}});
+    json!({"rev": leaves, "all": true, "targets": (0..leaves).map(target).collect::<Vec<_>>()})
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn whatever_the_lines_and_pieces_the_objects_are_the_same(
+        lists in proptest::collection::vec((0usize..6, "[a-z{}\"\\\\\n]{0,6}", any::<bool>(), "[ \n\r\t]{0,3}"), 0..6),
+        cuts in proptest::collection::vec(1usize..90, 0..60),
+    ) {
+        let mut bytes = Vec::new();
+        for (leaves, name, indented, between) in &lists {
+            let list = list(*leaves, name);
+            let text = if *indented { serde_json::to_string_pretty(&list) } else { serde_json::to_string(&list) };
+            bytes.extend_from_slice(text.unwrap().as_bytes());
+            bytes.extend_from_slice(between.as_bytes());
+        }
+        let (mut objects, mut found, mut rest) = (Objects::new(1 << 20), Vec::new(), &bytes[..]);
+        for cut in cuts.into_iter().chain([usize::MAX]) {
+            let (piece, after) = rest.split_at(cut.min(rest.len()));
+            objects.came(piece);
+            rest = after;
+            while let Some(object) = objects.take().unwrap() {
+                found.push(serde_json::from_slice::<Value>(&object).unwrap());
+            }
+        }
+        let wanted: Vec<Value> = lists.iter().map(|(leaves, name, ..)| list(*leaves, name)).collect();
+        prop_assert_eq!(found, wanted);
+    }
+}
+
+#[test]
+fn what_is_no_object_or_never_ends_is_not_waited_for() {
+    for (bytes, what) in [("{} x{}", Spoilt::Between), ("}", Spoilt::Between), ("\"{}\"", Spoilt::Between)] {
+        let mut objects = Objects::new(100);
+        objects.came(bytes.as_bytes());
+        let first_bad = std::iter::from_fn(|| objects.take().transpose()).find_map(Result::err);
+        assert_eq!(first_bad, Some(what), "{bytes}");
+    }
+    let mut objects = Objects::new(100);
+    objects.came(b"{\"targets\": [");
+    assert_eq!(objects.take(), Ok(None));
+    objects.came(&[b' '; 100]);
+    assert_eq!(objects.take(), Err(Spoilt::TooLong));
+}
--- /dev/null
+++ b/crates/pipitcrank-node/src/wire/tests.rs
@@ -0,0 +1,82 @@
+use std::cell::RefCell;
+
+use pipitcrank::ids::{Leaf, Part, Vertical};
+use pipitcrank::time::Span;
+use pipitcrank::told::Told;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::unbounded_channel;
+
+use super::*;
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::exchange::{Asked, AskedPart, Exchange, LeafSide, Listed};
+use crate::hall::Sockets;
+use crate::leaves::Carried;
+
+const TOLD: &str = r#"{"allowed":{"cancel":true,"probing":false,"may_duplicate":true,"retry_after":false,
+  "try_limit":1},"classes":[{"aim_s":50.0,"hard_limit_s":60.0,"idempotency":"safe","name":"view"}],
+  "domain":{"call_cost_s":0.01,"complete_from":[1.0],"floor_by_class":[1.0],"follow_up":[0],"parts_a_call":4,
+  "sets":1,"shards":1,"span":1},"rules":{"cold_from":0.3,"cold_s":9.0,"fall_s":1.5,"overload_factor":4.0},
+  "tick_s":0.001}"#;
+
+struct Nobody;
+
+impl LeafSide for Nobody {
+    fn meet(&mut self, _: Leaf, _: SocketAddr) {}
+    fn let_go(&mut self, _: Leaf) {}
+    fn call(&mut self, _: Leaf, _: Vec<CallNo>) {}
+    fn give_up(&mut self, _: Leaf, _: CallNo) {}
+    fn probe(&mut self, _: Leaf) {}
+}
+
+fn exchange(counters: &Counters) -> Exchange {
+    let root = Told::new(&serde_json::from_str(TOLD).unwrap()).root(1).unwrap();
+    Exchange::new(root, 9, 4, Span::ZERO, counters.clone())
+}
+
+#[test]
+fn a_sign_of_life_is_good_once_for_each_ping() {
+    let counters = Counters::default();
+    let hall = Rc::new(Hall::new(Clock::start(), counters.clone(), Sockets::new(9), exchange(&counters)));
+    let (jobs, _queue) = unbounded_channel();
+    let wire = Wire::new(Leaf(0), jobs);
+    wire.pings.set(1);
+    let alive = || took(&hall, &wire, FromLeaf::Alive(Ending::Fault));
+    assert_eq!(alive(), Ok(()), "busy with probes, but alive");
+    assert_eq!(alive(), Err(ConnectionEnd::BadBytes), "nobody asked");
+}
+
+#[tokio::test]
+async fn a_call_of_which_no_byte_has_gone_is_looked_at_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (_unread, _) = listener.accept().await.unwrap();
+    let (_from, to) = stream.into_split();
+    to.writable().await.unwrap();
+    while to.try_write(&[0; 1 << 16]).is_ok() {}
+
+    let (clock, counters) = (Clock::start(), Counters::default());
+    let mut exchange = exchange(&counters);
+    let row =
+        Listed { uid: "l".into(), address: Some(address), cell: 0, zone: None, up: true, started: None };
+    exchange.list(clock.now(), true, vec![row]);
+    let parts = vec![AskedPart { shard: 0, weight: 1.0, work: None }];
+    let ends = clock.now() + Span::from_ms(50_000);
+    let asked =
+        Asked { id: "q".into(), vertical: Vertical(0), ends, parts, idempotency_key: None, text: "t".into() };
+    exchange.asked(1, asked, Box::new(|_| ()));
+    exchange.turn(clock.now(), &mut Nobody);
+    let call = (Part(0), 0);
+    assert!(exchange.is_out(call));
+    let hall = Rc::new(Hall::new(clock, counters, Sockets::new(9), exchange));
+    let (jobs, _) = unbounded_channel();
+    let carried = RefCell::new(vec![Carried { call, id: None, written: false }]);
+    let wire = Wire { carried, ..Wire::new(Leaf(0), jobs) };
+
+    let next = write(&hall, &wire, &to, Writing::Next(Job::Call(vec![call]))).unwrap();
+    assert!(matches!(next, Writing::Next(Job::Call(_))), "nothing of it has gone");
+    assert!(wire.carried.borrow()[0].id.is_none());
+    hall.tell(|e| e.ended(call, Ending::Undone, None, None));
+    assert!(matches!(write(&hall, &wire, &to, next).unwrap(), Writing::Nothing), "dropped: it is over");
+}
