Discovery is looked at every 2 s beside the watch: a change is told within 6 s whatever fails

Read in discovery.rs, and forced by the new tests on real connections: a watch gone silent was noticed after 5 s, then came a pause of the dial limit, and a new request that hung took 5 s more, a whole list that hung another 5 s; a watch that brings empty lines and never its change, or half an object for ever, was trusted for good; a call that hung while discovery was down held up the next by 5 s after its return; the pause was another customer's dial limit, however long. Ruled out: trusting a new watch by its head (it may be silent from there on), and shorter time-outs of one call after another (each sequence has a longer one). Change: looks at the whole list, each on a connection of its own, begin every 2 s, at once after a watch ended and after SIGHUP; one that brought nothing for 0.5 s gets another beside it, eight at once, 4 s each. The watch is only the quick way: 2.5 s without anything whole end it. An older version is taken only where it was asked for after the newer one was held and is said twice; an older life's watch ends at its next word. What an unhelpful order costs: two looks a second and one watch, eleven connections at most (OWN_SOCKETS holds 24). The stand-ins of two tests answered the whole list as of their start, or took a look for a watch: they tell both apart now; what the tests assert is unchanged. The rig's discovery lists what was changed meanwhile. Tests: pipitcrank-cli/tests/lists.rs, eleven orders.

--- /dev/null
+++ b/crates/pipitcrank-cli/tests/lists.rs
@@ -0,0 +1,267 @@
+//! A change of the list counts as told 6 s after discovery had it and could be reached, 4 s after SIGHUP, whatever call
+//! failed. A stand-in for discovery spoils its calls by script; each order is forced, none is waited for by luck.
+
+mod stand_ins;
+
+use std::time::{Duration, Instant};
+
+use pipitcrank_rig::client::{Lone, Question};
+use pipitcrank_rig::discovery::row;
+use pipitcrank_rig::ledger::Ledger;
+use pipitcrank_rig::process::Process;
+use pipitcrank_rig::trial::on_one_thread;
+use rustix::process::Signal;
+use stand_ins::{Call, Leaf, Source, charter, program};
+
+const LIMIT: Duration = Duration::from_secs(60);
+/// The users' terms.
+const TOLD: Duration = Duration::from_secs(6);
+const TOLD_AFTER_HUP: Duration = Duration::from_secs(4);
+
+/// Two leaves of one cell; which of them a query's one part comes to.
+struct Scene {
+    source: Source,
+    leaves: [Leaf; 2],
+    process: Process,
+    asked: u32,
+}
+
+impl Scene {
+    async fn set() -> anyhow::Result<Scene> {
+        let leaves = [Leaf::start().await?, Leaf::start().await?];
+        let source = Source::start(1, vec![row("a", leaves[0].address, 0, "active", 0)]).await?;
+        let process = Process::start(program(), charter(&source, 1, 256)?, None).await?;
+        let scene = Scene { source, leaves, process, asked: 0 };
+        scene.source.until_watched().await;
+        Ok(scene)
+    }
+
+    /// Discovery has it: the first leaf drains, the second is there.
+    fn moves_on(&self, rev: u64) -> Instant {
+        let [a, b] = &self.leaves;
+        self.source
+            .holds(rev, vec![row("a", a.address, 0, "leaving", 0), row("b", b.address, 0, "active", 0)]);
+        Instant::now()
+    }
+
+    /// Asks once; whether its part went to the second leaf.
+    async fn goes_to_the_second(&mut self) -> bool {
+        self.asked += 1;
+        let (id, wait) = (format!("view-{}", self.asked), Duration::from_millis(900));
+        let question = Question { id, vertical: "view", shards: vec![0], wait, text: "c41e".to_string() };
+        let mut lone = Lone::connect(self.process.address, Ledger::default()).await.unwrap();
+        let mut asking = std::pin::pin!(lone.ask_in_pieces(question, &[]));
+        let [a, b] = &mut self.leaves;
+        let went = tokio::select! {
+            call = a.call() => { call.answers(); false }
+            call = b.call() => { call.answers(); true }
+            how = &mut asking => panic!("answered by nobody: {how:?}; {}", self.process.log()),
+        };
+        asking.await;
+        went
+    }
+
+    /// Asks all the time, until the change shows; how long after that moment.
+    async fn told_after(&mut self, had: Instant) -> Duration {
+        while !self.goes_to_the_second().await {
+            assert!(had.elapsed() < 3 * TOLD, "never told; {}", self.process.log());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        had.elapsed()
+    }
+}
+
+/// The watch falls silent, and all calls but the last within the time come to nothing, each in another way.
+fn told_in_time(spoilt: &'static [Call]) {
+    on_one_thread(LIMIT, async {
+        let mut scene = Scene::set().await?;
+        scene.source.silences_watches();
+        scene.source.next_calls_are(spoilt);
+        let had = scene.moves_on(2);
+        let took = scene.told_after(had).await;
+        assert!(took < TOLD, "{took:?} after {spoilt:?}; {}", scene.process.log());
+        // Said again and again, it stays so.
+        for _ in 0..3 {
+            assert!(scene.goes_to_the_second().await);
+        }
+        Ok(())
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_watch_gone_silent_alone() {
+    told_in_time(&[]);
+}
+
+#[test]
+fn a_silent_watch_and_calls_that_hang() {
+    told_in_time(&[Call::Hangs, Call::Hangs, Call::Hangs, Call::Hangs]);
+}
+
+#[test]
+fn a_silent_watch_and_calls_that_end_in_all_ways() {
+    told_in_time(&[Call::Refuses, Call::HeadOnly, Call::Half, Call::Resets, Call::HalfForEver]);
+}
+
+/// Every new watch is silent as well, from its head on.
+#[test]
+fn all_watches_silent_from_then_on() {
+    on_one_thread(LIMIT, async {
+        let mut scene = Scene::set().await?;
+        scene.source.silences_watches();
+        scene.source.silences_new_watches();
+        let had = scene.moves_on(2);
+        let took = scene.told_after(had).await;
+        assert!(took < TOLD, "{took:?}; {}", scene.process.log());
+        Ok(())
+    })
+    .unwrap();
+}
+
+/// A sign of life all the time, and never the change.
+#[test]
+fn a_watch_that_brings_empty_lines_and_never_its_change() {
+    on_one_thread(LIMIT, async {
+        let mut scene = Scene::set().await?;
+        scene.source.keeps_changes_from_watches();
+        let had = scene.moves_on(2);
+        let took = scene.told_after(had).await;
+        assert!(took < TOLD, "{took:?}; {}", scene.process.log());
+        Ok(())
+    })
+    .unwrap();
+}
+
+/// Bytes all the time, and never a whole object: the watch is left for a new one.
+#[test]
+fn a_watch_that_never_ends_its_object_is_left() {
+    on_one_thread(LIMIT, async {
+        let scene = Scene::set().await?;
+        let before = scene.source.watches();
+        scene.source.watches_bring_half_for_ever();
+        let begun = Instant::now();
+        while scene.source.watches() == before {
+            assert!(begun.elapsed() < TOLD, "it is not left; {}", scene.process.log());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    })
+    .unwrap();
+}
+
+/// Silent while it is down, discovery answers at its return: calls that hang meanwhile do not hold up those that come.
+#[test]
+fn what_discovery_has_at_its_return_is_told_at_once() {
+    on_one_thread(LIMIT, async {
+        let mut scene = Scene::set().await?;
+        scene.source.silences_watches();
+        scene.source.is_down(true);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let had = scene.moves_on(2);
+        scene.source.is_down(false);
+        let took = scene.told_after(had).await;
+        assert!(took < Duration::from_secs(2), "a drain's grace may be no longer: {took:?}");
+        Ok(())
+    })
+    .unwrap();
+}
+
+/// Versions begin anew, and the old life's watch is still open and brings one more change of its own.
+#[test]
+fn versions_that_go_back_are_followed_and_an_old_life_brings_nothing_over_them() {
+    on_one_thread(LIMIT, async {
+        let mut scene = Scene::set().await?;
+        scene.source.holds_quietly(40, vec![row("a", scene.leaves[0].address, 0, "active", 0)]);
+        scene.source.tells_watches(40);
+        while scene.process.count("discovery changes").await != Some(1) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        // A new life: what there was of watches stays open and silent.
+        scene.source.orphans_watches();
+        let had = scene.moves_on(3);
+        let took = scene.told_after(had).await;
+        assert!(took < TOLD, "{took:?}; {}", scene.process.log());
+        scene.source.orphans_bring(41, vec![row("b", scene.leaves[1].address, 0, "leaving", 0)]);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for _ in 0..3 {
+            assert!(scene.goes_to_the_second().await, "an older list over a newer one");
+        }
+        Ok(())
+    })
+    .unwrap();
+}
+
+/// A look that was asked for before the watch brought more, and is answered after.
+#[test]
+fn a_look_overtaken_by_the_watch_brings_no_older_list() {
+    on_one_thread(LIMIT, async {
+        let mut scene = Scene::set().await?;
+        let held = scene.source.holds_next_look().await;
+        // It is the one that brings an answer.
+        scene.source.next_calls_are(&[Call::Hangs; 6]);
+        let had = scene.moves_on(2);
+        scene.source.tells_watches(2);
+        assert!(scene.told_after(had).await < TOLD);
+        // As it was when it was asked for: the first leaf alone, active.
+        held.answers();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for _ in 0..5 {
+            assert!(
+                scene.goes_to_the_second().await,
+                "an older list over a newer one; {}",
+                scene.process.log()
+            );
+        }
+        Ok(())
+    })
+    .unwrap();
+}
+
+/// After SIGHUP there are 4 s, at the same address and at another one, where the first calls hang.
+#[test]
+fn after_sighup_what_discovery_has_is_told_within_four_seconds() {
+    for moved in [false, true] {
+        on_one_thread(LIMIT, async {
+            let mut scene = Scene::set().await?;
+            scene.source.silences_watches();
+            scene.source.silences_new_watches();
+            let had = if moved {
+                let there = Source::start(9, Vec::new()).await?;
+                let [a, b] = &scene.leaves;
+                let rows = vec![row("a", a.address, 0, "leaving", 0), row("b", b.address, 0, "active", 0)];
+                there.holds(9, rows);
+                there.next_calls_are(&[Call::Hangs, Call::Half, Call::Hangs, Call::Refuses, Call::HeadOnly]);
+                scene.process.charter_with("/discovery", there.address.to_string().into())?;
+                scene.source = there;
+                Instant::now()
+            } else {
+                scene.source.next_calls_are(&[Call::Hangs, Call::Half, Call::Hangs, Call::Refuses]);
+                scene.moves_on(2)
+            };
+            scene.process.signal(Signal::HUP)?;
+            let took = scene.told_after(had).await;
+            assert!(took < TOLD_AFTER_HUP, "{took:?}, moved: {moved}; {}", scene.process.log());
+            Ok(())
+        })
+        .unwrap();
+    }
+}
+
+/// An unhelpful order costs calls, but no storm of them.
+#[test]
+fn a_source_that_answers_nothing_is_asked_twice_a_second_and_holds_few_connections() {
+    on_one_thread(LIMIT, async {
+        let scene = Scene::set().await?;
+        scene.source.silences_watches();
+        scene.source.is_down(true);
+        let before = scene.source.calls();
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        let calls = scene.source.calls() - before;
+        // Looks each half second, and a watch each second.
+        assert!((16..=28).contains(&calls), "{calls} calls in 8 s");
+        assert!(scene.source.open() <= 11, "{} connections", scene.source.open());
+        Ok(())
+    })
+    .unwrap();
+}
--- a/crates/pipitcrank-cli/tests/sockets.rs
+++ b/crates/pipitcrank-cli/tests/sockets.rs
@@ -104,24 +104,30 @@
     found
 }
 
-/// A stand-in for discovery: each watch is told, with its index, and fed lines until its sender is dropped.
+/// A call that discovery got: its first line, and where lines are fed to its answer until that is dropped.
+type Called = (String, Sender<String>);
+
+/// A stand-in for discovery: each watch is told, with its index, and each look at the whole list; both are fed lines. A look
+/// that nobody feeds hangs.
 struct Discovery {
     address: SocketAddr,
-    watches: Receiver<(String, Sender<String>)>,
+    watches: Receiver<Called>,
+    looks: Receiver<Called>,
 }
 
 impl Discovery {
     fn start() -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let (tell, watches) = channel();
+        let ((tell, watches), (tell_look, looks)) = (channel(), channel());
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let mut line = String::new();
                 let mut reader = BufReader::new(stream.try_clone().unwrap());
                 reader.read_line(&mut line).unwrap();
                 let (lines, fed) = channel::<String>();
-                let _ = tell.send((line, lines));
+                let to = if line.contains("stream=1") { &tell } else { &tell_look };
+                let _ = to.send((line, lines));
                 thread::spawn(move || {
                     let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                     loop {
@@ -140,12 +146,16 @@
                 });
             }
         });
-        Discovery { address, watches }
+        Discovery { address, watches, looks }
     }
 
-    fn watch(&self) -> (String, Sender<String>) {
+    fn watch(&self) -> Called {
         self.watches.recv_timeout(LIMIT).expect("a watch")
     }
+
+    fn look(&self) -> Called {
+        self.looks.recv_timeout(LIMIT).expect("a look at the whole list")
+    }
 }
 
 fn list(rev: u32, all: bool, leaves: &[(u32, SocketAddr, &str)]) -> Value {
@@ -473,7 +483,7 @@
     assert!(!node.try_get("/counters").unwrap().contains("discovery moved"), "the same address");
     // Its versions begin anew there, so what is asked for is the whole list.
     node.reload("/discovery", json!(new.address.to_string()));
-    let (first, whole_list) = new.watch();
+    let (first, whole_list) = new.look();
     assert_eq!(first, "GET /discovery/hosts HTTP/1.1\r\n", "the file goes before the variable");
     whole_list
         .send(list(3, true, &[(0, a.address, "active"), (1, b.address, "active")]).to_string())
@@ -502,11 +512,11 @@
     node.up();
     let endless = format!("{{\"rev\":3,\"all\":true,\"targets\":[{}", " ".repeat(5 << 20));
     node.reload("/discovery", json!(new.address.to_string()));
-    let (first, whole_list) = new.watch();
+    let (first, whole_list) = new.look();
     assert_eq!(first, "GET /discovery/hosts HTTP/1.1\r\n");
     whole_list.send(endless.clone()).unwrap();
     node.counted("discovery bad_bytes 1");
-    let (again, whole_list) = new.watch();
+    let (again, whole_list) = new.look();
     assert_eq!(again, first);
     whole_list.send(known.to_string()).unwrap();
     drop(whole_list);
--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -1,6 +1,9 @@
-//! Discovery: the list of leaves as first known, and the watch that keeps it.
+//! Discovery: the list of leaves as first known, and what keeps it. Two ways run beside each other: a watch brings each
+//! change at once, and looks at the whole list, on connections of their own, bring whatever a watch did not. A change counts
+//! as told 6 s after discovery had it, whatever call failed: the looks alone keep to that, so no watch has to be trusted.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +16,9 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::clock::Clock;
 use crate::ends::ConnectionEnd;
@@ -21,8 +26,21 @@
 use crate::hall::Hall;
 use crate::objects::{Objects, Spoilt};
 
-/// A watch that brings nothing for so long has died unnoticed: an empty line is due every 2 s.
-const SILENT: Duration = Duration::from_secs(5);
+/// A watch that brings nothing whole for so long has died unnoticed, or never ends an object: an empty line is due every
+/// 2 s.
+const QUIET: Duration = Duration::from_millis(2500);
+/// From one look at the whole list to the next. What it leaves of the 6 s is for eight calls of which seven come to nothing,
+/// and of the 4 s after SIGHUP as many, since then one begins at once.
+const LOOK_AGAIN: Duration = Duration::from_millis(2000);
+/// A call that has brought nothing for so long gets another beside it.
+const BESIDE: Duration = Duration::from_millis(500);
+/// So long a call may take, for a list that comes slowly; as many as begin in that time are under way at once.
+const LIVES: Duration = Duration::from_millis(4000);
+const AT_ONCE: usize = 8;
+/// A watch whose head does not come for so long is asked for anew.
+const HEAD: Duration = Duration::from_millis(1000);
+/// Between a watch that ended and the look that follows: what ends all watches of a fleet does not bring a storm.
+const AFTER_END: Duration = Duration::from_millis(50);
 /// Longest list taken: some ten thousand leaves, indented, and a tenth of the least memory that platforms tell.
 const LONGEST: usize = 4 << 20;
 
@@ -82,27 +100,32 @@
 pub type Rev = Rc<Cell<Option<u64>>>;
 
 /// Watches for ever, wherever discovery is at the moment; `rev` is the version of the list as first known, and then
-/// as held. Between two tries it waits for `pause`.
-pub async fn watch(hall: Rc<Hall>, mut address: watch::Receiver<String>, rev: Rev, pause: Duration) {
+/// as held.
+pub async fn watch(hall: Rc<Hall>, mut address: watch::Receiver<String>, rev: Rev) {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(pause));
-    let client: Asker = Client::builder(TokioExecutor::new()).build(connector);
+    // Each call has a connection of its own. Guards against one kept that has died: it would swallow call after call.
+    let client: Asker = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(connector);
     loop {
         let at = address.borrow_and_update().clone();
-        let one_address = async {
-            loop {
-                let Err(end) = one_watch(&hall, &client, &at, &rev).await;
-                tracing::warn!("the watch of discovery ended: {}", end.name());
-                hall.counters.add("discovery", end.name());
-                tokio::time::sleep(pause).await;
+        let (again, had, doubted) = (Notify::new(), Notify::new(), Cell::new(false));
+        let source = Source { hall: &hall, client: &client, at: &at, rev: &rev, again, had, doubted };
+        let moved = async {
+            while address.changed().await.is_ok() {
+                if *address.borrow_and_update() != at {
+                    return;
+                }
+                // Told to look anew at the same place: what it has counts as told sooner then.
+                source.again.notify_one();
             }
+            std::future::pending().await
         };
-        // Guards against news missed after a move: a try or a pause at the old address is left at once, and as the
+        // Guards against news missed after a move: a call or a pause at the old address is left at once, and as the
         // new one may count versions otherwise, the whole list is asked for there.
         tokio::select! {
-            () = one_address => {}
-            Ok(()) = address.changed() => {
+            _ = source.look_for_ever() => {}
+            _ = source.watch_for_ever() => {}
+            () = moved => {
                 hall.counters.add("discovery", "moved");
                 rev.set(None);
             }
@@ -110,10 +133,164 @@
     }
 }
 
-async fn ask(client: &Asker, address: &str, what: &str) -> Result<Incoming, ConnectionEnd> {
-    let uri = format!("http://{address}/discovery/hosts{what}");
+/// Discovery at one address.
+struct Source<'a> {
+    hall: &'a Hall,
+    client: &'a Asker,
+    at: &'a str,
+    rev: &'a Rev,
+    /// Calls for a look before its time.
+    again: Notify,
+    /// A list has come where none was held.
+    had: Notify,
+    /// The last look brought an older version than the one held.
+    doubted: Cell<bool>,
+}
+
+impl Source<'_> {
+    async fn look_for_ever(&self) -> Infallible {
+        loop {
+            let begun = Instant::now();
+            self.look().await;
+            tokio::select! {
+                () = sleep_until(begun + LOOK_AGAIN) => {}
+                () = self.again.notified() => sleep_until(begun + AFTER_END).await,
+            }
+        }
+    }
+
+    /// Asks for the whole list until one call brings it. Guards against calls that hang, are refused, reset, or bring half a
+    /// list: each costs `BESIDE`, and none holds up the next.
+    async fn look(&self) {
+        let (mut calls, mut under_way) = (JoinSet::new(), VecDeque::new());
+        loop {
+            let next = Instant::now() + BESIDE;
+            if under_way.len() == AT_ONCE {
+                under_way.pop_front().inspect(tokio::task::AbortHandle::abort);
+            }
+            let (client, at, before) = (self.client.clone(), self.at.to_string(), self.rev.get());
+            under_way.push_back(
+                calls.spawn_local(
+                    async move { (before, whole_list(&client, &at, next - BESIDE + LIVES).await) },
+                ),
+            );
+            loop {
+                tokio::select! {
+                    () = sleep_until(next) => break,
+                    Some(done) = calls.join_next() => {
+                        let Ok((before, came)) = done else { continue };
+                        match came.and_then(|body| self.take_look(before, &body)) {
+                            Ok(true) => return,
+                            Ok(false) => {}
+                            Err(end) => self.ended("look at", end),
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn ended(&self, what: &str, end: ConnectionEnd) {
+        tracing::warn!("the {what} discovery ended: {}", end.name());
+        self.hall.counters.add("discovery", end.name());
+    }
+
+    /// What a look brought; false where it has to be asked again. `before`: the version held when it began.
+    fn take_look(&self, before: Option<u64>, body: &[u8]) -> Result<bool, ConnectionEnd> {
+        let (rev, whole, rows) = read(self.hall, body)?;
+        if !whole {
+            tracing::warn!("discovery sent changes for the whole list");
+            return Err(ConnectionEnd::BadBytes);
+        }
+        let goes_back = self.rev.get().is_some_and(|held| rev < held);
+        // Guards against an older list over a newer one: while this call was under way another brought more.
+        if goes_back && before.is_some_and(|before| rev >= before) {
+            return Ok(true);
+        }
+        // Versions begin anew where discovery has. Guards against one call that was answered late: it is said twice.
+        if goes_back && !self.doubted.replace(true) {
+            tracing::warn!("discovery told version {rev} after a later one; it is asked again");
+            return Ok(false);
+        }
+        self.doubted.set(false);
+        if self.rev.get() != Some(rev) {
+            self.tell(rev, whole, rows);
+        }
+        Ok(true)
+    }
+
+    fn tell(&self, rev: u64, whole: bool, rows: Vec<Listed>) {
+        self.hall.tell(|e| e.list(self.hall.clock.now(), whole, rows));
+        if self.rev.replace(Some(rev)).is_none() {
+            self.had.notify_one();
+        }
+    }
+
+    async fn watch_for_ever(&self) -> Infallible {
+        loop {
+            let Some(known) = self.rev.get() else {
+                self.had.notified().await;
+                continue;
+            };
+            let begun = Instant::now();
+            let Err(end) = self.one_watch(known).await;
+            self.ended("watch of", end);
+            self.again.notify_one();
+            // At once after one that lasted.
+            sleep_until(begun + BESIDE).await;
+        }
+    }
+
+    /// One watch, until it ends.
+    async fn one_watch(&self, known: u64) -> Result<Infallible, ConnectionEnd> {
+        let query = format!("?stream=1&index={known}");
+        let mut body = ask(self.client, self.at, &query, Instant::now() + HEAD).await?;
+        // A list may come indented: a line is no object.
+        let mut objects = Objects::new(LONGEST);
+        let (mut stands_at, mut whole_since) = (known, Instant::now());
+        loop {
+            match timeout_at(whole_since + QUIET, body.frame()).await {
+                Err(_) => return Err(ConnectionEnd::Silent),
+                Ok(None) => return Err(ConnectionEnd::Closed),
+                Ok(Some(Err(_))) => return Err(ConnectionEnd::Reset),
+                Ok(Some(Ok(frame))) => objects.came(frame.data_ref().unwrap_or(&Bytes::new())),
+            }
+            while let Some(news) = objects.take().map_err(spoilt)? {
+                stands_at = self.take_news(stands_at, &news)?;
+                whole_since = Instant::now();
+            }
+            // Guards against an object that goes on for ever: only what is whole is a sign of life.
+            if !objects.begun() {
+                whole_since = Instant::now();
+            }
+        }
+    }
+
+    /// What a watch brought that stood at that version; where it stands now.
+    fn take_news(&self, stood_at: u64, news: &[u8]) -> Result<u64, ConnectionEnd> {
+        let (rev, whole, rows) = read(self.hall, news)?;
+        let held = self.rev.get();
+        // Guards against an older life's list over a new one's: a look has found that versions began anew.
+        if held.is_some_and(|held| held < stood_at) {
+            return Err(ConnectionEnd::LetGo);
+        }
+        let goes_back = rev < stood_at;
+        if goes_back && !whole {
+            tracing::warn!("discovery told changes of version {rev} after {stood_at}");
+            return Err(ConnectionEnd::BadBytes);
+        }
+        // A look may have brought as much already.
+        if goes_back || held.is_none_or(|held| held < rev) {
+            self.tell(rev, whole, rows);
+        }
+        Ok(rev)
+    }
+}
+
+async fn ask(client: &Asker, address: &str, query: &str, by: Instant) -> Result<Incoming, ConnectionEnd> {
+    let uri = format!("http://{address}/discovery/hosts{query}");
     let Ok(request) = Request::get(uri).body(Empty::new()) else { return Err(ConnectionEnd::Refused) };
-    match tokio::time::timeout(SILENT, client.request(request)).await {
+    match timeout_at(by, client.request(request)).await {
         Ok(Ok(answer)) if answer.status() == StatusCode::OK => Ok(answer.into_body()),
         Ok(Ok(_)) => Err(ConnectionEnd::BadBytes),
         Ok(Err(_)) => Err(ConnectionEnd::Refused),
@@ -121,16 +298,18 @@
     }
 }
 
-/// Hands on what discovery sent; its version.
-fn take(hall: &Hall, news: &[u8]) -> Result<u64, ConnectionEnd> {
+/// What discovery sent: its version, whether it is the whole list, its rows.
+fn read(hall: &Hall, news: &[u8]) -> Result<(u64, bool, Vec<Listed>), ConnectionEnd> {
     let news: Result<News, String> = serde_json::from_slice(news).map_err(|e| e.to_string());
-    let taken = news.and_then(|n| Ok((n.rev, n.rows(&hall.clock)?)));
-    let (rev, (whole, rows)) = taken.map_err(|wrong| {
+    let read = news.and_then(|n| {
+        let rev = n.rev;
+        let (whole, rows) = n.rows(&hall.clock)?;
+        Ok((rev, whole, rows))
+    });
+    read.map_err(|wrong| {
         tracing::warn!("discovery sent what can't be read: {wrong}");
         ConnectionEnd::BadBytes
-    })?;
-    hall.tell(|e| e.list(hall.clock.now(), whole, rows));
-    Ok(rev)
+    })
 }
 
 fn spoilt(what: Spoilt) -> ConnectionEnd {
@@ -141,41 +320,12 @@
     ConnectionEnd::BadBytes
 }
 
-/// The whole list, where no version of it is known.
-async fn whole_list(hall: &Hall, client: &Asker, address: &str) -> Result<u64, ConnectionEnd> {
-    let body = Limited::new(ask(client, address, "").await?, LONGEST).collect();
-    match tokio::time::timeout(SILENT, body).await {
-        Ok(Ok(body)) => take(hall, &body.to_bytes()),
+async fn whole_list(client: &Asker, address: &str, by: Instant) -> Result<Bytes, ConnectionEnd> {
+    let body = Limited::new(ask(client, address, "", by).await?, LONGEST).collect();
+    match timeout_at(by, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(spoilt(Spoilt::TooLong)),
         Ok(Err(_)) => Err(ConnectionEnd::Reset),
         Err(_) => Err(ConnectionEnd::Silent),
     }
 }
-
-/// One watch, until it ends.
-async fn one_watch(
-    hall: &Hall,
-    client: &Asker,
-    address: &str,
-    rev: &Rev,
-) -> Result<Infallible, ConnectionEnd> {
-    let known = match rev.get() {
-        Some(known) => known,
-        None => whole_list(hall, client, address).await?,
-    };
-    rev.set(Some(known));
-    let mut body = ask(client, address, &format!("?stream=1&index={known}")).await?;
-    // A list may come indented: a line is no object.
-    let mut objects = Objects::new(LONGEST);
-    loop {
-        match tokio::time::timeout(SILENT, body.frame()).await {
-            Err(_) => return Err(ConnectionEnd::Silent),
-            Ok(None) => return Err(ConnectionEnd::Closed),
-            Ok(Some(Err(_))) => return Err(ConnectionEnd::Reset),
-            Ok(Some(Ok(frame))) => objects.came(frame.data_ref().unwrap_or(&Bytes::new())),
-        }
-        while let Some(news) = objects.take().map_err(spoilt)? {
-            rev.set(Some(take(hall, &news)?));
-        }
-    }
-}
--- a/crates/pipitcrank-node/src/objects.rs
+++ b/crates/pipitcrank-node/src/objects.rs
@@ -33,6 +33,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Whether some of the next one has come; after `take` has found no whole one.
+    pub fn begun(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// The next one that has come whole.
     pub fn take(&mut self) -> Result<Option<BytesMut>, Spoilt> {
         if self.depth == 0 {
--- a/crates/pipitcrank-node/src/reload.rs
+++ b/crates/pipitcrank-node/src/reload.rs
@@ -24,11 +24,8 @@
             Ok(address) => {
                 counters.add("reloads", "taken");
                 tracing::info!("charter read again: discovery is at {address}");
-                discovery.send_if_modified(|old| {
-                    let moved = *old != address;
-                    *old = address;
-                    moved
-                });
+                // Also where it stays: what discovery has counts as told sooner after a SIGHUP.
+                discovery.send_replace(address);
             }
             Err(wrong) => {
                 counters.add("reloads", "faulty");
--- a/crates/pipitcrank-node/src/serve.rs
+++ b/crates/pipitcrank-node/src/serve.rs
@@ -112,9 +112,9 @@
     let (move_watch, watched) = watch::channel(charter.discovery()?);
     let (tick, name, listen) = (charter.tick()?, charter.name()?, charter.listen()?);
     let rev_held = Rc::new(Cell::new(None));
-    let (watch_hall, watch_rev, pause) = (hall.clone(), rev_held.clone(), charter.dial_limit()?);
+    let (watch_hall, watch_rev) = (hall.clone(), rev_held.clone());
     let list_known = move || {
-        let watch = discovery::watch(watch_hall.clone(), watched.clone(), watch_rev.clone(), pause);
+        let watch = discovery::watch(watch_hall.clone(), watched.clone(), watch_rev.clone());
         tokio::task::spawn_local(watch);
     };
     tokio::task::spawn_local(reload::heed(hangups, path.into(), clock, counters.clone(), move_watch));
--- a/crates/pipitcrank-rig/src/discovery.rs
+++ b/crates/pipitcrank-rig/src/discovery.rs
@@ -20,6 +20,8 @@
     changes: Rc<RefCell<Vec<String>>>,
     newest: watch::Sender<usize>,
     first: Value,
+    /// The list as changed so far.
+    now: Rc<RefCell<Vec<Value>>>,
 }
 
 /// One row of the list.
@@ -38,13 +40,14 @@
         let address = listener.local_addr()?;
         let (newest, seen) = watch::channel(1);
         let changes: Rc<RefCell<Vec<String>>> = Rc::default();
-        let (told, rows_held) = (changes.clone(), rows.clone());
+        let now = Rc::new(RefCell::new(rows.clone()));
+        let (told, rows_held) = (changes.clone(), now.clone());
         tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::task::spawn_local(answer(stream, rows_held.clone(), told.clone(), seen.clone()));
             }
         });
-        Ok(Discovery { address, changes, newest, first: list(1, true, rows) })
+        Ok(Discovery { address, changes, newest, first: list(1, true, rows), now })
     }
 
     /// The first list, as a charter names it.
@@ -54,11 +57,19 @@
 
     /// Watches are told of a changed row.
     pub fn changes(&self, row: Value) {
+        {
+            let mut now = self.now.borrow_mut();
+            now.retain(|r| r["uid"] != row["uid"]);
+            if row["state"] != "left" {
+                now.push(row.clone());
+            }
+        }
         self.tells(|rev| list(rev, false, vec![row]).to_string());
     }
 
     /// Watches are told of a whole new list, indented.
     pub fn is_now(&self, rows: Vec<Value>) {
+        *self.now.borrow_mut() = rows.clone();
         self.tells(|rev| format!("{:#}", list(rev, true, rows)));
     }
 
@@ -71,7 +82,7 @@
 
 async fn answer(
     stream: TcpStream,
-    rows: Vec<Value>,
+    now: Rc<RefCell<Vec<Value>>>,
     changes: Rc<RefCell<Vec<String>>>,
     mut seen: watch::Receiver<usize>,
 ) -> std::io::Result<()> {
@@ -81,7 +92,8 @@
     from.read_line(&mut line).await?;
     let index = line.split("index=").nth(1).and_then(|r| r.split([' ', '&']).next()?.parse::<usize>().ok());
     let Some(mut told) = index.filter(|_| line.contains("stream=1")) else {
-        let body = list(1, true, rows).to_string();
+        let rev = changes.borrow().len() + 1;
+        let body = list(rev, true, now.borrow().clone()).to_string();
         let head =
             format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}", body.len());
         return to.write_all(head.as_bytes()).await;
