A part whose query ended is no other query's: its waiting call is not sent on

At fault: HeldPart kept its query's index after that query had ended. Where calls can't be cancelled a call that waits for its connection is ended by nothing but the last look in `release`, which asked whether a query of that index is held: by then it was another one. So the part went out for a client that had its answer, or had left, and since the keys go along, under the other's key. Ruled out: a mix-up of connections or part numbers (id and shard were right), the client's own key (it sent none). Change: a part forgets its query when that is let go of. Test on real connections: cli/tests/leaving.rs, the waiting call with and without cancelling, another query taken between; fails without the change ("view-1.0 was sent on").

--- a/crates/pipitcrank-cli/tests/leaving.rs
+++ b/crates/pipitcrank-cli/tests/leaving.rs
@@ -105,15 +105,18 @@
     }
 }
 
+/// Where calls may be cancelled, and where not: there nothing ends the call but the last look before its first byte, and by
+/// then another query has the place of the one that ended. Its call went out, under the other's key.
 #[test]
 fn whoever_has_closed_while_its_call_waited_for_a_connection_is_not_sent_on() {
-    for how in WAYS {
+    for (how, cancel) in WAYS.into_iter().zip([true, true, false, true]).chain([(Leaves::Closes, false)]) {
         on_one_thread(LIMIT, async {
             let late = Late::start().await?;
             let source = Source::start(1, vec![row("a", late.address, 0, "active", 0)]).await?;
             let mut told = charter(&source, 1, 256)?;
-            told["settings"]["allowed"]["dial_timeout_s"] = 3.5.into();
-            told["settings"]["allowed"]["probing"] = false.into();
+            let allowed = &mut told["settings"]["allowed"];
+            (allowed["dial_timeout_s"], allowed["probing"]) = (3.5.into(), false.into());
+            allowed["cancel"] = cancel.into();
             let process = Process::start(program(), told, None).await?;
             let client = asks(&process, "view-1", how).await?;
             counted(&process, "queries taken", 1).await;
@@ -121,15 +124,19 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             leaves(client, how)?;
             counted(&process, "queries client_gone", 1).await;
-            let mut leaf = late.let_up();
-            // Connections come up a second after they were begun.
             let mut other = Lone::connect(process.address, Ledger::default()).await?;
             let mut asking = std::pin::pin!(other.ask_in_pieces(question("view-2"), &[]));
+            tokio::select! {
+                () = counted(&process, "queries taken", 2) => {}
+                how = &mut asking => panic!("{how:?}: {}", process.log()),
+            }
+            // Connections come up a second after they were begun.
+            let mut leaf = late.let_up();
             let call = tokio::select! {
                 call = leaf.call() => call,
                 how = &mut asking => panic!("{how:?}: {}", process.log()),
             };
-            assert!(call.id.starts_with("view-2"), "{} was sent on: {how:?}", call.id);
+            assert!(call.id.starts_with("view-2"), "{} was sent on: {how:?}, {cancel}", call.id);
             call.answers();
             assert_eq!(asking.await, Ended::Merged);
             tokio::time::sleep(LONG).await;
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -135,7 +135,8 @@
 
 struct HeldPart {
     id: Rc<str>,
-    query: u32,
+    /// None once its query is let go of, whose index another may have by then while a call of this part is still out.
+    query: Option<u32>,
     shard: u32,
     weight: f64,
     work: Option<f64>,
@@ -202,10 +203,7 @@
 
     /// Queries and parts open: a part that is in is not.
     fn open(&self) -> usize {
-        let open = self
-            .held_parts
-            .values()
-            .filter(|p| p.value.is_none() && self.held_queries.contains_key(&p.query));
+        let open = self.held_parts.values().filter(|p| p.value.is_none() && p.query.is_some());
         self.held_queries.len() + open.count()
     }
 
@@ -223,7 +221,7 @@
         let held = self.held_parts.get_mut(&part.0).expect("called parts are held");
         let call = (part, held.calls);
         held.calls += 1;
-        let lent = self.held_queries.get(&held.query).and_then(|q| q.lent.as_ref());
+        let lent = held.query.and_then(|q| self.held_queries.get(&q)).and_then(|q| q.lent.as_ref());
         if let Some(lent) = lent.filter(|_| call.1 > 0) {
             lent.made.set(lent.made.get() + 1);
         }
@@ -274,6 +272,12 @@
         self.queries.leave(query.0);
         if let Some(held) = self.held_queries.remove(&query.0) {
             self.tickets.remove(&held.ticket);
+            // Guards against a call that waits for its connection while its query ends: it was taken for one of the query that
+            // got the index next, and went out for nobody.
+            for part in held.parts {
+                let ours = self.held_parts.get_mut(&part).filter(|p| p.query == Some(query.0));
+                ours.into_iter().for_each(|p| p.query = None);
+            }
         }
     }
 
@@ -432,7 +436,8 @@
             };
             *released = true;
             let part = &self.desk.held_parts[&call.0.0];
-            let query = self.desk.held_queries.get(&part.query).filter(|q| !self.gone.contains(&q.ticket));
+            let query = part.query.and_then(|q| self.desk.held_queries.get(&q));
+            let query = query.filter(|q| !self.gone.contains(&q.ticket));
             let Some(query) =
                 query.filter(|_| !drained && now < *until && self.root.may_begin(now, call.0, call.1))
             else {
@@ -501,7 +506,9 @@
         self.lent.retain(|_, (.., until)| *until > now);
         let mut by_query: BTreeMap<u32, Vec<CallNo>> = BTreeMap::new();
         for &call in parts.iter() {
-            by_query.entry(self.desk.held_parts[&call.0.0].query).or_default().push(call);
+            // What was released has its query.
+            let query = self.desk.held_parts[&call.0.0].query;
+            by_query.entry(query.expect("released parts have a query")).or_default().push(call);
         }
         let mut all = Vec::new();
         for (query, calls) in by_query {
@@ -656,7 +663,7 @@
         for ((&index, id), part) in indices.iter().zip(ids).zip(&parts) {
             let held = HeldPart {
                 id,
-                query: query.0,
+                query: Some(query.0),
                 shard: part.shard,
                 weight: part.weight,
                 work: part.work,
@@ -679,7 +686,8 @@
         self.desk.counters.add("leaf_calls", ending_name(ending));
         let Some(part) = self.desk.held_parts.get_mut(&call.0.0) else { return };
         if ending == Ending::Pass && part.value.is_none() {
-            let lent = self.desk.held_queries.get_mut(&part.query).and_then(|q| q.lent.as_mut());
+            let held = part.query.and_then(|q| self.desk.held_queries.get_mut(&q));
+            let lent = held.and_then(|q| q.lent.as_mut());
             if let (Some(lent), Some(value)) = (lent, &value) {
                 (lent.as_in)(part.shard, value);
             }
