--- a/crates/pipitcrank-node/src/gate.rs
+++ b/crates/pipitcrank-node/src/acceptor.rs
@@ -22,14 +22,14 @@
 use tokio::time::Instant;
 use tower_service::Service;
 
+use crate::client_connections::{ClientConnection, ClientConnections, Doing};
 use crate::clock::duration;
-use crate::closing::Closing;
 use crate::counters::Counters;
 use crate::ends::ConnectionEnd;
 use crate::front::{Arrival, EndCalled};
 use crate::hall::{Place, Sockets};
-use crate::tap::{Framing, Heads, Tap};
-use crate::visits::{Doing, Visit, Visits};
+use crate::request_reader::{Framing, Heads, RequestReader};
+use crate::shutdown::ShutdownSchedule;
 
 /// Longest request head taken: with all places for clients in use, heads and bodies stay under a quarter of the
 /// memory told.
@@ -55,7 +55,7 @@
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 const TOO_SLOW_READ: Duration = Duration::from_millis(250);
 
-/// What the gate is told from outside.
+/// What the acceptor is told from outside.
 pub enum Order {
     /// Accept there.
     Accept(TcpListener),
@@ -88,7 +88,7 @@
 struct Rounds {
     router: Router,
     counters: Counters,
-    visits: Rc<Visits>,
+    connections: Rc<ClientConnections>,
     mood: watch::Receiver<Mood>,
     /// At the end a connection leaves when nothing came on it for so long.
     idle: Duration,
@@ -99,14 +99,14 @@
         self.counters.add("clients", if new { "accepted" } else { "adopted" });
         let (router, counters, mood) = (self.router.clone(), self.counters.clone(), self.mood.clone());
         let idle = self.idle;
-        let (visits, visit) = (self.visits.clone(), self.visits.enter(Instant::now()));
+        let (connections, connection) = (self.connections.clone(), self.connections.enter(Instant::now()));
         if !new {
-            visit.goes_on(Instant::now(), come.whole_within);
+            connection.goes_on(Instant::now(), come.whole_within);
         }
         tokio::task::spawn_local(async move {
-            let end = serve(come, router, &visit, mood, idle).await;
+            let end = serve(come, router, &connection, mood, idle).await;
             counters.add("clients", end.name());
-            visits.leave(&visit);
+            connections.leave(&connection);
             drop(place);
         });
     }
@@ -124,15 +124,15 @@
     router: Router,
     clients: Sockets,
     counters: Counters,
-    closing: Closing,
+    schedule: ShutdownSchedule,
     mut end_called: EndCalled,
     quiet: impl Fn() -> bool,
 ) {
     let (moods, mood) = watch::channel(Mood::Stay);
-    let (stay, idle, last) = (closing.stay, closing.idle, closing.last_answer);
+    let (stay, idle, last) = (schedule.stay, schedule.idle, schedule.last_answer);
     let (stay, idle, last) = (duration(stay), duration(idle), duration(last));
-    let visits = Rc::new(Visits::default());
-    let rounds = Rounds { router, counters, visits: visits.clone(), mood, idle };
+    let connections = Rc::new(ClientConnections::default());
+    let rounds = Rounds { router, counters, connections: connections.clone(), mood, idle };
     let mut listener: Option<TcpListener> = None;
     let mut since: Option<Instant> = None;
     let mut leaving = false;
@@ -183,7 +183,7 @@
                 drop(place);
                 // At the end all that is at nothing gives way.
                 let short = if leaving { usize::MAX } else { (clients.most().div_ceil(SPARE)).saturating_sub(clients.free()) };
-                visits.look(Instant::now(), short);
+                connections.look(Instant::now(), short);
                 if since.is_none_or(|s| s.elapsed() < stay) {
                     continue;
                 }
@@ -197,9 +197,9 @@
                 }
                 // Guards against half a request found by the kill: it gets its answer, too.
                 if since.is_some_and(|s| s.elapsed() >= last) {
-                    visits.end();
+                    connections.end();
                 }
-                if visits.none() && quiet() {
+                if connections.none() && quiet() {
                     return;
                 }
             }
@@ -236,25 +236,31 @@
 async fn serve(
     come: Adopted,
     router: Router,
-    visit: &Rc<Visit>,
+    connection: &Rc<ClientConnection>,
     mut mood: watch::Receiver<Mood>,
     idle: Duration,
 ) -> ConnectionEnd {
     let Adopted { stream, read, .. } = come;
     let _ = stream.set_nodelay(true);
     let heads = Rc::new(RefCell::new(Heads::new(LONGEST_HEAD)));
-    let tap =
-        Tap { stream, visit: visit.clone(), heads: heads.clone(), ended: false, before: read, behind: 0 };
+    let reader = RequestReader {
+        stream,
+        connection: connection.clone(),
+        heads: heads.clone(),
+        ended: false,
+        before: read,
+        behind: 0,
+    };
     let moods = mood.clone();
     let service = service_fn(|request| {
-        Box::pin(answer(router.clone(), visit.clone(), heads.clone(), moods.clone(), request))
+        Box::pin(answer(router.clone(), connection.clone(), heads.clone(), moods.clone(), request))
     });
     let mut serving = http1::Builder::new()
         .timer(TokioTimer::new())
-        // Visits have their own limits, from connecting on.
+        // Client connections have limits of their own, from connecting on.
         .header_read_timeout(None)
         .max_buf_size(LONGEST_HEAD)
-        .serve_connection(TokioIo::new(tap), service);
+        .serve_connection(TokioIo::new(reader), service);
     let mut now = mood.borrow_and_update().clone();
     let end = loop {
         tokio::select! {
@@ -266,9 +272,9 @@
                 Err(e) if e.is_parse() => ConnectionEnd::BadBytes,
                 Err(_) => ConnectionEnd::Reset,
             },
-            () = visit.called_to_leave() => match visit.doing() {
+            () = connection.called_to_leave() => match connection.doing() {
                 Doing::Idle => return ConnectionEnd::Idle,
-                Doing::Begun if visit.is_flushed() => {
+                Doing::Begun if connection.is_flushed() => {
                     let stream = serving.into_parts().io.into_inner().stream;
                     if stream.try_write(TOO_SLOW).is_ok() {
                         let _ = tokio::time::timeout(TOO_SLOW_READ, see_off(stream)).await;
@@ -278,24 +284,24 @@
                 _ => return ConnectionEnd::Silent,
             },
             Ok(()) = mood.changed() => now = mood.borrow_and_update().clone(),
-            () = visit.rests(matches!(now, Mood::Pass(_)), idle), if !matches!(now, Mood::Stay) => {
+            () = connection.rests(matches!(now, Mood::Pass(_)), idle), if !matches!(now, Mood::Stay) => {
                 let Mood::Pass(to) = now else { break ConnectionEnd::LetGo };
-                let whole_within = visit.whole_within(Instant::now());
+                let whole_within = connection.whole_within(Instant::now());
                 let parts = serving.into_parts();
-                let tap = parts.io.into_inner();
+                let reader = parts.io.into_inner();
                 // What the library has read and not used, and what had come before and was not read by it.
-                let read = [&parts.read_buf[..], &tap.before[..]].concat().into();
-                let _ = to.send(Adopted { stream: tap.stream, read, whole_within });
+                let read = [&parts.read_buf[..], &reader.before[..]].concat().into();
+                let _ = to.send(Adopted { stream: reader.stream, read, whole_within });
                 return ConnectionEnd::Passed;
             }
         }
     };
-    let tap = serving.into_parts().io.into_inner();
-    if !tap.ended && end != ConnectionEnd::Reset {
-        visit.turns_to(Doing::Parting, Instant::now());
+    let reader = serving.into_parts().io.into_inner();
+    if !reader.ended && end != ConnectionEnd::Reset {
+        connection.turns_to(Doing::Parting, Instant::now());
         tokio::select! {
-            () = see_off(tap.stream) => {}
-            () = visit.called_to_leave() => {}
+            () = see_off(reader.stream) => {}
+            () = connection.called_to_leave() => {}
         }
     }
     end
@@ -304,26 +310,26 @@
 /// One request of a connection, from its head to its answer.
 async fn answer(
     router: Router,
-    visit: Rc<Visit>,
+    connection: Rc<ClientConnection>,
     heads: Rc<RefCell<Heads>>,
     mood: watch::Receiver<Mood>,
     mut request: Request<Incoming>,
 ) -> Result<axum::response::Response, std::convert::Infallible> {
-    visit.turns_to(Doing::Open, Instant::now());
-    // Seen by the tap alone: of a request framed both ways the library shows one only.
+    connection.turns_to(Doing::Open, Instant::now());
+    // Seen by the reader alone: of a request framed both ways the library shows one only.
     let mixed = heads.borrow().framing() == Some(Framing::Mixed);
-    request.extensions_mut().insert(Arrival { whole_by: visit.whole_by(), mixed });
+    request.extensions_mut().insert(Arrival { whole_by: connection.whole_by(), mixed });
     let answered = { router }.call(request.map(Body::new)).await;
     let mut heads = heads.borrow_mut();
     let follows = heads.may_follow() && !matches!(*mood.borrow(), Mood::Leave);
     heads.next();
-    visit.turns_to(Doing::Idle, Instant::now());
+    connection.turns_to(Doing::Idle, Instant::now());
     answered.map(|mut response| {
         if !follows {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         if response.headers().get(CONNECTION).is_some_and(|v| v == "close") {
-            visit.ends();
+            connection.ends();
         }
         response
     })
--- a/crates/pipitcrank-node/src/gate/tests.rs
+++ b/crates/pipitcrank-node/src/acceptor/tests.rs
@@ -32,9 +32,9 @@
         assert!(order.send(Order::Accept(listener)).is_ok());
         let (gate_ended, counters) = (ended.clone(), Counters::default());
         let idle = Span::from_ms(250);
-        let closing = Closing { stay, idle, last_answer: stay + idle };
+        let schedule = ShutdownSchedule { stay, idle, last_answer: stay + idle };
         tokio::task::spawn_local(async move {
-            keep(ordered, router, Sockets::new(9), counters, closing, called, || true).await;
+            keep(ordered, router, Sockets::new(9), counters, schedule, called, || true).await;
             gate_ended.set(true);
         });
         assert!(!asked(&mut stream).await.contains("connection: close"));
--- a/crates/pipitcrank-node/src/visits.rs
+++ b/crates/pipitcrank-node/src/client_connections.rs
@@ -37,7 +37,7 @@
     Parting,
 }
 
-pub struct Visit {
+pub struct ClientConnection {
     came: Instant,
     doing: Cell<(Doing, Instant)>,
     /// Until when a request begun has to be whole.
@@ -51,12 +51,12 @@
     moved_on: Notify,
 }
 
-impl Visit {
-    fn new(now: Instant) -> Visit {
+impl ClientConnection {
+    fn new(now: Instant) -> ClientConnection {
         let (doing, whole_by) = (Cell::new((Doing::Silent, now)), Cell::new(now + WHOLE_WITHIN));
         let (leaving, flushed) = (Cell::default(), Cell::new(true));
         let (leave, last, moved_on) = (Notify::new(), Cell::default(), Notify::new());
-        Visit { came: now, doing, whole_by, leaving, leave, flushed, last, moved_on }
+        ClientConnection { came: now, doing, whole_by, leaving, leave, flushed, last, moved_on }
     }
 
     /// Goes on from where another process had it: between two requests, or with some of one read, which has to be
@@ -174,39 +174,40 @@
 
 /// All of them; each leaves the list as its connection ends.
 #[derive(Default)]
-pub struct Visits(RefCell<Vec<Rc<Visit>>>);
+pub struct ClientConnections(RefCell<Vec<Rc<ClientConnection>>>);
 
-impl Visits {
-    pub fn enter(&self, now: Instant) -> Rc<Visit> {
-        let visit = Rc::new(Visit::new(now));
-        self.0.borrow_mut().push(visit.clone());
-        visit
+impl ClientConnections {
+    pub fn enter(&self, now: Instant) -> Rc<ClientConnection> {
+        let connection = Rc::new(ClientConnection::new(now));
+        self.0.borrow_mut().push(connection.clone());
+        connection
     }
 
     pub fn none(&self) -> bool {
         self.0.borrow().is_empty()
     }
 
-    pub fn leave(&self, visit: &Rc<Visit>) {
-        self.0.borrow_mut().retain(|v| !Rc::ptr_eq(v, visit));
+    pub fn leave(&self, connection: &Rc<ClientConnection>) {
+        self.0.borrow_mut().retain(|v| !Rc::ptr_eq(v, connection));
     }
 
     /// Closes all that have no request open. Guards against an answer cut by us that a slow client still reads: that is
     /// left to the kill.
     pub fn end(&self) {
-        let visits = self.0.borrow();
-        let reads = |v: &Visit| v.doing() == Doing::Open || v.doing() == Doing::Idle && !v.is_flushed();
-        visits.iter().filter(|v| !v.leaving.get() && !reads(v)).for_each(|v| v.call_to_leave());
+        let connections = self.0.borrow();
+        let reads =
+            |v: &ClientConnection| v.doing() == Doing::Open || v.doing() == Doing::Idle && !v.is_flushed();
+        connections.iter().filter(|v| !v.leaving.get() && !reads(v)).for_each(|v| v.call_to_leave());
     }
 
     /// Closes what has been at something for too long; then those that may give way, the longest ready first,
     /// until `short` places more are on their way to be free. Guards against clients kept out by connections that
     /// asked once and stay, or that never say anything.
     pub fn look(&self, now: Instant, short: usize) {
-        let visits = self.0.borrow();
-        visits.iter().filter(|v| !v.leaving.get() && v.overdue(now)).for_each(|v| v.call_to_leave());
-        let on_their_way = visits.iter().filter(|v| v.leaving.get()).count();
-        let mut ready: Vec<(Instant, Instant, &Rc<Visit>)> = visits
+        let connections = self.0.borrow();
+        connections.iter().filter(|v| !v.leaving.get() && v.overdue(now)).for_each(|v| v.call_to_leave());
+        let on_their_way = connections.iter().filter(|v| v.leaving.get()).count();
+        let mut ready: Vec<(Instant, Instant, &Rc<ClientConnection>)> = connections
             .iter()
             .filter(|v| !v.leaving.get())
             .filter_map(|v| Some((v.gives_way().filter(|&at| at <= now)?, v.came, v)))
--- a/crates/pipitcrank-node/src/visits/tests.rs
+++ b/crates/pipitcrank-node/src/client_connections/tests.rs
@@ -4,31 +4,31 @@
 
 #[test]
 fn the_longest_quiet_give_way_and_open_requests_never_do() {
-    let (visits, start) = (Visits::default(), Instant::now());
-    let [open, idle, fresh_idle, silent, begun] = [0, 1, 2, 3, 4].map(|n| visits.enter(start + MS * n));
+    let (connections, start) = (ClientConnections::default(), Instant::now());
+    let [open, idle, fresh_idle, silent, begun] = [0, 1, 2, 3, 4].map(|n| connections.enter(start + MS * n));
     open.turns_to(Doing::Open, start);
     idle.turns_to(Doing::Idle, start);
     fresh_idle.turns_to(Doing::Idle, start + MS * 900);
     begun.turns_to(Doing::Begun, start + MS * 500);
     let left = || [&open, &idle, &fresh_idle, &silent, &begun].map(|v| v.leaving.get());
-    visits.look(start + MS * 50, 5);
+    connections.look(start + MS * 50, 5);
     assert_eq!(left(), [false; 5], "each has some time");
-    visits.look(start + MS * 2100, 0);
+    connections.look(start + MS * 2100, 0);
     assert_eq!(left(), [false; 5], "there is room");
-    visits.look(start + MS * 2100, 2);
+    connections.look(start + MS * 2100, 2);
     assert_eq!(left(), [false, false, false, true, true], "two places, the longest ready first");
-    visits.look(start + MS * 2100, 2);
+    connections.look(start + MS * 2100, 2);
     assert_eq!(left(), [false, false, false, true, true], "two are on their way already");
-    visits.look(start + MS * 2500, 9);
+    connections.look(start + MS * 2500, 9);
     assert_eq!(left(), [false, true, false, true, true], "idle for 2 s");
-    visits.look(start + MS * 90_000, 0);
+    connections.look(start + MS * 90_000, 0);
     assert_eq!(left(), [false, true, true, true, true], "an open request is never closed");
 }
 
 #[test]
 fn at_the_last_moment_all_leave_but_what_is_asked_or_still_read() {
-    let (visits, start) = (Visits::default(), Instant::now());
-    let [open, idle, unread, silent, begun] = [0; 5].map(|_| visits.enter(start));
+    let (connections, start) = (ClientConnections::default(), Instant::now());
+    let [open, idle, unread, silent, begun] = [0; 5].map(|_| connections.enter(start));
     for asked in [&open, &idle, &unread] {
         asked.turns_to(Doing::Open, start);
     }
@@ -36,21 +36,21 @@
     idle.flushed();
     unread.turns_to(Doing::Idle, start);
     begun.turns_to(Doing::Begun, start);
-    visits.end();
+    connections.end();
     let left = [&open, &idle, &unread, &silent, &begun].map(|v| v.leaving.get());
     assert_eq!(left, [false, true, false, true, true]);
 }
 
 #[test]
 fn a_request_is_whole_in_time_from_connecting_or_from_its_first_byte() {
-    let (visits, start) = (Visits::default(), Instant::now());
-    let [silent, slow, again] = [0, 0, 0].map(|_| visits.enter(start));
+    let (connections, start) = (ClientConnections::default(), Instant::now());
+    let [silent, slow, again] = [0, 0, 0].map(|_| connections.enter(start));
     slow.turns_to(Doing::Begun, start + MS * 2400);
     again.turns_to(Doing::Open, start + MS * 10);
     again.turns_to(Doing::Idle, start + MS * 20);
     again.turns_to(Doing::Begun, start + MS * 2400);
-    visits.look(start + WHOLE_WITHIN, 0);
+    connections.look(start + WHOLE_WITHIN, 0);
     assert!(silent.leaving.get() && slow.leaving.get() && !again.leaving.get());
-    visits.look(start + MS * 2400 + WHOLE_WITHIN, 0);
+    connections.look(start + MS * 2400 + WHOLE_WITHIN, 0);
     assert!(again.leaving.get(), "its second request had as long");
 }
--- a/crates/pipitcrank-node/src/tap.rs
+++ b/crates/pipitcrank-node/src/request_reader.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::visits::{Doing, Visit};
+use crate::client_connections::{ClientConnection, Doing};
 
 /// How a request says where it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -116,9 +116,9 @@
     }
 }
 
-pub struct Tap {
+pub struct RequestReader {
     pub stream: TcpStream,
-    pub visit: Rc<Visit>,
+    pub connection: Rc<ClientConnection>,
     pub heads: Rc<std::cell::RefCell<Heads>>,
     /// The client has closed its side.
     pub ended: bool,
@@ -131,7 +131,7 @@
 /// Who sends more than this behind a request has no use for its answer: several hundred requests at once.
 const MOST_BEHIND: usize = 1 << 20;
 
-impl Tap {
+impl RequestReader {
     /// Takes bytes from before, or from the connection.
     fn poll_some(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         if self.before.is_empty() {
@@ -144,7 +144,7 @@
     }
 }
 
-impl AsyncRead for Tap {
+impl AsyncRead for RequestReader {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -158,8 +158,8 @@
             if came.is_empty() {
                 return Poll::Ready(Ok(()));
             }
-            if matches!(self.visit.doing(), Doing::Silent | Doing::Idle) {
-                self.visit.turns_to(Doing::Begun, Instant::now());
+            if matches!(self.connection.doing(), Doing::Silent | Doing::Idle) {
+                self.connection.turns_to(Doing::Begun, Instant::now());
             }
             let (all, own) = (came.len(), self.heads.borrow_mut().see(came));
             buf.set_filled(before + own);
@@ -177,7 +177,7 @@
     }
 }
 
-impl AsyncWrite for Tap {
+impl AsyncWrite for RequestReader {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
@@ -197,7 +197,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Called once all that there was to write has been written.
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
-        self.visit.flushed();
+        self.connection.flushed();
         Poll::Ready(Ok(()))
     }
 
--- a/crates/pipitcrank-node/src/serve.rs
+++ b/crates/pipitcrank-node/src/serve.rs
@@ -15,19 +15,19 @@
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::watch;
 
+use crate::acceptor::{self, Order};
 use crate::awake::Awake;
 use crate::charter::Charter;
 use crate::clock::Clock;
-use crate::closing::Closing;
 use crate::counters::Counters;
 use crate::discovery::{self, Rev};
 use crate::exchange::{Exchange, LeafSide};
 use crate::front::{self, Door, Knock};
-use crate::gate::{self, Order};
 use crate::hall::{Hall, Sockets};
 use crate::leaves::Leaves;
 use crate::relay::Relay;
 use crate::reload;
+use crate::shutdown::ShutdownSchedule;
 use crate::worker::{FirstList, Worker};
 
 /// How often it looks whether it stood still.
@@ -95,7 +95,7 @@
     let door_tickets = tickets.clone();
     let verticals = charter.verticals()?;
     let worker_verticals = verticals.len();
-    let closing = Closing::of(charter.longest()?);
+    let schedule = ShutdownSchedule::of(charter.longest()?);
     let awake = Arc::new(Awake::new(clock.now()));
     let router = front::router(Door {
         clock,
@@ -105,7 +105,7 @@
         shards: charter.shards()?,
         knocks,
         end_called: end_called.clone(),
-        last_answer: closing.last_answer,
+        last_answer: schedule.last_answer,
         tickets: tickets.clone(),
         awake: awake.clone(),
     });
@@ -121,7 +121,7 @@
     let (leave, leaving) = watch::channel(false);
     let leave = Rc::new(leave);
     let relay = Relay::new(hall.clone());
-    let (gate, ordered) = unbounded_channel();
+    let (acceptor, ordered) = unbounded_channel();
     let ground_rev = rev_held.clone();
     let ended = call_end.clone();
     match keeper {
@@ -142,14 +142,14 @@
             }
             list_known();
             let listener = TcpListener::bind(listen).await.map_err(|e| format!("/listen: {e}"))?;
-            let _ = gate.send(Order::Accept(listener));
+            let _ = acceptor.send(Order::Accept(listener));
             tracing::info!("{name} serves at {listen}");
         }
         Some(keeper) => {
             let worker = Rc::new(Worker {
                 hall: hall.clone(),
                 relay: relay.clone(),
-                gate: gate.clone(),
+                acceptor: acceptor.clone(),
                 clients: for_clients.clone(),
                 rev: rev_held,
                 list_known: Rc::new(list_known),
@@ -182,7 +182,7 @@
         // Kept: a closed channel would read as a second call.
         std::future::pending::<()>().await;
     });
-    tokio::task::spawn_local(answer_by_the_end(hall.clone(), end_called.clone(), closing.last_answer));
+    tokio::task::spawn_local(answer_by_the_end(hall.clone(), end_called.clone(), schedule.last_answer));
     tokio::task::spawn_local(hear(hall.clone(), relay.clone(), knocked));
     let leaf_side: Rc<RefCell<dyn LeafSide>> = match beside {
         None => leaves,
@@ -210,7 +210,7 @@
     let quiet = || hall.ask(Exchange::quiet) && relay.quiet();
     tokio::select! {
         () = hall.take_turns(tick, &leaf_side) => {}
-        () = gate::keep(ordered, router, for_clients, counters.clone(), closing, end_called, quiet) => {}
+        () = acceptor::keep(ordered, router, for_clients, counters.clone(), schedule, end_called, quiet) => {}
     }
     tracing::info!("counters at exit:\n{}", counters.show());
     Ok(())
--- a/crates/pipitcrank-node/src/closing.rs
+++ b/crates/pipitcrank-node/src/shutdown.rs
@@ -22,7 +22,7 @@
 /// Guards against a kill that finds queries taken after the end was called: with deadlines of 1.5 s the grace is 2.2 s,
 /// and what was taken in it was held for up to 3.3 s.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Closing {
+pub struct ShutdownSchedule {
     /// So long connections are taken and kept as before.
     pub stay: Span,
     /// From then on a connection ends with its answer, or when nothing came on it for so long.
@@ -31,12 +31,12 @@
     pub last_answer: Span,
 }
 
-impl Closing {
+impl ShutdownSchedule {
     /// `longest`: how long a client is waited for at most.
-    pub fn of(longest: Span) -> Closing {
+    pub fn of(longest: Span) -> ShutdownSchedule {
         let grace = longest.min(LONGEST_COUNTED) + BEYOND;
         let (stay, idle, last_answer) = (grace * STAY, grace * IDLE, grace * LAST_ANSWER);
-        Closing { stay: stay.max(NEWCOMERS), idle, last_answer }
+        ShutdownSchedule { stay: stay.max(NEWCOMERS), idle, last_answer }
     }
 }
 
--- a/crates/pipitcrank-node/src/closing/tests.rs
+++ b/crates/pipitcrank-node/src/shutdown/tests.rs
@@ -5,7 +5,7 @@
 #[test]
 fn at_the_longest_grace_the_hours_are_those_measured() {
     for longest in [3.0, 7.5, 86_400.0] {
-        let Closing { stay, idle, last_answer } = Closing::of(Span::from_s(longest));
+        let ShutdownSchedule { stay, idle, last_answer } = ShutdownSchedule::of(Span::from_s(longest));
         let ms = |span: Span| (span.s() * 1e3).round();
         assert_eq!((ms(stay), ms(idle), ms(last_answer)), (1500.0, 500.0, 3300.0));
     }
@@ -16,7 +16,7 @@
 
     #[test]
     fn whatever_the_deadline_they_keep_their_order_and_end_before_the_kill(longest in 0.0f64..100_000.0) {
-        let Closing { stay, idle, last_answer } = Closing::of(Span::from_s(longest));
+        let ShutdownSchedule { stay, idle, last_answer } = ShutdownSchedule::of(Span::from_s(longest));
         let kill = longest.min(3.0) + 0.7;
         prop_assert!(stay.s() > 0.4, "who comes in the first 0.4 s is taken on");
         prop_assert!(idle.s() > 0.09, "time for a request on its way");
--- a/crates/pipitcrank-node/src/worker.rs
+++ b/crates/pipitcrank-node/src/worker.rs
@@ -19,9 +19,9 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
 
+use crate::acceptor::{Adopted, Order};
 use crate::discovery::Rev;
 use crate::exchange::{Exchange, Final, Listed};
-use crate::gate::{Adopted, Order};
 use crate::hall::{Hall, Sockets};
 use crate::relay::{self, Relay};
 
@@ -38,7 +38,7 @@
 pub struct Worker {
     pub hall: Rc<Hall>,
     pub relay: Relay,
-    pub gate: UnboundedSender<Order>,
+    pub acceptor: UnboundedSender<Order>,
     pub clients: Sockets,
     pub rev: Rev,
     /// Called once the list is there, from wherever it came.
@@ -121,7 +121,7 @@
                             if matches!(peer, Peer::Nobody) {
                                 self.list_as_first_known();
                             }
-                            let _ = self.gate.send(Order::Accept(TcpListener::from_std(listener)?));
+                            let _ = self.acceptor.send(Order::Accept(TcpListener::from_std(listener)?));
                         }
                         ToWorker::TakeOver => {
                             let (to, from) = passing::join(StdStream::from(fd.ok_or(Broken::Descriptors)?))?;
@@ -138,7 +138,7 @@
                         ToWorker::Pass => {
                             if let Peer::New(new) = &mut peer {
                                 new.passing = true;
-                                let _ = self.gate.send(Order::Pass(pass_on.clone()));
+                                let _ = self.acceptor.send(Order::Pass(pass_on.clone()));
                             }
                         }
                         ToWorker::Alone => {
@@ -212,7 +212,7 @@
                             peer = Peer::Nobody;
                             // What is queued is written before the tasks that write it end.
                             tokio::time::sleep(LOOK).await;
-                            let _ = self.gate.send(Order::Done);
+                            let _ = self.acceptor.send(Order::Done);
                         }
                     }
                     _ => {}
@@ -266,7 +266,7 @@
             self.leave.send_replace(false);
         }
         if new.passing {
-            let _ = self.gate.send(Order::Stay);
+            let _ = self.acceptor.send(Order::Stay);
         }
     }
 
@@ -303,7 +303,8 @@
                 });
                 if let Ok(stream) = stream {
                     let whole_within = whole_within.map(crate::clock::duration);
-                    let _ = self.gate.send(Order::Adopt(Adopted { stream, read: read.into(), whole_within }));
+                    let _ =
+                        self.acceptor.send(Order::Adopt(Adopted { stream, read: read.into(), whole_within }));
                 }
             }
             ToNew::Bye { further, counters } => {
