A queued call goes out where it is carried only; an answer still being read does not give way

Seen in the text, line by line: a call queued for a connection that comes up late and given up there leaves its job in that queue; its number may be another part's by then, queued on another connection to the same leaf. Whichever came up first sent it, and where that was the first, its answer was taken for one that nobody had asked for: the connection ended with all that was out on it. Change: wire.rs sends of a job what that connection carries; client_connections.rs lets no connection give way before its answer has gone. Ruled out: numbers that are never used again (bounded lists hang on them). Tests: wire/tests.rs on a real connection, seen failing without the change; client_connections/tests.rs.

--- a/crates/pipitcrank-node/src/client_connections.rs
+++ b/crates/pipitcrank-node/src/client_connections.rs
@@ -159,6 +159,8 @@
         let wait = match doing {
             Doing::Silent => SILENT_GIVES_WAY,
             Doing::Begun => BEGUN_GIVES_WAY,
+            // Guards against an answer cut by us that a slow client still reads.
+            Doing::Idle if !self.flushed.get() => return None,
             Doing::Idle => IDLE_GIVES_WAY,
             Doing::Parting => PARTING_GIVES_WAY,
             Doing::Open => return None,
--- a/crates/pipitcrank-node/src/client_connections/tests.rs
+++ b/crates/pipitcrank-node/src/client_connections/tests.rs
@@ -54,3 +54,16 @@
     connections.look(start + MS * 2400 + WHOLE_WITHIN, 0);
     assert!(again.leaving.get(), "its second request had as long");
 }
+
+#[test]
+fn who_still_reads_an_answer_does_not_give_way_and_does_once_it_is_read() {
+    let (connections, start) = (ClientConnections::default(), Instant::now());
+    let reads = connections.enter(start);
+    reads.turns_to(Doing::Open, start);
+    reads.turns_to(Doing::Idle, start);
+    connections.look(start + MS * 5000, 9);
+    assert!(!reads.leaving.get(), "its answer would be cut");
+    reads.flushed();
+    connections.look(start + MS * 5000, 9);
+    assert!(reads.leaving.get());
+}
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -187,6 +187,11 @@
             (frames::ping(), Vec::new())
         }
         Writing::Next(Job::Call(mut parts)) => {
+            // Guards against a call given up while it was queued here, whose number is by now that of another part's call on
+            // another connection to the leaf: it went out here, and its answer was taken for one that nobody asked for.
+            let waits =
+                |call: &CallNo| wire.carried.borrow().iter().any(|c| c.call == *call && c.id.is_none());
+            parts.retain(waits);
             let going = hall.tell(|e| e.release(hall.clock.now(), wire.leaf, &mut parts));
             let mut carried = wire.carried.borrow_mut();
             // What was not released has ended.
--- a/crates/pipitcrank-node/src/wire/tests.rs
+++ b/crates/pipitcrank-node/src/wire/tests.rs
@@ -4,6 +4,7 @@
 use pipitcrank::time::Span;
 use pipitcrank::told::Told;
 use tokio::net::TcpListener;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::mpsc::unbounded_channel;
 
 use super::*;
@@ -46,15 +47,14 @@
     assert_eq!(alive(), Err(ConnectionEnd::BadBytes), "nobody asked");
 }
 
-#[tokio::test]
-async fn a_call_of_which_no_byte_has_gone_is_looked_at_again() {
+/// One leaf at the end of a connection, and a query whose one call to it is out.
+async fn one_call_out() -> (TcpStream, OwnedReadHalf, OwnedWriteHalf, Rc<Hall>, CallNo) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let stream = TcpStream::connect(address).await.unwrap();
-    let (_unread, _) = listener.accept().await.unwrap();
-    let (_from, to) = stream.into_split();
+    let (leaf_end, _) = listener.accept().await.unwrap();
+    let (from, to) = stream.into_split();
     to.writable().await.unwrap();
-    while to.try_write(&[0; 1 << 16]).is_ok() {}
 
     let (clock, counters) = (Clock::start(), Counters::default());
     let mut exchange = exchange(&counters);
@@ -69,10 +69,34 @@
     exchange.turn(clock.now(), &mut Nobody);
     let call = (Part(0), 0);
     assert!(exchange.is_out(call));
-    let hall = Rc::new(Hall::new(clock, counters, Sockets::new(9), exchange));
+    (leaf_end, from, to, Rc::new(Hall::new(clock, counters, Sockets::new(9), exchange)), call)
+}
+
+/// A call was queued on this connection and given up there; its number is that of a call queued on another one now.
+#[tokio::test]
+async fn a_call_that_another_connection_carries_does_not_go_out_here() {
+    let (_leaf_end, _from, to, hall, call) = one_call_out().await;
+    let (jobs, _) = unbounded_channel();
+    let here = Wire::new(Leaf(0), jobs.clone());
+    let there = Wire { carried: carries(call), ..Wire::new(Leaf(0), jobs) };
+    let queued = || Writing::Next(Job::Call(vec![call]));
+    assert!(matches!(write(&hall, &here, &to, queued()).unwrap(), Writing::Nothing));
+    assert_eq!(hall.counters.get("frames", "calls_sent"), 0, "not here");
+    assert!(matches!(write(&hall, &there, &to, queued()).unwrap(), Writing::Nothing));
+    assert_eq!(hall.counters.get("frames", "calls_sent"), 1, "but there");
+    assert!(there.carried.borrow()[0].written);
+}
+
+fn carries(call: CallNo) -> RefCell<Vec<Carried>> {
+    RefCell::new(vec![Carried { call, id: None, written: false }])
+}
+
+#[tokio::test]
+async fn a_call_of_which_no_byte_has_gone_is_looked_at_again() {
+    let (_unread, _from, to, hall, call) = one_call_out().await;
+    while to.try_write(&[0; 1 << 16]).is_ok() {}
     let (jobs, _) = unbounded_channel();
-    let carried = RefCell::new(vec![Carried { call, id: None, written: false }]);
-    let wire = Wire { carried, ..Wire::new(Leaf(0), jobs) };
+    let wire = Wire { carried: carries(call), ..Wire::new(Leaf(0), jobs) };
 
     let next = write(&hall, &wire, &to, Writing::Next(Job::Call(vec![call]))).unwrap();
     assert!(matches!(next, Writing::Next(Job::Call(_))), "nothing of it has gone");
