--- a/crates/pipitcrank-node/tests/protocol.rs
+++ b/crates/pipitcrank-node/tests/protocol.rs
@@ -216,6 +216,18 @@
         ("/settings/classes/0/hard_limit_s", json!(0.0)),
         ("/settings/classes/0/hard_limit_s", json!(-1.0)),
         ("/settings/classes/0/hard_limit_s", json!("long")),
+        ("/settings/classes/0/hard_limit_s", json!(864_000.0)),
+        ("/settings/classes/0/aim_s", json!(1e300)),
+        ("/settings/classes/0/dedup_window_s", json!(-5.0)),
+        ("/settings/domain/call_cost_s", json!(-0.01)),
+        ("/settings/domain/parts_a_call", json!(0)),
+        ("/settings/domain/span", json!(0)),
+        ("/settings/domain/complete_from/0", json!(2.0)),
+        ("/settings/domain/floor_by_class/0", json!(-0.5)),
+        ("/settings/rules/cold_from", json!(-1.0)),
+        ("/settings/rules/overload_factor", json!(-4.0)),
+        ("/settings/rules/repeat_ratio", json!(-0.1)),
+        ("/settings/rules/extra_free", json!(-1.0)),
         ("/discovery", json!("somewhere")),
         ("/known", json!({"rev": "x"})),
         ("/limits/sockets", json!(8)),
@@ -238,7 +250,10 @@
         let mut all = told();
         match all.pointer_mut(key) {
             Some(place) => *place = value,
-            None => all["settings"]["rules"]["budget_span_s"] = value,
+            None => {
+                let (place, name) = key.rsplit_once('/').unwrap();
+                all.pointer_mut(place).unwrap()[name] = value;
+            }
         }
         let wrong = read_all(&all.to_string()).unwrap_err().to_string();
         assert!(wrong.starts_with(&format!("{key} ")), "{key}: '{wrong}'");
@@ -246,3 +261,23 @@
     let wrong = read_all("{").unwrap_err().to_string();
     assert!(wrong.starts_with("NODE_CONFIG "), "{wrong}");
 }
+
+/// What is at an edge and can be served is taken: no cost of a call, no window for repeats or one longer than the deadline,
+/// deadlines of a day.
+#[test]
+fn what_is_at_an_edge_is_read() {
+    let cases = [
+        ("/settings/domain/call_cost_s", json!(0.0)),
+        ("/settings/classes/0/dedup_window_s", json!(0.0)),
+        ("/settings/classes/0/dedup_window_s", json!(60.0)),
+        ("/settings/classes/0/hard_limit_s", json!(86_400.0)),
+        ("/settings/classes/0/aim_s", json!(0.0)),
+        ("/settings/classes/0/late_worth", json!(0.0)),
+    ];
+    for (key, value) in cases {
+        let mut all = told();
+        let (place, name) = key.rsplit_once('/').unwrap();
+        all.pointer_mut(place).unwrap()[name] = value;
+        assert_eq!(read_all(&all.to_string()), Ok(()), "{key}");
+    }
+}
--- a/crates/pipitcrank/src/told.rs
+++ b/crates/pipitcrank/src/told.rs
@@ -26,6 +26,11 @@
     }
 }
 
+/// Longest time told: a day, as for what clients may claim to wait.
+const LONGEST_S: f64 = 86_400.0;
+/// Largest number of calls or multiple told: far beyond any that means something, and sums of it stay exact.
+const MOST: f64 = 1e9;
+
 /// Most zones: each has a row and a column in what copies tell each other.
 pub const MOST_ZONES: usize = 16;
 
@@ -69,11 +74,31 @@
         self.get(key, Value::as_str, "has no text")
     }
 
-    /// A time in seconds, not below 0.
+    /// A time in seconds. Guards against sums that pass what a time can hold.
     pub fn span(&self, key: &str) -> Result<Span, Faulty> {
+        Ok(Span::from_s(self.within(key, 0.0, LONGEST_S)?))
+    }
+
+    fn within(&self, key: &str, least: f64, most: f64) -> Result<f64, Faulty> {
         match self.number(key)? {
-            s if s >= 0.0 => Ok(Span::from_s(s)),
-            _ => Err(self.faulty(key, "is a time below 0")),
+            n if (least..=most).contains(&n) => Ok(n),
+            n => Err(self.faulty(key, &format!("is {n}; accepted: {least} to {most}"))),
+        }
+    }
+
+    /// The same where it may be absent, which stands for that.
+    fn within_or(&self, key: &str, absent: f64, least: f64, most: f64) -> Result<f64, Faulty> {
+        if self.all.pointer(key).is_none_or(Value::is_null) {
+            Ok(absent)
+        } else {
+            self.within(key, least, most)
+        }
+    }
+
+    fn count_from_1(&self, key: &str) -> Result<u32, Faulty> {
+        match self.count(key)? {
+            0 => Err(self.faulty(key, "is 0; accepted: 1 and more")),
+            count => Ok(count),
         }
     }
 
@@ -131,20 +156,20 @@
         }
         let cover = Cover::new(
             cells,
-            self.count("/domain/span")?,
-            self.count("/domain/parts_a_call")? as usize,
+            self.count_from_1("/domain/span")?,
+            self.count_from_1("/domain/parts_a_call")? as usize,
             self.span("/domain/call_cost_s")?,
         );
-        let window = self.number_or("/rules/budget_span_s", 0.0)?;
+        let window = self.within_or("/rules/budget_span_s", 0.0, 0.0, LONGEST_S)?;
         let budget = Budget::new(
-            self.number_or("/rules/repeat_ratio", 0.0)?,
-            self.number_or("/rules/extra_free", 0.0)?,
+            self.within_or("/rules/repeat_ratio", 0.0, 0.0, MOST)?,
+            self.within_or("/rules/extra_free", 0.0, 0.0, MOST)?,
             (window > 0.0).then(|| Span::from_s(window)),
         );
         let fail_back = FailBack {
-            cold_from: self.number("/rules/cold_from")?,
+            cold_from: self.within("/rules/cold_from", 0.0, 1.0)?,
             cold: self.span("/rules/cold_s")?,
-            factor: self.number("/rules/overload_factor")?,
+            factor: self.within("/rules/overload_factor", 0.0, MOST)?,
             window: self.span("/rules/fall_s")?,
             shut: At::from_us(i64::MIN),
             among: if self.all.pointer("/balancers").is_some() { self.count("/balancers")? } else { 1 },
@@ -182,17 +207,14 @@
                 "unsafe" => Effect::SideEffecting,
                 _ => return Err(self.faulty(&of("idempotency"), "has none of safe, keyed, unsafe")),
             },
-            dedup_window: Span::from_s(self.number_or(&of("dedup_window_s"), 0.0)?),
+            dedup_window: Span::from_s(self.within_or(&of("dedup_window_s"), 0.0, 0.0, LONGEST_S)?),
             slo: self.span(&of("aim_s"))?,
-            slo_stretch: self.number_or(&of("aim_stretch"), 0.0)?,
+            slo_stretch: self.within_or(&of("aim_stretch"), 0.0, 0.0, MOST)?,
             // Absent: some worth is left after the SLO time, as before the key was read.
-            late_worth: match self.number_or(&of("late_worth"), 1.0)? {
-                share if (0.0..=1.0).contains(&share) => share,
-                _ => return Err(self.faulty(&of("late_worth"), "is no share from 0 to 1")),
-            },
+            late_worth: self.within_or(&of("late_worth"), 1.0, 0.0, 1.0)?,
             hard_limit: self.span(&of("hard_limit_s"))?,
-            whole_from: self.number(&domain("complete_from"))?,
-            floor: self.number(&domain("floor_by_class"))?,
+            whole_from: self.within(&domain("complete_from"), 0.0, 1.0)?,
+            floor: self.within(&domain("floor_by_class"), 0.0, 1.0)?,
             second_step: self.number(&domain("follow_up"))? > 0.0,
         })
     }
