--- a/crates/pipitcrank-gateway/src/frames.rs
+++ b/crates/pipitcrank-gateway/src/frames.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Buf, BytesMut};
 use pipitcrank::time::Span;
+use pipitcrank_node::front::is_idempotency_key;
 use serde::{Deserialize, Serialize};
 
 /// Raised with each change of a message's form.
@@ -147,6 +148,8 @@
 fn sound(said: &Said) -> bool {
     match said {
         Said::Hello { site, .. } => !site.is_empty() && site.len() <= LONGEST_NAME,
+        // It goes into a list that leaves read.
+        Said::ForwardWithKey(_, key) if !is_idempotency_key(key) => false,
         Said::Forward(f) | Said::ForwardWithKey(f, _) => {
             let good = |x: f64| x.is_finite() && (0.0..=1e6).contains(&x);
             let mut shards: Vec<u32> = f.parts.iter().map(|p| p.0).collect();
@@ -166,69 +169,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use proptest::prelude::*;
-
-    use super::*;
-
-    fn forward() -> Forward {
-        Forward {
-            number: 7,
-            id: "q1".into(),
-            vertical: "view".into(),
-            left: Span::from_ms(800),
-            further: 1,
-            crossed: vec!["north".into()],
-            parts: vec![(3, 0.5, None), (4, 0.5, Some(0.01))],
-            text: "c41e".into(),
-        }
-    }
-
-    proptest! {
-        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
-
-        #[test]
-        fn frames_are_read_however_they_are_cut(cuts in proptest::collection::vec(1usize..30, 0..20), value in ".{0,300}") {
-            let all = [
-                Said::Hello { version: 1, site: "north".into(), instance: u64::MAX, lane: 1, credit: 9, can: 0 },
-                Said::Forward(forward()),
-                Said::Part { number: 7, shard: 3, value },
-                Said::End { number: 7, how: How::Rejected { stay_away: Span::from_ms(50) }, made: 2 },
-                Said::Ask { numbers: vec![1, 2, 3] },
-                Said::Pong { sent_us: -5, mine_us: i64::MAX },
-            ];
-            let bytes: Vec<u8> = all.iter().flat_map(encode).collect();
-            let (mut buffer, mut found, mut rest) = (BytesMut::new(), Vec::new(), &bytes[..]);
-            for cut in cuts.into_iter().chain([usize::MAX]) {
-                let (piece, after) = rest.split_at(cut.min(rest.len()));
-                buffer.extend_from_slice(piece);
-                rest = after;
-                while let Some((said, _)) = take(&mut buffer).unwrap() { found.push(said); }
-            }
-            prop_assert_eq!(found, all);
-        }
-
-        #[test]
-        fn noise_is_no_frame_or_a_sound_one(noise in proptest::collection::vec(any::<u8>(), 0..400)) {
-            let mut buffer = BytesMut::from(&noise[..]);
-            while let Ok(Some((said, _))) = take(&mut buffer) { prop_assert!(sound(&said)); }
-        }
-    }
-
-    #[test]
-    fn what_can_not_be_is_refused() {
-        let bad = |change: fn(&mut Forward)| {
-            let mut f = forward();
-            change(&mut f);
-            take(&mut BytesMut::from(&encode(&Said::Forward(f))[..]))
-        };
-        assert_eq!(bad(|f| f.number = 0), Err(Bad::Unsound));
-        assert_eq!(bad(|f| f.parts.clear()), Err(Bad::Unsound));
-        assert_eq!(bad(|f| f.parts[1].0 = 3), Err(Bad::Unsound), "a shard twice");
-        assert_eq!(bad(|f| f.parts[0].1 = f64::NAN), Err(Bad::Unsound));
-        assert_eq!(bad(|f| f.parts[0].2 = Some(-1.0)), Err(Bad::Unsound));
-        assert_eq!(bad(|f| f.left = Span::from_ms(i64::MAX / 2000)), Err(Bad::Unsound));
-        assert_eq!(take(&mut BytesMut::from(&[0u8; 4][..])), Err(Bad::Length(0)));
-        assert!(matches!(take(&mut BytesMut::from(&[255u8; 4][..])), Err(Bad::Length(_))));
-    }
-}
+mod tests;
--- a/crates/pipitcrank-node/src/front.rs
+++ b/crates/pipitcrank-node/src/front.rs
@@ -300,7 +300,7 @@
 }
 
 /// Leaves read it behind `k=` in a list that commas and blanks divide.
-fn is_idempotency_key(key: &str) -> bool {
+pub fn is_idempotency_key(key: &str) -> bool {
     (1..=LONGEST_ID).contains(&key.len()) && key.bytes().all(|b| b.is_ascii_graphic() && b != b',')
 }
 
