Review: one scene for all tests of a change told in time

Two tests of lists.rs wrote their twin's scene again; they give it what becomes of the watches now, and with that also assert that the change stays told. No assertion is loosened, no program text touched.

--- a/crates/pipitcrank-cli/tests/lists.rs
+++ b/crates/pipitcrank-cli/tests/lists.rs
@@ -71,11 +71,11 @@
     }
 }
 
-/// The watch falls silent, and all calls but the last within the time come to nothing, each in another way.
-fn told_in_time(spoilt: &'static [Call]) {
+/// What becomes of watches, and all calls but the last within the time come to nothing, each in another way.
+fn told_in_time(watches: impl Fn(&Source), spoilt: &'static [Call]) {
     on_one_thread(LIMIT, async {
         let mut scene = Scene::set().await?;
-        scene.source.silences_watches();
+        watches(&scene.source);
         scene.source.next_calls_are(spoilt);
         let had = scene.moves_on(2);
         let took = scene.told_after(had).await;
@@ -91,46 +91,34 @@
 
 #[test]
 fn a_watch_gone_silent_alone() {
-    told_in_time(&[]);
+    told_in_time(Source::silences_watches, &[]);
 }
 
 #[test]
 fn a_silent_watch_and_calls_that_hang() {
-    told_in_time(&[Call::Hangs, Call::Hangs, Call::Hangs, Call::Hangs]);
+    told_in_time(Source::silences_watches, &[Call::Hangs, Call::Hangs, Call::Hangs, Call::Hangs]);
 }
 
 #[test]
 fn a_silent_watch_and_calls_that_end_in_all_ways() {
-    told_in_time(&[Call::Refuses, Call::HeadOnly, Call::Half, Call::Resets, Call::HalfForEver]);
+    let all = &[Call::Refuses, Call::HeadOnly, Call::Half, Call::Resets, Call::HalfForEver];
+    told_in_time(Source::silences_watches, all);
 }
 
 /// Every new watch is silent as well, from its head on.
 #[test]
 fn all_watches_silent_from_then_on() {
-    on_one_thread(LIMIT, async {
-        let mut scene = Scene::set().await?;
-        scene.source.silences_watches();
-        scene.source.silences_new_watches();
-        let had = scene.moves_on(2);
-        let took = scene.told_after(had).await;
-        assert!(took < TOLD, "{took:?}; {}", scene.process.log());
-        Ok(())
-    })
-    .unwrap();
+    let silent = |source: &Source| {
+        source.silences_watches();
+        source.silences_new_watches();
+    };
+    told_in_time(silent, &[]);
 }
 
 /// A sign of life all the time, and never the change.
 #[test]
 fn a_watch_that_brings_empty_lines_and_never_its_change() {
-    on_one_thread(LIMIT, async {
-        let mut scene = Scene::set().await?;
-        scene.source.keeps_changes_from_watches();
-        let had = scene.moves_on(2);
-        let took = scene.told_after(had).await;
-        assert!(took < TOLD, "{took:?}; {}", scene.process.log());
-        Ok(())
-    })
-    .unwrap();
+    told_in_time(Source::keeps_changes_from_watches, &[]);
 }
 
 /// Bytes all the time, and never a whole object: the watch is left for a new one.
