Trial upgrade: connections that a killed process closes are told apart from all others

The old process is killed in its trial; a connection that rests there is closed by the kernel, whatever the program does. Closed by the kill is what was opened before it and found closed by the time the killed process is gone; there has to be some. Anything else counts as before and has to be 0.

--- a/crates/pipitcrank-rig/src/client.rs
+++ b/crates/pipitcrank-rig/src/client.rs
@@ -25,6 +25,12 @@
 }
 
 impl Question {
+    /// One that is answered soon.
+    pub fn short(id: &str) -> Question {
+        let wait = Duration::from_secs(4);
+        Question { id: id.to_string(), vertical: "view", shards: vec![0, 1], wait, text: "short".to_string() }
+    }
+
     pub fn request(&self) -> String {
         let weight = 1.0 / self.shards.len() as f64;
         let shards: Vec<Value> = self.shards.iter().map(|s| json!({"shard": s, "weight": weight})).collect();
@@ -85,14 +91,31 @@
 pub struct Clients {
     address: SocketAddr,
     pub ledger: Ledger,
-    kept: Rc<RefCell<Vec<BufReader<TcpStream>>>>,
+    kept: Rc<RefCell<Vec<Kept>>>,
     /// Kept connections that were closed on them.
     pub closed: Rc<Cell<u64>>,
+    /// Those of them that a kill closed, and the kill that is being looked at.
+    pub closed_by_kill: Rc<Cell<u64>>,
+    kill: Rc<Cell<Option<Instant>>>,
+}
+
+struct Kept {
+    opened: Instant,
+    stream: BufReader<TcpStream>,
+}
+
+impl Kept {
+    /// Whether the other side has left it as it was.
+    fn is_open(&self) -> bool {
+        let read = self.stream.get_ref().try_read(&mut [0; 1]);
+        read.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+    }
 }
 
 impl Clients {
     pub fn new(address: SocketAddr, ledger: Ledger) -> Clients {
-        Clients { address, ledger, kept: Rc::default(), closed: Rc::default() }
+        let (kept, closed, closed_by_kill, kill) = Default::default();
+        Clients { address, ledger, kept, closed, closed_by_kill, kill }
     }
 
     /// The same connections, with the queries entered elsewhere.
@@ -125,27 +148,72 @@
         }
     }
 
+    /// So many connections that rest from now on, each asked on once.
+    pub async fn rest(&self, name: &str, many: usize) {
+        let mut asking = tokio::task::JoinSet::new();
+        for n in 0..many {
+            let clients = Clients { kept: Rc::default(), ..self.clone() };
+            let id = format!("view-{name}-{n}");
+            asking.spawn_local(async move {
+                clients.ask(Question::short(&id)).await;
+                clients.kept.take()
+            });
+        }
+        while let Some(Ok(kept)) = asking.join_next().await {
+            // Taken last: those in use stay on top.
+            self.kept.borrow_mut().splice(0..0, kept);
+        }
+    }
+
+    /// From now on a process is killed: what closes of the connections opened before it is the kill's, until
+    /// `kill_is_over`.
+    pub fn kill_begins(&self) {
+        self.kill.set(Some(Instant::now()));
+    }
+
+    /// The killed process is gone: what it held rests closed now, and goes.
+    pub fn kill_is_over(&self) {
+        let (open, closed): (Vec<_>, Vec<_>) = self.kept.take().into_iter().partition(Kept::is_open);
+        closed.iter().for_each(|kept| self.was_closed(kept.opened));
+        self.kept.replace(open);
+        self.kill.set(None);
+    }
+
+    fn was_closed(&self, opened: Instant) {
+        let counter = if self.kill.get().is_some_and(|kill| opened < kill) {
+            &self.closed_by_kill
+        } else {
+            &self.closed
+        };
+        counter.set(counter.get() + 1);
+    }
+
     /// A kept connection that was not closed meanwhile, as clients look before they use one again.
-    fn kept_open(&self) -> Option<BufReader<TcpStream>> {
+    fn kept_open(&self) -> Option<Kept> {
         loop {
-            let stream = self.kept.borrow_mut().pop()?;
-            match stream.get_ref().try_read(&mut [0; 1]) {
-                Err(nothing) if nothing.kind() == std::io::ErrorKind::WouldBlock => return Some(stream),
-                _ => self.closed.set(self.closed.get() + 1),
+            let kept = self.kept.borrow_mut().pop()?;
+            if kept.is_open() {
+                return Some(kept);
             }
+            self.was_closed(kept.opened);
         }
     }
 
     async fn exchange(&self, question: &Question) -> Result<Answer, Ended> {
-        let mut stream = match self.kept_open() {
-            Some(stream) => stream,
-            None => BufReader::new(connect(self.address).await.map_err(|_| Ended::Refused)?),
+        let mut kept = match self.kept_open() {
+            Some(kept) => kept,
+            None => {
+                let stream = connect(self.address).await.map_err(|_| Ended::Refused)?;
+                Kept { opened: Instant::now(), stream: BufReader::new(stream) }
+            }
         };
+        let stream = &mut kept.stream;
         stream.get_mut().write_all(question.request().as_bytes()).await.map_err(|_| Ended::Lost)?;
-        let answer = read_answer(&mut stream).await.ok_or(Ended::Lost)?;
+        let answer = read_answer(stream).await.ok_or(Ended::Lost)?;
         if answer.keeps {
-            self.kept.borrow_mut().push(stream);
+            self.kept.borrow_mut().push(kept);
         } else {
+            // In order, with an answer: no kill's.
             self.closed.set(self.closed.get() + 1);
         }
         Ok(answer)
