A request read as its resting connection is called to leave is answered, not closed upon

Cause: a resting connection that gives way (places short, idle for a minute, or the last moment of an end) is told so by a Notify. If its request came in the same pass of the runtime, its task read and took the request first and then obeyed the call: the connection was dropped with a query taken and no answer, which is a lost query. A request just begun was answered 408. At fault: client_connections.rs called_to_leave, which did not ask whether the connection is still at what it was called from, and acceptor.rs serve, whose last arm closes whatever is not idle. Ruled out: a request still unread at the close: that one is reset, and the protocol has its client send it once more. Change: a call to leave counts only while the connection is at what it was at as it was called; otherwise it stays and may be called again. Tests: acceptor/tests.rs, on real connections; the runtime finds the bell and the request in one look, the bell first.

--- a/crates/pipitcrank-node/src/acceptor/tests.rs
+++ b/crates/pipitcrank-node/src/acceptor/tests.rs
@@ -80,3 +80,60 @@
         }
     });
 }
+
+/// Within it what was written has come.
+const AS_ONE: Duration = Duration::from_millis(20);
+
+/// A resting connection is called to leave in the very pass in which a request lies on it: in one look at the sockets the
+/// runtime finds both, and who calls comes first.
+fn called_to_leave_beside(bytes: &[u8]) -> String {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let (accepted, _) = listener.accept().await.unwrap();
+        let bell = TcpStream::connect(address).await.unwrap();
+        let (heard, _) = listener.accept().await.unwrap();
+        let connections = Rc::new(ClientConnections::default());
+        // A query takes its time.
+        let served = async || {
+            tokio::time::sleep(AS_ONE).await;
+            "served"
+        };
+        let rounds = Rounds {
+            router: Router::new().route("/", get(served)),
+            counters: Counters::default(),
+            connections: connections.clone(),
+            mood: watch::channel(Mood::Stay).1,
+            idle: Duration::from_secs(9),
+        };
+        rounds.accepted(None, accepted);
+        asked(&mut stream).await;
+        // It rests by now.
+        tokio::time::sleep(LOOK).await;
+        assert!(heard.try_read(&mut [0; 1]).is_err(), "so that it waits for the bell");
+        bell.try_write(b"!").unwrap();
+        std::thread::sleep(AS_ONE);
+        stream.try_write(bytes).unwrap();
+        // The runtime looks at neither before both are there.
+        std::thread::sleep(AS_ONE);
+        heard.readable().await.unwrap();
+        connections.end();
+        tokio::time::sleep(LOOK).await;
+        let mut rest = Vec::new();
+        while stream.try_read_buf(&mut rest).is_ok_and(|n| n > 0) {}
+        String::from_utf8(rest).unwrap()
+    })
+}
+
+#[test]
+fn a_request_read_as_its_resting_connection_is_called_to_leave_is_answered() {
+    let answer = called_to_leave_beside(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert!(answer.ends_with("served"), "{answer:?}");
+}
+
+#[test]
+fn who_begins_a_request_as_its_resting_connection_is_called_to_leave_is_left_time() {
+    assert_eq!(called_to_leave_beside(b"GET / HT"), "", "no 408 for who has just begun");
+}
--- a/crates/pipitcrank-node/src/client_connections.rs
+++ b/crates/pipitcrank-node/src/client_connections.rs
@@ -44,6 +44,8 @@
     whole_by: Cell<Instant>,
     leaving: Cell<bool>,
     leave: Notify,
+    /// What it was at, and since when, as it was called to leave.
+    called_from: Cell<(Doing, Instant)>,
     /// The last answer has been handed to the system whole.
     flushed: Cell<bool>,
     /// Its last answer says that the connection ends with it.
@@ -54,9 +56,10 @@
 impl ClientConnection {
     fn new(now: Instant) -> ClientConnection {
         let (doing, whole_by) = (Cell::new((Doing::Silent, now)), Cell::new(now + WHOLE_WITHIN));
+        let called_from = doing.clone();
         let (leaving, flushed) = (Cell::default(), Cell::new(true));
         let (leave, last, moved_on) = (Notify::new(), Cell::default(), Notify::new());
-        ClientConnection { came: now, doing, whole_by, leaving, leave, flushed, last, moved_on }
+        ClientConnection { came: now, doing, whole_by, leaving, leave, called_from, flushed, last, moved_on }
     }
 
     /// Goes on from where another process had it: between two requests, or with some of one read, which has to be
@@ -139,9 +142,16 @@
         self.whole_by.get()
     }
 
-    /// Ends when the connection has to be closed.
+    /// Ends when the connection has to be closed. Guards against a request that lay unread as an idle connection was called
+    /// to leave: once read it was taken, and then closed upon without an answer. Who is at something else by now stays.
     pub async fn called_to_leave(&self) {
-        self.leave.notified().await;
+        loop {
+            self.leave.notified().await;
+            if self.doing.get() == self.called_from.get() {
+                return;
+            }
+            self.leaving.set(false);
+        }
     }
 
     fn overdue(&self, now: Instant) -> bool {
@@ -170,6 +180,7 @@
 
     fn call_to_leave(&self) {
         self.leaving.set(true);
+        self.called_from.set(self.doing.get());
         self.leave.notify_one();
     }
 }
