A call ready while another still catches up after a standstill waits as well

Cause: after a standstill nothing is begun until what lay in the sockets has been told (hall.rs catch_up). The first to ask took the mark at the start of its wait, and whatever was told meanwhile set the time anew: a second connection, or the turn itself, that asked within these turns of the runtime went on at once, and began a call for a client whose close lay unread. Change: the mark goes when the wait is over. Test: wire/tests.rs, a call ready on a real connection while another waits, the leaving told a turn of the runtime later; without the mend the call goes out each time.

--- a/crates/pipitcrank-node/src/hall.rs
+++ b/crates/pipitcrank-node/src/hall.rs
@@ -185,12 +185,14 @@
     /// To be waited for before anything is begun for a client. Guards against a call begun for one that left while the
     /// process stood still: its leaving lies unread beside what calls for the call.
     pub async fn catch_up(&self) {
-        if !self.late.take() && self.clock.now() - self.told.get() <= LATE {
+        if !self.late.get() && self.clock.now() - self.told.get() <= LATE {
             return;
         }
         for _ in 0..HOPS {
             tokio::task::yield_now().await;
         }
+        // Only now. Guards against a second who asks meanwhile, while the first still waits: its call began for a client that
+        // had left.
         self.told.set(self.clock.now());
         self.late.set(false);
     }
--- a/crates/pipitcrank-node/src/wire/tests.rs
+++ b/crates/pipitcrank-node/src/wire/tests.rs
@@ -55,7 +55,12 @@
     let (leaf_end, _) = listener.accept().await.unwrap();
     let (from, to) = stream.into_split();
     to.writable().await.unwrap();
+    let (hall, call) = one_query(address);
+    (leaf_end, from, to, hall, call)
+}
 
+/// A hall that has one leaf there and one query, the first, with its one call out.
+fn one_query(address: SocketAddr) -> (Rc<Hall>, CallNo) {
     let (clock, counters) = (Clock::start(), Counters::default());
     let mut exchange = exchange(&counters);
     let row =
@@ -69,7 +74,45 @@
     exchange.turn(clock.now(), &mut Nobody);
     let call = (Part(0), 0);
     assert!(exchange.is_out(call));
-    (leaf_end, from, to, Rc::new(Hall::new(clock, counters, Sockets::new(9), exchange)), call)
+    (Rc::new(Hall::new(clock, counters, Sockets::new(9), exchange)), call)
+}
+
+/// The process stood still; on waking one asks whether all is told, and while it waits a call is ready on another connection.
+/// The client's leaving lies in its socket, some turns of the runtime away.
+#[tokio::test]
+async fn a_call_ready_while_another_still_catches_up_waits_as_well() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (hall, call) = one_query(listener.local_addr().unwrap());
+            let (jobs, mut queue) = unbounded_channel();
+            let wire = Rc::new(Wire { carried: carries(call), ..Wire::new(Leaf(0), jobs.clone()) });
+            let (ours, at) = (hall.clone(), listener.local_addr().unwrap());
+            let running = wire.clone();
+            let limit = Duration::from_secs(9);
+            let stream = open(at, limit).await.unwrap();
+            tokio::task::spawn_local(async move {
+                serve(&ours, &running, &mut queue, stream, limit, limit).await;
+            });
+            let _leaf_end = listener.accept().await.unwrap();
+            std::thread::sleep(Duration::from_millis(100));
+            // Something is told, as late as that: all that follows waits.
+            hall.tell(|e| e.probed(Leaf(0), Ending::Pass, None));
+            let first = hall.clone();
+            tokio::task::spawn_local(async move { first.catch_up().await });
+            let gone = hall.clone();
+            tokio::task::spawn_local(async move {
+                tokio::task::yield_now().await;
+                jobs.send(Job::Call(vec![call])).unwrap();
+                tokio::task::yield_now().await;
+                gone.tell(|e| e.client_gone(1));
+            });
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            assert_eq!(hall.counters.get("frames", "calls_sent"), 0, "a call for a client that left");
+            assert!(wire.carried.borrow().is_empty(), "it was looked at");
+        })
+        .await;
 }
 
 /// A call was queued on this connection and given up there; its number is that of a call queued on another one now.
