Whoever waits in the accept queue as the listening ends is answered: places and descriptors short

Cause: as the listener closed, connections in its queue were accepted beyond the places, as many as there are places at most; the rest, and all after the first accept that failed for want of a descriptor, were reset without a word. Ruled out: that clients still connect then: the listening goes on for longer than they do after SIGTERM, so only the queue is at stake. Change (acceptor.rs): the queue is taken at each look until it is empty; who finds a place is served, the others are told 503 and seen off, twelve at a time, in the descriptors that no side has; an accept that fails is tried again at the next look. The listening ends with the last answer at the latest. Tests: acceptor/tests.rs (2 places, 36 waiting) and cli/crossings.rs (with RLIMIT_NOFILE). Seen failing: without the mend, without the second look at the queue (reset), and without reading the request before the 503 (reset).

--- a/crates/pipitcrank-cli/tests/crossings.rs
+++ b/crates/pipitcrank-cli/tests/crossings.rs
@@ -258,3 +258,39 @@
         .unwrap();
     }
 }
+
+/// At the end every place holds an open request, more clients wait in the accept queue than there are places, and there are
+/// fewer descriptors than all of them need: each is answered.
+#[test]
+fn more_clients_than_places_and_descriptors_wait_as_the_listening_ends() {
+    const TOLD: u32 = 96;
+    on_one_thread(LIMIT, async {
+        let (mut leaf, _source, process) = one_leaf(TOLD).await?;
+        let limit = Rlimit { current: Some(u64::from(TOLD)), maximum: Some(u64::from(TOLD)) };
+        prlimit(Pid::from_raw(process.pid()), Resource::Nofile, limit)?;
+        // Two thirds of what is told less 24: half a request holds each, until it is given up on after 2.5 s.
+        let places = (TOLD as usize - 24) * 2 / 3;
+        let mut clients = Vec::new();
+        for n in 0..places + 100 {
+            let mut stream = BufReader::new(connect(process.address).await?);
+            let request = question(&format!("view-{n}")).request();
+            let some = if n < places { request.len() - 1 } else { request.len() };
+            stream.get_mut().write_all(&request.as_bytes()[..some]).await?;
+            clients.push(stream);
+        }
+        process.signal(Signal::TERM)?;
+        let mut ends = tokio::task::JoinSet::new();
+        for mut stream in clients {
+            ends.spawn_local(async move { read_answer(&mut stream).await.map_or(0, |a| a.status) });
+        }
+        let mut counted = std::collections::BTreeMap::new();
+        while let Some(status) = ends.join_next().await {
+            *counted.entry(status?).or_insert(0) += 1;
+        }
+        assert!(!counted.contains_key(&0), "{counted:?} ended without an answer; {}", process.log());
+        assert!(leaf.came().is_none(), "there was no place");
+        assert_eq!(counted, [(408, places), (503, 100)].into(), "{}", process.log());
+        Ok(())
+    })
+    .unwrap();
+}
--- a/crates/pipitcrank-node/src/acceptor.rs
+++ b/crates/pipitcrank-node/src/acceptor.rs
@@ -55,6 +55,12 @@
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 const TOO_SLOW_READ: Duration = Duration::from_millis(250);
 
+/// What a client gets who waited in the accept queue at the end, when there was no place, how long its request is waited
+/// for before, and how many are seen off so at a time: a descriptor each, of those that no side has.
+const NO_PLACE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+const NO_PLACE_WAIT: Duration = Duration::from_millis(50);
+const NO_PLACE_AT_ONCE: usize = 12;
+
 /// What the acceptor is told from outside.
 pub enum Order {
     /// Accept there.
@@ -114,6 +120,43 @@
     fn accepted(&self, place: Option<Place>, stream: TcpStream) {
         self.receive(place, Adopted { stream, read: Bytes::new(), whole_within: None }, true);
     }
+
+    /// Takes what waits in the accept queue as the listening ends; the listener while some may be left. Guards against
+    /// clients reset that connected before it closed: more of them than there are places, or than descriptors.
+    fn take_the_rest(
+        &self,
+        queue: std::net::TcpListener,
+        clients: &Sockets,
+        turned_away: &Rc<()>,
+    ) -> Option<std::net::TcpListener> {
+        loop {
+            let place = clients.place();
+            if place.is_none() && Rc::strong_count(turned_away) > NO_PLACE_AT_ONCE {
+                return Some(queue);
+            }
+            match queue.accept() {
+                Ok((stream, _)) => {
+                    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    let Ok(stream) = stream else { continue };
+                    if place.is_some() {
+                        self.accepted(place, stream);
+                        continue;
+                    }
+                    self.counters.add("clients", "turned_away_at_the_end");
+                    let counted = turned_away.clone();
+                    tokio::task::spawn_local(async move {
+                        turn_away(stream).await;
+                        drop(counted);
+                    });
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+                Err(e) => {
+                    tracing::warn!("accept failed: {e}");
+                    return Some(queue);
+                }
+            }
+        }
+    }
 }
 
 /// Accepts as ordered. After the end was called and the time to stay has passed, or no listener is left to it, it closes the
@@ -134,6 +177,9 @@
     let connections = Rc::new(ClientConnections::default());
     let rounds = Rounds { router, counters, connections: connections.clone(), mood, idle };
     let mut listener: Option<TcpListener> = None;
+    // At the end, until its queue is empty.
+    let mut rest: Option<std::net::TcpListener> = None;
+    let turned_away = Rc::new(());
     let mut since: Option<Instant> = None;
     let mut leaving = false;
     let mut looks = tokio::time::interval(LOOK);
@@ -189,17 +235,23 @@
                 }
                 if !leaving {
                     leaving = true;
-                    let waited = listener.take().map(|l| accept_the_rest(l, clients.most())).unwrap_or_default();
-                    waited.into_iter().for_each(|stream| rounds.accepted(clients.place(), stream));
+                    // The queue itself is asked: what the runtime knows of it may be as old as its last look.
+                    rest = listener.take().and_then(|l| l.into_std().ok());
                     // Idle connections end now, busy ones with their answer.
                     moods.send_replace(Mood::Leave);
-                    tracing::info!("no longer listening");
+                }
+                if let Some(queue) = rest.take() {
+                    let over = since.is_some_and(|s| s.elapsed() >= last);
+                    rest = rounds.take_the_rest(queue, &clients, &turned_away).filter(|_| !over);
+                    if rest.is_none() {
+                        tracing::info!("no longer listening");
+                    }
                 }
                 // Guards against half a request found by the kill: it gets its answer, too.
                 if since.is_some_and(|s| s.elapsed() >= last) {
                     connections.end();
                 }
-                if connections.none() && quiet() {
+                if connections.none() && Rc::strong_count(&turned_away) == 1 && rest.is_none() && quiet() {
                     return;
                 }
             }
@@ -221,16 +273,14 @@
     }
 }
 
-/// Guards against clients reset that connected before the listener closed. The queue itself is asked: what the runtime
-/// knows of it may be as old as its last look.
-fn accept_the_rest(listener: TcpListener, most: usize) -> Vec<TcpStream> {
-    let Ok(listener) = listener.into_std() else { return Vec::new() };
-    let next = || {
-        let (stream, _) = listener.accept().ok()?;
-        stream.set_nonblocking(true).ok()?;
-        TcpStream::from_std(stream).ok()
-    };
-    std::iter::from_fn(next).take(most).collect()
+/// A client for whom there is no place is told so at once, and not left to a reset.
+async fn turn_away(mut stream: TcpStream) {
+    let mut piece = vec![0; LONGEST_HEAD];
+    // Guards against a reset that takes the answer with it: what it has asked is read.
+    let _ = tokio::time::timeout(NO_PLACE_WAIT, stream.read(&mut piece)).await;
+    if stream.try_write(NO_PLACE).is_ok() {
+        let _ = tokio::time::timeout(TOO_SLOW_READ, see_off(stream)).await;
+    }
 }
 
 async fn serve(
--- a/crates/pipitcrank-node/src/acceptor/tests.rs
+++ b/crates/pipitcrank-node/src/acceptor/tests.rs
@@ -137,3 +137,53 @@
 fn who_begins_a_request_as_its_resting_connection_is_called_to_leave_is_left_time() {
     assert_eq!(called_to_leave_beside(b"GET / HT"), "", "no 408 for who has just begun");
 }
+
+/// All places hold an open request as the listening ends, and more wait in the accept queue than there are places.
+#[test]
+fn whoever_waits_in_the_accept_queue_as_the_listening_ends_is_answered() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (answer, answers) = watch::channel(false);
+        let slow = async move || {
+            let _ = answers.clone().wait_for(|go| *go).await;
+            "served"
+        };
+        let (call, called) = watch::channel(None);
+        let (order, ordered) = unbounded_channel();
+        assert!(order.send(Order::Accept(listener)).is_ok());
+        let schedule =
+            ShutdownSchedule { stay: Span::ZERO, idle: Span::from_s(9.0), last_answer: Span::from_s(9.0) };
+        let (router, sockets) = (Router::new().route("/", get(slow)), Sockets::new(2));
+        let serving = keep(ordered, router, sockets.clone(), Counters::default(), schedule, called, || true);
+        let serving = tokio::task::spawn_local(serving);
+        let ask = async || {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+            stream
+        };
+        let mut placed = [ask().await, ask().await];
+        while sockets.free() > 0 {
+            tokio::time::sleep(LOOK).await;
+        }
+        let mut waiting = Vec::new();
+        for _ in 0..3 * NO_PLACE_AT_ONCE {
+            waiting.push(ask().await);
+        }
+        call.send_replace(Some(At::default()));
+        for (n, stream) in waiting.iter_mut().enumerate() {
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.unwrap_or_else(|e| panic!("{n}: {e}"));
+            assert!(answer.starts_with("HTTP/1.1 503"), "{n}: {answer:?}");
+        }
+        answer.send_replace(true);
+        for stream in &mut placed {
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.unwrap();
+            assert!(answer.ends_with("served"), "{answer:?}");
+        }
+        drop(waiting);
+        serving.await.unwrap();
+    });
+}
