Settings whose calls are larger than a connection carries are served, also where idle is as short as dialling

Checked: the protocol says that a connection carries up to streams_per_conn parts and any more wait unread, and that parts in one frame make one call up to the number told; it asks nowhere that the first be the larger. Change (charter.rs): a call holds the smaller of both, in the exchange and in what the decision module counts; a connection is kept for at least half of the time told.

--- a/crates/pipitcrank-cli/tests/crossings.rs
+++ b/crates/pipitcrank-cli/tests/crossings.rs
@@ -294,3 +294,36 @@
     })
     .unwrap();
 }
+
+/// Another customer's settings: a connection carries one part at a time, though calls may hold eight, and may take as long
+/// to come up as it may stand idle.
+#[test]
+fn a_connection_that_carries_one_part_and_may_be_as_long_idle_as_in_coming_up_serves() {
+    on_one_thread(LIMIT, async {
+        let mut leaf = Leaf::start().await?;
+        let source = Source::start(1, vec![row("a", leaf.address, 0, "active", 0)]).await?;
+        let mut told = charter(&source, 2, 256)?;
+        // Both shards are held by the one leaf.
+        told["settings"]["domain"]["span"] = 2.into();
+        let allowed = &mut told["settings"]["allowed"];
+        (allowed["streams_per_conn"], allowed["probing"]) = (1.into(), false.into());
+        (allowed["conn_idle_s"], allowed["dial_timeout_s"]) = (2.0.into(), 2.0.into());
+        let process = Process::start(program(), told, None).await?;
+        let mut client = Lone::connect(process.address, Ledger::default()).await?;
+        for n in 0..3 {
+            let shards = vec![0, 1];
+            let asked = Question { shards, ..question(&format!("view-{n}")) };
+            let mut asking = std::pin::pin!(client.ask_in_pieces(asked, &[]));
+            for _ in 0..2 {
+                tokio::select! {
+                    call = leaf.call() => call.answers(),
+                    how = &mut asking => panic!("{how:?}; {}", process.log()),
+                }
+            }
+            assert_eq!(asking.await, Ended::Merged);
+        }
+        assert!(process.count("leaf_connections opened").await <= Some(2), "each is used again");
+        Ok(())
+    })
+    .unwrap();
+}
--- a/crates/pipitcrank-node/src/charter.rs
+++ b/crates/pipitcrank-node/src/charter.rs
@@ -182,10 +182,16 @@
         let wrong = |_| self.told().faulty("/seed", &format!("is '{seed}', not up to 16 hex digits"));
         // Nothing goes to a leaf that was told to drain, so its grace is not needed; it has to be told all the same.
         settings.span("/rules/drain_grace_s")?;
+        let (seed, call_size) = (u64::from_str_radix(seed, 16).map_err(wrong)?, self.call_size()?);
+        // The decision module counts in the same calls.
+        let mut all = self.all.clone();
+        if let Some(told) = all.pointer_mut("/settings/domain/parts_a_call") {
+            *told = call_size.into();
+        }
         let mut exchange = Exchange::new(
-            settings.root(u64::from_str_radix(seed, 16).map_err(wrong)?)?,
+            Told::new(&all).under("/settings")?.root(seed)?,
             settings.count("/allowed/max_open")? as usize,
-            settings.count("/domain/parts_a_call")? as usize,
+            call_size as usize,
             counters,
         );
         exchange.name_zones(zones);
@@ -199,14 +205,13 @@
 
     /// Parts that a connection to a leaf carries at once.
     pub fn streams(&self) -> Result<usize, Faulty> {
-        let settings = self.settings()?;
-        let (streams, a_call) =
-            (settings.count("/allowed/streams_per_conn")?, settings.count("/domain/parts_a_call")?);
-        if streams < a_call {
-            let what = format!("is {streams}, less than one call's {a_call} parts");
-            return Err(settings.faulty("/allowed/streams_per_conn", &what));
-        }
-        Ok(streams as usize)
+        Ok(self.settings()?.count_from_1("/allowed/streams_per_conn")? as usize)
+    }
+
+    /// Parts that one call carries. Guards against a call that no connection takes: settings may allow larger ones.
+    pub fn call_size(&self) -> Result<u32, Faulty> {
+        let a_call = self.settings()?.count_from_1("/domain/parts_a_call")?;
+        Ok(a_call.min(self.streams()? as u32))
     }
 
     /// Time for a connection to a leaf to come up.
@@ -215,9 +220,10 @@
     }
 
     /// How long a connection to a leaf may stand idle: closed before the leaf would, earlier by as long as a way
-    /// there may take at most.
+    /// there may take at most, or by half of it. Guards against connections closed as they come up, for ever, where they may
+    /// take as long to come up as they may stand idle.
     pub fn idle_limit(&self) -> Result<Duration, Faulty> {
         let idle = duration(self.settings()?.span("/allowed/conn_idle_s")?);
-        Ok(idle.saturating_sub(self.dial_limit()?))
+        Ok(idle - self.dial_limit()?.min(idle / 2))
     }
 }
--- a/crates/pipitcrank/src/told.rs
+++ b/crates/pipitcrank/src/told.rs
@@ -95,7 +95,7 @@
         }
     }
 
-    fn count_from_1(&self, key: &str) -> Result<u32, Faulty> {
+    pub fn count_from_1(&self, key: &str) -> Result<u32, Faulty> {
         match self.count(key)? {
             0 => Err(self.faulty(key, "is 0; accepted: 1 and more")),
             count => Ok(count),
