Lists that are told to who asks alone: the watch goes first, looks are rare, refused calls back off

At fault: discovery.rs, looks each 2 s hedged each 0.5 s and a watch asked for anew each 0.5 s, made for an agent that answers at no cost. Where calls are paid for, the fleet kept discovery from answering anybody. Ruled out: rules.ask_within_s, which is 10 s there and not near; the time in which silence is noticed (2.5 s as before). Change: where the settings say ask, a watch that ended is asked for after a pause that doubles with each failure, cut by chance of the instance's seed; a look beside it each 3 to 5 s, more rarely while calls fail; a call is waited for 1.5 s; one that hangs has a look beside the next. Where lists are pushed all is as before. A registry_mode that is neither is a fault by key. Left: two calls in a row that hang are past 6 s where calls are paid for. Tests: cli/lists.rs, eight copies at a discovery that bears eight calls a second (382 calls in 12 s before, 48 allowed now), and a hanging call under ask.

--- a/crates/pipitcrank-cli/tests/lists.rs
+++ b/crates/pipitcrank-cli/tests/lists.rs
@@ -5,12 +5,13 @@
 
 use std::time::{Duration, Instant};
 
-use pipitcrank_rig::client::{Lone, Question};
+use pipitcrank_rig::client::{Lone, Question, get};
 use pipitcrank_rig::discovery::row;
 use pipitcrank_rig::ledger::Ledger;
 use pipitcrank_rig::process::Process;
 use pipitcrank_rig::trial::on_one_thread;
 use rustix::process::Signal;
+use serde_json::Value;
 use stand_ins::{Call, Leaf, Source, charter, program};
 
 const LIMIT: Duration = Duration::from_secs(60);
@@ -28,9 +29,15 @@
 
 impl Scene {
     async fn set() -> anyhow::Result<Scene> {
+        Scene::set_with(|_| ()).await
+    }
+
+    async fn set_with(change: impl Fn(&mut Value)) -> anyhow::Result<Scene> {
         let leaves = [Leaf::start().await?, Leaf::start().await?];
         let source = Source::start(1, vec![row("a", leaves[0].address, 0, "active", 0)]).await?;
-        let process = Process::start(program(), charter(&source, 1, 256)?, None).await?;
+        let mut told = charter(&source, 1, 256)?;
+        change(&mut told);
+        let process = Process::start(program(), told, None).await?;
         let scene = Scene { source, leaves, process, asked: 0 };
         scene.source.until_watched().await;
         Ok(scene)
@@ -254,3 +261,58 @@
     })
     .unwrap();
 }
+
+/// Where lists are told to who asks alone discovery bears so many calls and refuses the rest. All watches of a fleet fall
+/// silent at once: asking again and again, each kept the others from an answer.
+#[test]
+fn a_fleet_does_not_keep_a_discovery_that_bears_few_calls_from_answering() {
+    const COPIES: usize = 8;
+    on_one_thread(LIMIT, async {
+        let leaf = Leaf::start().await?;
+        let rows = |state| vec![row("a", leaf.address, 0, state, 0)];
+        let source = Source::start(1, rows("active")).await?;
+        let mut copies = Vec::new();
+        for _ in 0..COPIES {
+            let mut told = charter(&source, 1, 256)?;
+            told["settings"]["registry_mode"] = "ask".into();
+            copies.push(Process::start(program(), told, None).await?);
+        }
+        while source.watches() < COPIES {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        // All of them in a second, and no more.
+        source.bears(COPIES);
+        source.silences_watches();
+        source.holds(2, rows("leaving"));
+        let had = Instant::now();
+        // Whoever has no leaf left is not able to serve.
+        for copy in &copies {
+            while get(copy.address, "/up").await.is_some_and(|a| a.status == 200) {
+                assert!(had.elapsed() < TOLD, "not told, {} refused; {}", source.refused(), copy.log());
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        // All is quiet then: a look now and then.
+        let before = source.calls();
+        tokio::time::sleep(2 * TOLD).await;
+        let calls = source.calls() - before;
+        assert!((COPIES..=6 * COPIES).contains(&calls), "{calls} calls of {COPIES} copies in {:?}", 2 * TOLD);
+        Ok(())
+    })
+    .unwrap();
+}
+
+/// There a watch gone silent and a call that hangs stay within the time as well.
+#[test]
+fn a_silent_watch_and_a_call_that_hangs_where_lists_are_asked_for() {
+    on_one_thread(LIMIT, async {
+        let mut scene = Scene::set_with(|told| told["settings"]["registry_mode"] = "ask".into()).await?;
+        scene.source.silences_watches();
+        scene.source.next_calls_are(&[Call::Hangs]);
+        let had = scene.moves_on(2);
+        let took = scene.told_after(had).await;
+        assert!(took < TOLD, "{took:?}; {}", scene.process.log());
+        Ok(())
+    })
+    .unwrap();
+}
--- a/crates/pipitcrank-cli/tests/stand_ins/mod.rs
+++ b/crates/pipitcrank-cli/tests/stand_ins/mod.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Result;
 use pipitcrank_rig::fleet::charter_of;
@@ -228,6 +228,23 @@
     open: Cell<usize>,
     watched: Notify,
     hold_look: RefCell<Option<oneshot::Sender<HeldLook>>>,
+    /// Calls that it bears in a second, and when those of late came.
+    bears: Cell<Option<usize>>,
+    came: RefCell<VecDeque<Instant>>,
+    refused: Cell<usize>,
+}
+
+impl Inside {
+    /// Whether one more is too many: also those refused cost it something.
+    fn overrun(&self) -> bool {
+        let Some(bears) = self.bears.get() else { return false };
+        let mut came = self.came.borrow_mut();
+        came.push_back(Instant::now());
+        came.retain(|t| t.elapsed() < Duration::from_secs(1));
+        let overrun = came.len() > bears;
+        self.refused.set(self.refused.get() + usize::from(overrun));
+        overrun
+    }
 }
 
 /// A discovery that spoils its calls by script.
@@ -338,6 +355,15 @@
         self.inside.down.set(down);
     }
 
+    /// It bears so many calls in a second, and refuses what comes beyond.
+    pub fn bears(&self, calls: usize) {
+        self.inside.bears.set(Some(calls));
+    }
+
+    pub fn refused(&self) -> usize {
+        self.inside.refused.get()
+    }
+
     /// The next look, as the list is when it is asked for.
     pub async fn holds_next_look(&self) -> HeldLook {
         let (tell, told) = oneshot::channel();
@@ -387,6 +413,9 @@
         inside.watches.set(inside.watches.get() + 1);
         inside.watched.notify_one();
     }
+    if inside.overrun() {
+        return stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").await;
+    }
     let (rev, rows) = inside.held.borrow().clone();
     let body = text(rev, true, &rows);
     let held = if is_watch { None } else { inside.hold_look.borrow_mut().take() };
--- a/crates/pipitcrank-node/src/charter.rs
+++ b/crates/pipitcrank-node/src/charter.rs
@@ -79,6 +79,7 @@
             self.streams().err(),
             self.idle_limit().err(),
             self.longest().err(),
+            self.lists_are_asked_for().err(),
         ];
         let mut faults: Vec<Faulty> = Vec::new();
         for fault in parts.into_iter().flatten() {
@@ -178,11 +179,9 @@
             }
         }
         let zones = self.zones()?.map_or(Vec::new(), |(_, names)| names);
-        let seed = self.told().text("/seed")?;
-        let wrong = |_| self.told().faulty("/seed", &format!("is '{seed}', not up to 16 hex digits"));
         // Nothing goes to a leaf that was told to drain, so its grace is not needed; it has to be told all the same.
         settings.span("/rules/drain_grace_s")?;
-        let (seed, call_size) = (u64::from_str_radix(seed, 16).map_err(wrong)?, self.call_size()?);
+        let (seed, call_size) = (self.seed()?, self.call_size()?);
         // The decision module counts in the same calls.
         let mut all = self.all.clone();
         if let Some(told) = all.pointer_mut("/settings/domain/parts_a_call") {
@@ -198,6 +197,23 @@
         Ok(exchange)
     }
 
+    /// What its chance is made from.
+    pub fn seed(&self) -> Result<u64, Faulty> {
+        let seed = self.told().text("/seed")?;
+        let wrong = |_| self.told().faulty("/seed", &format!("is '{seed}', not up to 16 hex digits"));
+        u64::from_str_radix(seed, 16).map_err(wrong)
+    }
+
+    /// Lists are told to who asks alone, and each call is paid for.
+    pub fn lists_are_asked_for(&self) -> Result<bool, Faulty> {
+        let settings = self.settings()?;
+        match settings.text_or("/registry_mode", "push")? {
+            "push" => Ok(false),
+            "ask" => Ok(true),
+            other => Err(settings.faulty("/registry_mode", &format!("is '{other}'; accepted: push, ask"))),
+        }
+    }
+
     /// This co-ordinator's zone, by its place, and the names of all; none where the platform says nothing.
     pub fn zones(&self) -> Result<Option<(Zone, Vec<String>)>, Faulty> {
         self.settings()?.zones()
--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -1,8 +1,10 @@
 //! Discovery: the list of leaves as first known, and what keeps it. Two ways run beside each other: a watch brings each
 //! change at once, and looks at the whole list, on connections of their own, bring whatever a watch did not. A change counts
 //! as told 6 s after discovery had it, whatever call failed: the looks alone keep to that, so no watch has to be trusted.
+//! Where lists are only told to who asks, each call is paid for and refused when there are too many: there the watch goes
+//! first, looks are rare, and who was refused asks later and later.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -15,10 +17,11 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use pipitcrank::chance::Chance;
 use serde::Deserialize;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::clock::Clock;
 use crate::ends::ConnectionEnd;
@@ -41,6 +44,14 @@
 const HEAD: Duration = Duration::from_millis(1000);
 /// Between a watch that ended and the look that follows: what ends all watches of a fleet does not bring a storm.
 const AFTER_END: Duration = Duration::from_millis(50);
+/// Where calls are paid for: a look beside a sound watch so often, which leaves time for one more call of the 6 s; a call is
+/// waited for that long, as one that waits its turn is no better off asked anew; a pause after one that failed, doubled by
+/// each further one, and cut by chance so that those refused together do not come together.
+const PAID_LOOK: Duration = Duration::from_millis(4000);
+const PAID_LOOK_MOST: Duration = Duration::from_millis(32_000);
+const PAID_CALL: Duration = Duration::from_millis(1500);
+const PAID_PAUSE: Duration = Duration::from_millis(250);
+const PAID_PAUSE_MOST: Duration = Duration::from_millis(2000);
 /// Longest list taken: some ten thousand leaves, indented, and a tenth of the least memory that platforms tell.
 const LONGEST: usize = 4 << 20;
 
@@ -100,8 +111,9 @@
 pub type Rev = Rc<Cell<Option<u64>>>;
 
 /// Watches for ever, wherever discovery is at the moment; `rev` is the version of the list as first known, and then
-/// as held.
-pub async fn watch(hall: Rc<Hall>, mut address: watch::Receiver<String>, rev: Rev) {
+/// as held. `paid`: lists are told to who asks alone; then with the chance by which calls are spread.
+pub async fn watch(hall: Rc<Hall>, mut address: watch::Receiver<String>, rev: Rev, paid: Option<Chance>) {
+    let paid = paid.map(RefCell::new);
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     // Each call has a connection of its own. Guards against one kept that has died: it would swallow call after call.
@@ -109,7 +121,8 @@
     loop {
         let at = address.borrow_and_update().clone();
         let (again, had, doubted) = (Notify::new(), Notify::new(), Cell::new(false));
-        let source = Source { hall: &hall, client: &client, at: &at, rev: &rev, again, had, doubted };
+        let paid = paid.as_ref();
+        let source = Source { hall: &hall, client: &client, at: &at, rev: &rev, paid, again, had, doubted };
         let moved = async {
             while address.changed().await.is_ok() {
                 if *address.borrow_and_update() != at {
@@ -139,6 +152,7 @@
     client: &'a Asker,
     at: &'a str,
     rev: &'a Rev,
+    paid: Option<&'a RefCell<Chance>>,
     /// Calls for a look before its time.
     again: Notify,
     /// A list has come where none was held.
@@ -149,6 +163,9 @@
 
 impl Source<'_> {
     async fn look_for_ever(&self) -> Infallible {
+        if let Some(chance) = self.paid {
+            return self.look_rarely(chance).await;
+        }
         loop {
             let begun = Instant::now();
             self.look().await;
@@ -159,6 +176,35 @@
         }
     }
 
+    /// Beside the watch, each call paid for: at once where none is held or a SIGHUP came, else rarely, and more rarely while
+    /// calls are refused. Guards against a fleet that keeps discovery from answering anybody by asking it again and again.
+    async fn look_rarely(&self, chance: &RefCell<Chance>) -> Infallible {
+        let (mut every, mut refused) = (PAID_LOOK, 0);
+        loop {
+            if self.rev.get().is_some() {
+                tokio::select! {
+                    () = sleep(every.mul_f64(0.75 + 0.5 * chance.borrow_mut().share())) => {}
+                    () = self.again.notified() => {}
+                }
+            }
+            let before = self.rev.get();
+            let came = whole_list(self.client, self.at, Instant::now() + PAID_CALL).await;
+            match came.and_then(|body| self.take_look(before, &body)) {
+                Ok(true) => (every, refused) = (PAID_LOOK, 0),
+                Ok(false) => self.again.notify_one(),
+                Err(end) => {
+                    self.ended("look at", end);
+                    every = (every * 2).min(PAID_LOOK_MOST);
+                    refused += 1;
+                    // None is held: it is all that there is to go by.
+                    if self.rev.get().is_none() {
+                        sleep(paused(refused, chance)).await;
+                    }
+                }
+            }
+        }
+    }
+
     /// Asks for the whole list until one call brings it. Guards against calls that hang, are refused, reset, or bring half a
     /// list: each costs `BESIDE`, and none holds up the next.
     async fn look(&self) {
@@ -227,6 +273,7 @@
     }
 
     async fn watch_for_ever(&self) -> Infallible {
+        let mut failed = 0;
         loop {
             let Some(known) = self.rev.get() else {
                 self.had.notified().await;
@@ -235,6 +282,15 @@
             let begun = Instant::now();
             let Err(end) = self.one_watch(known).await;
             self.ended("watch of", end);
+            if let Some(chance) = self.paid {
+                failed = if begun.elapsed() > 2 * PAID_CALL { 1 } else { failed + 1 };
+                // A call that hangs is no sign of too many: the next does not stand alone.
+                if end == ConnectionEnd::NeverUp {
+                    self.again.notify_one();
+                }
+                sleep(paused(failed, chance)).await;
+                continue;
+            }
             self.again.notify_one();
             // At once after one that lasted.
             sleep_until(begun + BESIDE).await;
@@ -244,7 +300,8 @@
     /// One watch, until it ends.
     async fn one_watch(&self, known: u64) -> Result<Infallible, ConnectionEnd> {
         let query = format!("?stream=1&index={known}");
-        let mut body = ask(self.client, self.at, &query, Instant::now() + HEAD).await?;
+        let head = if self.paid.is_some() { PAID_CALL } else { HEAD };
+        let mut body = ask(self.client, self.at, &query, Instant::now() + head).await?;
         // A list may come indented: a line is no object.
         let mut objects = Objects::new(LONGEST);
         let (mut stands_at, mut whole_since) = (known, Instant::now());
@@ -287,6 +344,12 @@
     }
 }
 
+/// The pause after so many calls in a row that failed.
+fn paused(failed: u32, chance: &RefCell<Chance>) -> Duration {
+    let longest = (PAID_PAUSE * 2u32.pow(failed.min(4))).min(PAID_PAUSE_MOST);
+    longest.mul_f64(0.5 + 0.5 * chance.borrow_mut().share())
+}
+
 async fn ask(client: &Asker, address: &str, query: &str, by: Instant) -> Result<Incoming, ConnectionEnd> {
     let uri = format!("http://{address}/discovery/hosts{query}");
     let Ok(request) = Request::get(uri).body(Empty::new()) else { return Err(ConnectionEnd::Refused) };
--- a/crates/pipitcrank-node/src/serve.rs
+++ b/crates/pipitcrank-node/src/serve.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
+use pipitcrank::chance::Chance;
 use pipitcrank::decide::zones::Zone;
 use pipitcrank::time::{At, Span};
 use pipitcrank_handover::snapshot::Snapshot;
@@ -113,8 +114,10 @@
     let (tick, name, listen) = (charter.tick()?, charter.name()?, charter.listen()?);
     let rev_held = Rc::new(Cell::new(None));
     let (watch_hall, watch_rev) = (hall.clone(), rev_held.clone());
+    let paid = charter.lists_are_asked_for()?.then_some(charter.seed()?);
     let list_known = move || {
-        let watch = discovery::watch(watch_hall.clone(), watched.clone(), watch_rev.clone());
+        let paid = paid.map(Chance::new);
+        let watch = discovery::watch(watch_hall.clone(), watched.clone(), watch_rev.clone(), paid);
         tokio::task::spawn_local(watch);
     };
     tokio::task::spawn_local(reload::heed(hangups, path.into(), clock, counters.clone(), move_watch));
--- a/crates/pipitcrank/src/told.rs
+++ b/crates/pipitcrank/src/told.rs
@@ -74,6 +74,11 @@
         self.get(key, Value::as_str, "has no text")
     }
 
+    /// Absent or null stands for that; anything else has to be a text.
+    pub fn text_or(&self, key: &str, absent: &'a str) -> Result<&'a str, Faulty> {
+        if self.all.pointer(key).is_none_or(Value::is_null) { Ok(absent) } else { self.text(key) }
+    }
+
     /// A time in seconds. Guards against sums that pass what a time can hold.
     pub fn span(&self, key: &str) -> Result<Span, Faulty> {
         Ok(Span::from_s(self.within(key, 0.0, LONGEST_S)?))
