--- a/crates/pipitcrank-cli/tests/crossings.rs
+++ b/crates/pipitcrank-cli/tests/crossings.rs
@@ -327,3 +327,42 @@
     })
     .unwrap();
 }
+
+/// A leaf that drained is back under its address: it gets parts again, on a new connection where nothing was out on the old
+/// one, which was let go, and on the same where something was.
+#[test]
+fn a_drained_leaf_that_is_back_under_its_address_gets_parts_again() {
+    for held in [false, true] {
+        on_one_thread(LIMIT, async {
+            let (mut leaf, source, process) = one_leaf(256).await?;
+            let mut kept = BufReader::new(connect(process.address).await?);
+            assert_eq!(asks_on(&mut kept, "view-1", &mut leaf).await, 200);
+            let mut other = BufReader::new(connect(process.address).await?);
+            let mut call = None;
+            if held {
+                other.get_mut().write_all(question("view-held").request().as_bytes()).await?;
+                call = Some(leaf.call().await);
+            }
+            let changes = async |n: u64| {
+                while process.count("discovery changes").await < Some(n) {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            };
+            source.holds(2, vec![row("a", leaf.address, 0, "leaving", 0)]);
+            changes(1).await;
+            assert_eq!(asks_on(&mut kept, "view-2", &mut leaf).await, 503, "nobody else holds it");
+            assert!(leaf.came().is_none());
+            source.holds(3, vec![row("a", leaf.address, 0, "active", 0)]);
+            changes(2).await;
+            assert_eq!(asks_on(&mut kept, "view-3", &mut leaf).await, 200, "held: {held}");
+            if let Some(call) = call {
+                call.answers();
+                assert_eq!(read_answer(&mut other).await.map(|a| a.status), Some(200));
+            }
+            let opened = process.count("leaf_connections opened").await;
+            assert_eq!(opened, Some(if held { 1 } else { 2 }), "held: {held}");
+            Ok(())
+        })
+        .unwrap();
+    }
+}
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -417,14 +417,17 @@
         self.desk.alarms.first().map(|a| a.0).into_iter().chain(until).min()
     }
 
+    /// Told to drain a leaf gets nothing more, also within the grace. Guards against a word read late by a process that waits
+    /// for the processor: the grace counts from when it could be read.
+    pub fn drains(&self, leaf: Leaf) -> bool {
+        self.desk.held_leaves.get(&leaf.0).is_some_and(|l| l.off.is_some())
+    }
+
     /// The last look just before a call's first byte is written: what of it may still go, and how. Guards against
     /// frames held up on the way to the socket while their query ended, their time ran out, or their leaf drained:
     /// those count as never run.
     pub fn release(&mut self, now: At, leaf: Leaf, parts: &mut Vec<CallNo>) -> Vec<CallPart> {
-        let held = self.desk.held_leaves.get(&leaf.0);
-        // Told to drain it gets nothing more, also within the grace. Guards against a word read late by a process that waits
-        // for the processor: the grace counts from when it could be read.
-        let drained = held.is_none_or(|l| l.off.is_some());
+        let drained = self.drains(leaf) || !self.desk.held_leaves.contains_key(&leaf.0);
         let mut going = Vec::new();
         parts.retain(|&call| {
             // Guards against a call given up while it was queued, whose number another part's call has by now: that
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -181,6 +181,14 @@
         Writing::Nothing => return Ok(Writing::Nothing),
         Writing::Rest(rest, parts) => (rest, parts),
         Writing::Next(Job::GiveUp(id)) => (frames::give_up(&id), Vec::new()),
+        // Guards against a probe that waited for its connection while its leaf was told to drain or went.
+        Writing::Next(Job::Probe) if wire.let_go.get() || hall.ask(|e| e.drains(wire.leaf)) => {
+            wire.probes.set(wire.probes.get().saturating_sub(1));
+            if !wire.let_go.get() {
+                hall.tell(|e| e.probed(wire.leaf, Ending::Stale, None));
+            }
+            return Ok(Writing::Nothing);
+        }
         Writing::Next(Job::Probe) => (frames::load_probe(), Vec::new()),
         Writing::Next(Job::Ping) => {
             wire.pings.set(wire.pings.get() + 1);
--- a/crates/pipitcrank-node/src/wire/tests.rs
+++ b/crates/pipitcrank-node/src/wire/tests.rs
@@ -147,3 +147,22 @@
     hall.tell(|e| e.ended(call, Ending::Undone, None, None));
     assert!(matches!(write(&hall, &wire, &to, next).unwrap(), Writing::Nothing), "dropped: it is over");
 }
+
+/// A probe waits at its connection while its leaf is told to drain: it does not go out, and counts as never sent.
+#[tokio::test]
+async fn a_probe_queued_for_a_leaf_that_drains_meanwhile_does_not_go_out() {
+    for drains in [false, true] {
+        let (leaf_end, _from, to, hall, _call) = one_call_out().await;
+        let (jobs, _queue) = unbounded_channel();
+        let wire = Wire::new(Leaf(0), jobs);
+        wire.probes.set(1);
+        let row = Listed { uid: "l".into(), address: None, cell: 0, zone: None, up: !drains, started: None };
+        hall.tell(|e| e.list(hall.clock.now(), false, vec![row]));
+        let take_turn = async { hall.take_turns(Span::from_ms(1), &RefCell::new(Nobody)).await };
+        assert!(tokio::time::timeout(Duration::from_millis(50), take_turn).await.is_err());
+        assert!(matches!(write(&hall, &wire, &to, Writing::Next(Job::Probe)).unwrap(), Writing::Nothing));
+        let mut came = [0; 9];
+        let sent = leaf_end.try_read(&mut came).is_ok_and(|n| n > 0);
+        assert_eq!((sent, wire.probes.get()), (!drains, u32::from(!drains)), "drains: {drains}");
+    }
+}
