The test of a call to leave waits for what lies in the sockets, not for a time

It looks now whether both lie there, on descriptors of its own, before the runtime may, and reads until the answer or the close; the half request is finished and has to be served, which is stricter.

--- a/crates/pipitcrank-node/src/acceptor/tests.rs
+++ b/crates/pipitcrank-node/src/acceptor/tests.rs
@@ -1,4 +1,5 @@
 use std::cell::Cell;
+use std::os::fd::AsFd;
 
 use axum::routing::get;
 use pipitcrank::time::{At, Span};
@@ -81,12 +82,19 @@
     });
 }
 
-/// Within it what was written has come.
-const AS_ONE: Duration = Duration::from_millis(20);
+/// As long as a query takes.
+const A_QUERY: Duration = Duration::from_millis(20);
 
-/// A resting connection is called to leave in the very pass in which a request lies on it: in one look at the sockets the
-/// runtime finds both, and who calls comes first.
-fn called_to_leave_beside(bytes: &[u8]) -> String {
+/// Waits, and the runtime with it, until there is something to read.
+fn there_is_something(on: &std::net::TcpStream) {
+    while on.peek(&mut [0; 1]).is_err() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// A resting connection is called to leave in the very pass in which a request lies on it, or the first bytes of one: in one
+/// look at the sockets the runtime finds both, and who calls comes first. What comes of it once all of it was written.
+fn called_to_leave_beside(bytes: &[u8], rest: &[u8]) -> String {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -95,10 +103,11 @@
         let (accepted, _) = listener.accept().await.unwrap();
         let bell = TcpStream::connect(address).await.unwrap();
         let (heard, _) = listener.accept().await.unwrap();
+        let beside = |of: &TcpStream| std::net::TcpStream::from(of.as_fd().try_clone_to_owned().unwrap());
+        let (beside_accepted, beside_heard) = (beside(&accepted), beside(&heard));
         let connections = Rc::new(ClientConnections::default());
-        // A query takes its time.
         let served = async || {
-            tokio::time::sleep(AS_ONE).await;
+            tokio::time::sleep(A_QUERY).await;
             "served"
         };
         let rounds = Rounds {
@@ -113,29 +122,35 @@
         // It rests by now.
         tokio::time::sleep(LOOK).await;
         assert!(heard.try_read(&mut [0; 1]).is_err(), "so that it waits for the bell");
+        // The runtime looks at neither before both are there.
         bell.try_write(b"!").unwrap();
-        std::thread::sleep(AS_ONE);
+        there_is_something(&beside_heard);
         stream.try_write(bytes).unwrap();
-        // The runtime looks at neither before both are there.
-        std::thread::sleep(AS_ONE);
+        there_is_something(&beside_accepted);
+        drop(beside_accepted);
         heard.readable().await.unwrap();
         connections.end();
         tokio::time::sleep(LOOK).await;
-        let mut rest = Vec::new();
-        while stream.try_read_buf(&mut rest).is_ok_and(|n| n > 0) {}
-        String::from_utf8(rest).unwrap()
+        let _ = stream.write_all(rest).await;
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"served") && stream.read_buf(&mut answer).await.is_ok_and(|n| n > 0) {}
+        String::from_utf8(answer).unwrap()
     })
 }
 
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
 #[test]
 fn a_request_read_as_its_resting_connection_is_called_to_leave_is_answered() {
-    let answer = called_to_leave_beside(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-    assert!(answer.ends_with("served"), "{answer:?}");
+    let answer = called_to_leave_beside(REQUEST, b"");
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("served"), "{answer:?}");
 }
 
 #[test]
 fn who_begins_a_request_as_its_resting_connection_is_called_to_leave_is_left_time() {
-    assert_eq!(called_to_leave_beside(b"GET / HT"), "", "no 408 for who has just begun");
+    let (begun, rest) = REQUEST.split_at(8);
+    let answer = called_to_leave_beside(begun, rest);
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("served"), "{answer:?}");
 }
 
 /// All places hold an open request as the listening ends, and more wait in the accept queue than there are places.
