Asked lists: calls are spread by how many copies there are; one that hangs is waited for as discovery does

Copies called as often as if there were six: looks each 4 s alone were 7.5 calls a second, and a call given up after 1.5 s and asked anew cost discovery twice. Change (discovery.rs): beyond eight copies told (/settings/balancers) looks and longest pauses grow with their number; a call is waited for 2 s; pauses may double eight times; one hanging call has a look beside the next.

--- a/crates/pipitcrank-cli/tests/lists.rs
+++ b/crates/pipitcrank-cli/tests/lists.rs
@@ -275,6 +275,7 @@
         for _ in 0..COPIES {
             let mut told = charter(&source, 1, 256)?;
             told["settings"]["registry_mode"] = "ask".into();
+            told["settings"]["balancers"] = COPIES.into();
             copies.push(Process::start(program(), told, None).await?);
         }
         while source.watches() < COPIES {
--- a/crates/pipitcrank-node/src/charter.rs
+++ b/crates/pipitcrank-node/src/charter.rs
@@ -214,6 +214,12 @@
         }
     }
 
+    /// How many co-ordinators there are, this one counted; 1 where nobody says.
+    pub fn copies(&self) -> Result<u32, Faulty> {
+        let settings = self.settings()?;
+        Ok(settings.number_or("/balancers", 1.0)?.clamp(1.0, f64::from(u32::MAX)) as u32)
+    }
+
     /// This co-ordinator's zone, by its place, and the names of all; none where the platform says nothing.
     pub fn zones(&self) -> Result<Option<(Zone, Vec<String>)>, Faulty> {
         self.settings()?.zones()
--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -44,14 +44,17 @@
 const HEAD: Duration = Duration::from_millis(1000);
 /// Between a watch that ended and the look that follows: what ends all watches of a fleet does not bring a storm.
 const AFTER_END: Duration = Duration::from_millis(50);
-/// Where calls are paid for: a look beside a sound watch so often, which leaves time for one more call of the 6 s; a call is
-/// waited for that long, as one that waits its turn is no better off asked anew; a pause after one that failed, doubled by
-/// each further one, and cut by chance so that those refused together do not come together.
+/// Where calls are paid for: a look beside a sound watch so often, which leaves time for one more call of the 6 s. A call is
+/// waited for that long: given up and asked anew it costs discovery twice. A pause follows one that failed, doubled by each
+/// further one, and cut by chance so that those refused together do not come together.
 const PAID_LOOK: Duration = Duration::from_millis(4000);
-const PAID_LOOK_MOST: Duration = Duration::from_millis(32_000);
-const PAID_CALL: Duration = Duration::from_millis(1500);
+const PAID_CALL: Duration = Duration::from_millis(2000);
 const PAID_PAUSE: Duration = Duration::from_millis(250);
 const PAID_PAUSE_MOST: Duration = Duration::from_millis(2000);
+/// So many copies may call as often as that: one discovery has to answer all, and more of them call more rarely.
+const PAID_COPIES: u32 = 8;
+/// Doublings at most.
+const PAID_DOUBLED: u32 = 8;
 /// Longest list taken: some ten thousand leaves, indented, and a tenth of the least memory that platforms tell.
 const LONGEST: usize = 4 << 20;
 
@@ -105,15 +108,41 @@
     }
 }
 
+/// Calls are paid for, and refused when there are too many: how this copy spreads its own.
+pub struct Paid {
+    chance: RefCell<Chance>,
+    /// The copies in all, as so many times the number that may call often; 1 at least.
+    crowd: f64,
+}
+
+impl Paid {
+    pub fn new(seed: u64, copies: u32) -> Paid {
+        let crowd = (f64::from(copies) / f64::from(PAID_COPIES)).max(1.0);
+        Paid { chance: RefCell::new(Chance::new(seed)), crowd }
+    }
+
+    /// The pause after so many calls in a row that failed.
+    fn pause(&self, failed: u32) -> Duration {
+        let longest =
+            (PAID_PAUSE * 2u32.pow(failed.min(PAID_DOUBLED))).min(PAID_PAUSE_MOST.mul_f64(self.crowd));
+        longest.mul_f64(0.5 + 0.5 * self.chance.borrow_mut().share())
+    }
+
+    /// Until the next look beside a sound watch, after so many in a row that failed.
+    fn until_look(&self, failed: u32) -> Duration {
+        let doubled = f64::from(2u32.pow(failed.min(PAID_DOUBLED)));
+        PAID_LOOK.mul_f64(self.crowd * doubled * (0.75 + 0.5 * self.chance.borrow_mut().share()))
+    }
+}
+
 type Asker = Client<HttpConnector, Empty<Bytes>>;
 
 /// Version of the list that is held; none asks for the whole list.
 pub type Rev = Rc<Cell<Option<u64>>>;
 
 /// Watches for ever, wherever discovery is at the moment; `rev` is the version of the list as first known, and then
-/// as held. `paid`: lists are told to who asks alone; then with the chance by which calls are spread.
-pub async fn watch(hall: Rc<Hall>, mut address: watch::Receiver<String>, rev: Rev, paid: Option<Chance>) {
-    let paid = paid.map(RefCell::new);
+/// as held. `paid`: lists are told to who asks alone.
+pub async fn watch(hall: Rc<Hall>, mut address: watch::Receiver<String>, rev: Rev, paid: Option<Paid>) {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     // Each call has a connection of its own. Guards against one kept that has died: it would swallow call after call.
@@ -152,7 +181,7 @@
     client: &'a Asker,
     at: &'a str,
     rev: &'a Rev,
-    paid: Option<&'a RefCell<Chance>>,
+    paid: Option<&'a Paid>,
     /// Calls for a look before its time.
     again: Notify,
     /// A list has come where none was held.
@@ -163,8 +192,8 @@
 
 impl Source<'_> {
     async fn look_for_ever(&self) -> Infallible {
-        if let Some(chance) = self.paid {
-            return self.look_rarely(chance).await;
+        if let Some(paid) = self.paid {
+            return self.look_rarely(paid).await;
         }
         loop {
             let begun = Instant::now();
@@ -178,27 +207,26 @@
 
     /// Beside the watch, each call paid for: at once where none is held or a SIGHUP came, else rarely, and more rarely while
     /// calls are refused. Guards against a fleet that keeps discovery from answering anybody by asking it again and again.
-    async fn look_rarely(&self, chance: &RefCell<Chance>) -> Infallible {
-        let (mut every, mut refused) = (PAID_LOOK, 0);
+    async fn look_rarely(&self, paid: &Paid) -> Infallible {
+        let mut failed = 0;
         loop {
             if self.rev.get().is_some() {
                 tokio::select! {
-                    () = sleep(every.mul_f64(0.75 + 0.5 * chance.borrow_mut().share())) => {}
+                    () = sleep(paid.until_look(failed)) => {}
                     () = self.again.notified() => {}
                 }
             }
             let before = self.rev.get();
             let came = whole_list(self.client, self.at, Instant::now() + PAID_CALL).await;
             match came.and_then(|body| self.take_look(before, &body)) {
-                Ok(true) => (every, refused) = (PAID_LOOK, 0),
+                Ok(true) => failed = 0,
                 Ok(false) => self.again.notify_one(),
                 Err(end) => {
                     self.ended("look at", end);
-                    every = (every * 2).min(PAID_LOOK_MOST);
-                    refused += 1;
+                    failed += 1;
                     // None is held: it is all that there is to go by.
                     if self.rev.get().is_none() {
-                        sleep(paused(refused, chance)).await;
+                        sleep(paid.pause(failed)).await;
                     }
                 }
             }
@@ -282,13 +310,13 @@
             let begun = Instant::now();
             let Err(end) = self.one_watch(known).await;
             self.ended("watch of", end);
-            if let Some(chance) = self.paid {
+            if let Some(paid) = self.paid {
                 failed = if begun.elapsed() > 2 * PAID_CALL { 1 } else { failed + 1 };
-                // A call that hangs is no sign of too many: the next does not stand alone.
-                if end == ConnectionEnd::NeverUp {
+                // A call that hangs once is no sign of too many: a look goes beside the next.
+                if end == ConnectionEnd::NeverUp && failed <= 2 {
                     self.again.notify_one();
                 }
-                sleep(paused(failed, chance)).await;
+                sleep(paid.pause(failed)).await;
                 continue;
             }
             self.again.notify_one();
@@ -344,12 +372,6 @@
     }
 }
 
-/// The pause after so many calls in a row that failed.
-fn paused(failed: u32, chance: &RefCell<Chance>) -> Duration {
-    let longest = (PAID_PAUSE * 2u32.pow(failed.min(4))).min(PAID_PAUSE_MOST);
-    longest.mul_f64(0.5 + 0.5 * chance.borrow_mut().share())
-}
-
 async fn ask(client: &Asker, address: &str, query: &str, by: Instant) -> Result<Incoming, ConnectionEnd> {
     let uri = format!("http://{address}/discovery/hosts{query}");
     let Ok(request) = Request::get(uri).body(Empty::new()) else { return Err(ConnectionEnd::Refused) };
--- a/crates/pipitcrank-node/src/serve.rs
+++ b/crates/pipitcrank-node/src/serve.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
-use pipitcrank::chance::Chance;
 use pipitcrank::decide::zones::Zone;
 use pipitcrank::time::{At, Span};
 use pipitcrank_handover::snapshot::Snapshot;
@@ -21,7 +20,7 @@
 use crate::charter::Charter;
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::discovery::{self, Rev};
+use crate::discovery::{self, Paid, Rev};
 use crate::exchange::{Exchange, LeafSide};
 use crate::front::{self, Door, Knock};
 use crate::hall::{Hall, Sockets};
@@ -114,9 +113,9 @@
     let (tick, name, listen) = (charter.tick()?, charter.name()?, charter.listen()?);
     let rev_held = Rc::new(Cell::new(None));
     let (watch_hall, watch_rev) = (hall.clone(), rev_held.clone());
-    let paid = charter.lists_are_asked_for()?.then_some(charter.seed()?);
+    let paid = charter.lists_are_asked_for()?.then_some((charter.seed()?, charter.copies()?));
     let list_known = move || {
-        let paid = paid.map(Chance::new);
+        let paid = paid.map(|(seed, copies)| Paid::new(seed, copies));
         let watch = discovery::watch(watch_hall.clone(), watched.clone(), watch_rev.clone(), paid);
         tokio::task::spawn_local(watch);
     };
