--- /dev/null
+++ b/crates/pipitcrank-handover/src/snapshot/tests.rs
@@ -0,0 +1,72 @@
+use proptest::prelude::*;
+
+use super::*;
+
+fn some() -> Snapshot {
+    let leaf = |n: u32| SeenLeaf {
+        index: n,
+        uid: format!("s-{n}"),
+        address: Some(([127, 0, 0, 1], n as u16).into()),
+        cell: n,
+        zone: (n > 2).then(|| "a".to_string()),
+        started: (n > 1).then(|| Span::from_ms(70)),
+        off: (n == 3).then(|| Span::from_ms(5)),
+    };
+    let mut known = Known::default();
+    known.taken = vec![Span::from_ms(3); 9];
+    // The share of the time left that is filled starts between its bounds.
+    let mut root = pipitcrank::decide::Root::new(
+        pipitcrank::chance::Chance::new(1),
+        Default::default(),
+        Default::default(),
+        Default::default(),
+        Default::default(),
+        false,
+        Span::from_ms(5),
+    );
+    let mut fresh = root.known(pipitcrank::time::At::default());
+    fresh.taken = known.taken;
+    Snapshot {
+        taken_us: 5,
+        rev: Some(7),
+        leaves: (0..4).map(leaf).collect(),
+        known: fresh,
+        lent: (2, Span::from_ms(9)),
+    }
+}
+
+#[test]
+fn what_is_encoded_is_read_again_and_other_versions_are_not() {
+    let bytes = some().encode().unwrap();
+    assert_eq!(Snapshot::decode(&bytes), Ok(some()));
+    let mut other = bytes.clone();
+    other[5] += 1;
+    assert_eq!(Snapshot::decode(&other), Err(Refused::Version(VERSION + 1)));
+    let mut foreign = bytes.clone();
+    foreign[0] = b'x';
+    assert_eq!(Snapshot::decode(&foreign), Err(Refused::Foreign));
+    let mut unsound = some();
+    unsound.known.taken[0] = Span::from_ms(-1);
+    assert_eq!(Snapshot::decode(&unsound.encode().unwrap()), Err(Refused::Unsound));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Cut at any byte, longer by some, or with any byte spoilt: refused whole.
+    #[test]
+    fn torn_and_spoilt_ones_are_refused(cut in 0usize..10_000, at in 0usize..10_000, bit in 0u8..8, more in 1usize..9) {
+        let bytes = some().encode().unwrap();
+        prop_assert!(Snapshot::decode(&bytes[..cut % bytes.len()]).is_err());
+        let mut spoilt = bytes.clone();
+        let at = at % bytes.len();
+        spoilt[at] ^= 1 << bit;
+        prop_assert!(Snapshot::decode(&spoilt).is_err());
+        prop_assert!(Snapshot::decode(&[&bytes[..], &vec![0; more][..]].concat()).is_err());
+    }
+
+    #[test]
+    fn noise_is_refused(noise in proptest::collection::vec(any::<u8>(), 0..400)) {
+        prop_assert!(Snapshot::decode(&noise).is_err());
+    }
+}
--- a/crates/pipitcrank-lab/src/leaves.rs
+++ b/crates/pipitcrank-lab/src/leaves.rs
@@ -99,41 +99,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const STEP: Span = Span::from_ms(100);
-
-    fn run(leaves: &mut Leaves, from: i64, steps: i64, parts: f64) -> Step {
-        let mut sum = Step::default();
-        for n in 0..steps {
-            let step = leaves.step(At::from_us((from + n) * 100_000), parts, STEP);
-            sum.in_time += step.in_time;
-            sum.late += step.late;
-            sum.turned_away += step.turned_away;
-            sum.unanswered += step.unanswered;
-        }
-        sum
-    }
-
-    #[test]
-    fn under_capacity_all_is_in_time_and_over_it_the_queue_fills() {
-        let mut leaves = Leaves::new(10, 100.0);
-        let calm = run(&mut leaves, 0, 50, 90.0);
-        assert!(calm.in_time > 4499.0 && calm.late == 0.0);
-        let jam = run(&mut leaves, 50, 100, 150.0);
-        assert!(jam.late > 0.0 && jam.turned_away > 0.0, "{jam:?}");
-        leaves.lose();
-        assert_eq!(run(&mut leaves, 150, 10, 90.0).unanswered, 900.0);
-    }
-
-    #[test]
-    fn cold_leaves_carry_less_and_say_when_they_are_pushed_over() {
-        let mut leaves = Leaves::new(10, 100.0);
-        leaves.start(At::default());
-        run(&mut leaves, 0, 20, 100.0);
-        assert_eq!(leaves.pushed_over, 0.0);
-        run(&mut leaves, 20, 20, 500.0);
-        assert!(leaves.pushed_over > 0.0);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/pipitcrank-operators/src/tests.rs
@@ -0,0 +1,130 @@
+use super::*;
+
+const GOOD: &str = "{ upgrade = Some { start_s = 10.0, settle_s = 5.0, silent_s = 2.0, finish_s = 30.0 }
+    , logs = Some { json = True, levels = \"info\" } }";
+
+#[test]
+fn a_whole_file_is_read_and_an_empty_one_turns_all_off() {
+    let read = Operators::parse(GOOD).unwrap();
+    assert_eq!(read.upgrade.unwrap().settle, Duration::from_secs(5));
+    assert_eq!(read.logs, Logs { json: true, levels: "info".to_string() });
+    let none =
+        "{ upgrade = None { start_s : Double, settle_s : Double, silent_s : Double, finish_s : Double }
+        , logs = None { json : Bool, levels : Text } }";
+    assert_eq!(Operators::parse(none).unwrap(), Operators::default());
+    assert_eq!(Operators::parse("{=}").unwrap(), Operators::default());
+}
+
+#[test]
+fn each_fault_names_its_key() {
+    for (from, to, key) in [
+        ("settle_s = 5.0", "settle_s = -1.0", "/upgrade/settle_s"),
+        ("start_s = 10.0", "start_s = 0.0", "/upgrade/start_s"),
+        ("silent_s = 2.0", "silent_s = 0.1", "/upgrade/silent_s"),
+        ("finish_s = 30.0", "finish_s = 1.0e9", "/upgrade/finish_s"),
+        ("settle_s", "settel_s", "/settel_s"),
+        ("logs =", "log =", "/log"),
+    ] {
+        let wrong = Operators::parse(&GOOD.replace(from, to)).unwrap_err();
+        assert_eq!(wrong.key, key, "{wrong}");
+    }
+    for text in [GOOD.replace("5.0", "\"5\""), GOOD.replace("5.0", "+"), String::new()] {
+        assert!(Operators::parse(&text).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn a_thousand_peers_are_taken_and_too_many_are_named() {
+    let with = |count: usize| {
+        let peers: Vec<String> =
+            (0..count).map(|n| format!("\"127.0.{}.{}:7000\"", n / 250, n % 250 + 1)).collect();
+        ZONES.replace("[ \"127.0.0.1:7202\" ]", &format!("[ {} ]", peers.join(", ")))
+    };
+    assert_eq!(Operators::parse(&with(1024)).unwrap().zones.unwrap().peers.len(), 1024);
+    let wrong = Operators::parse(&with(MOST_PEERS + 1)).unwrap_err();
+    assert_eq!(wrong.key, "/zones/peers", "{wrong}");
+}
+
+const GATEWAY: &str = "{ gateway = Some { site = \"north\", listen = \"127.0.0.1:7001\", connections = 2
+    , prefer_near_s = 0.02, sites = [ { name = \"south\", address = \"127.0.0.1:7002\" } ] } }";
+
+#[test]
+fn a_gateway_stays_on_loopback_and_each_site_has_a_name_of_its_own() {
+    let read = Operators::parse(GATEWAY).unwrap().gateway.unwrap();
+    assert_eq!(read.sites, [("south".to_string(), "127.0.0.1:7002".parse().unwrap())]);
+    for (from, to, key) in [
+        ("127.0.0.1:7002", "192.0.2.1:7002", "/gateway/sites/0/address"),
+        ("127.0.0.1:7001", "0.0.0.0:7001", "/gateway/listen"),
+        ("127.0.0.1:7001", "here", "/gateway/listen"),
+        ("south", "north", "/gateway/sites/0/name"),
+        ("south", "", "/gateway/sites/0/name"),
+        ("north", "no rth", "/gateway/site"),
+        ("connections = 2", "connections = 0", "/gateway/connections"),
+        ("0.02", "-0.02", "/gateway/prefer_near_s"),
+    ] {
+        let wrong = Operators::parse(&GATEWAY.replace(from, to)).unwrap_err();
+        assert_eq!(wrong.key, key, "{wrong}");
+    }
+}
+
+const ZONES: &str = "{ zones = Some { zone = \"a\", listen = \"127.0.0.1:7201\", known_as = \"\"
+    , zones = [ { name = \"a\", region = \"r\" }, { name = \"b\", region = \"r\" }, { name = \"c\", region = \"s\" } ]
+    , peers = [ \"127.0.0.1:7202\" ], secret = \"0123456789abcdef\", dry_run = False, leaf_bears = 50.0
+    , voters = [ { address = \"127.0.0.1:7201\", zone = \"a\" }, { address = \"127.0.0.1:7202\", zone = \"b\" }
+               , { address = \"127.0.0.1:7203\", zone = \"c\" } ]
+    , suspect_s = 0.6, hold_down_s = 5.0, hold_down_most_s = 60.0, calm_s = 60.0, hold_s = 10.0 } }";
+
+#[test]
+fn zones_are_checked_by_key_and_no_zone_holds_the_majority() {
+    let read = Operators::parse(ZONES).unwrap().zones.unwrap();
+    assert_eq!((read.known_as, read.voters[2].1), (read.listen, 2));
+    for (from, to, key) in [
+        ("zone = \"a\", listen", "zone = \"d\", listen", "/zones/zone"),
+        ("listen = \"127.0.0.1", "listen = \"192.0.2.1", "/zones/listen"),
+        ("known_as = \"\"", "known_as = \"here\"", "/zones/known_as"),
+        ("name = \"b\"", "name = \"a\"", "/zones/zones/1/name"),
+        ("region = \"s\"", "region = \"\"", "/zones/zones/2/region"),
+        ("[ \"127.0.0.1:7202\" ]", "[ \"10.0.0.1:7202\" ]", "/zones/peers/0"),
+        ("0123456789abcdef", "short", "/zones/secret"),
+        ("address = \"127.0.0.1:7203\"", "address = \"127.0.0.1:7201\"", "/zones/voters/2/address"),
+        ("zone = \"c\" } ]", "zone = \"x\" } ]", "/zones/voters/2/zone"),
+        (", zone = \"b\" }", ", zone = \"a\" }", "/zones/voters"),
+        ("suspect_s = 0.6", "suspect_s = 0.0", "/zones/suspect_s"),
+        ("hold_down_s = 5.0", "hold_down_s = 0.0", "/zones/hold_down_s"),
+        ("hold_down_most_s = 60.0", "hold_down_most_s = 1.0", "/zones/hold_down_most_s"),
+        ("calm_s = 60.0", "calm_s = 0.0", "/zones/calm_s"),
+        ("hold_s = 10.0", "hold_s = 1.0", "/zones/hold_s"),
+        ("leaf_bears = 50.0", "leaf_bears = -1.0", "/zones/leaf_bears"),
+    ] {
+        let wrong = Operators::parse(&ZONES.replacen(from, to, 1)).unwrap_err();
+        assert_eq!(wrong.key, key, "{wrong}");
+    }
+    let even = ZONES.replace(", { address = \"127.0.0.1:7203\", zone = \"c\" }", "");
+    let even = Operators::parse(&even.replace("                    ]", "]")).unwrap_err();
+    assert_eq!(even.key, "/zones/voters", "{even}");
+}
+
+#[test]
+fn a_store_is_a_file_with_bounds() {
+    const STORE: &str =
+        "{ store = Some { path = \"/var/lib/pipitcrank/n1\", every_s = 2.0, oldest_s = 60.0 } }";
+    let read = Operators::parse(STORE).unwrap().store.unwrap();
+    assert_eq!((read.path.to_str(), read.oldest), (Some("/var/lib/pipitcrank/n1"), Duration::from_secs(60)));
+    for (from, to, key) in [
+        ("/var/lib/pipitcrank/n1", "", "/store/path"),
+        ("/var/lib/pipitcrank/n1", "/", "/store/path"),
+        ("/var/lib/pipitcrank/n1", "/tmp", "/store/path"),
+        ("every_s = 2.0", "every_s = 0.0", "/store/every_s"),
+        ("oldest_s = 60.0", "oldest_s = 1.0e6", "/store/oldest_s"),
+        ("oldest_s", "older_s", "/older_s"),
+    ] {
+        let wrong = Operators::parse(&STORE.replace(from, to)).unwrap_err();
+        assert_eq!(wrong.key, key, "{wrong}");
+    }
+}
+
+#[test]
+fn a_file_that_is_not_there_is_named() {
+    let wrong = Operators::read(Path::new("/nowhere/operators.dhall")).unwrap_err();
+    assert_eq!(wrong.key, "/nowhere/operators.dhall");
+}
--- /dev/null
+++ b/crates/pipitcrank-recovery/src/store/tests.rs
@@ -0,0 +1,219 @@
+use std::sync::atomic::{AtomicU8, Ordering};
+
+use redb::StorageBackend;
+use redb::backends::FileBackend;
+
+use super::*;
+
+const SOON: Duration = Duration::from_secs(10);
+
+fn open(path: &Path, owner: &str) -> (Store, Result<Found, Fault>) {
+    let store = Store::open(path.to_path_buf(), owner.to_string(), || {});
+    let found = store.found(SOON);
+    (store, found)
+}
+
+fn wait(what: impl Fn() -> bool) {
+    let until = Instant::now() + SOON;
+    while !what() {
+        assert!(Instant::now() < until, "in time");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+fn kept(path: &Path, promises: &[u8]) {
+    let (mut store, _) = open(path, "n1");
+    let number = store.keep(promises.to_vec());
+    wait(|| store.synced() >= number);
+}
+
+#[test]
+fn what_is_kept_is_found_again_and_the_newest_of_it() {
+    let place = tempfile::tempdir().unwrap();
+    let path = place.path().join("store");
+    let (mut store, found) = open(&path, "n1");
+    assert_eq!(found, Ok(Found::default()));
+    for n in 0..50u8 {
+        store.keep(vec![n; 100]);
+        store.believe(vec![n; 3]);
+    }
+    drop(store);
+    let (store, found) = open(&path, "n1");
+    assert_eq!(found, Ok(Found { promises: Some(vec![49; 100]), beliefs: Some(vec![49; 3]) }));
+    assert_eq!(store.failing().0, None);
+}
+
+#[test]
+fn of_two_processes_at_one_store_the_second_keeps_nothing_until_the_first_lets_go() {
+    let place = tempfile::tempdir().unwrap();
+    let path = place.path().join("store");
+    let (first, _) = open(&path, "n1");
+    let (mut second, found) = open(&path, "n1");
+    assert_eq!(found, Err(Fault::InUse));
+    let number = second.keep(vec![1]);
+    std::thread::sleep(Duration::from_millis(50));
+    assert_eq!((second.synced(), second.failing().0), (0, Some(Fault::InUse)));
+    drop(first);
+    wait(|| second.synced() >= number);
+}
+
+#[test]
+fn another_copys_and_another_versions_are_left_as_they_are() {
+    let place = tempfile::tempdir().unwrap();
+    let path = place.path().join("store");
+    kept(&path, b"mine");
+    let before = std::fs::read(&path).unwrap();
+    let (mut store, found) = open(&path, "n2");
+    assert_eq!(found, Err(Fault::OtherOwner("n1".into())));
+    store.keep(b"other".to_vec());
+    drop(store);
+    assert_eq!(open(&path, "n1").1.unwrap().promises, Some(b"mine".to_vec()));
+    assert_eq!(before.len(), std::fs::read(&path).unwrap().len());
+    // As a later version would write it.
+    let database = Database::create(&path).unwrap();
+    let writing = database.begin_write().unwrap();
+    let head = [&(VERSION + 1).to_be_bytes()[..], b"n1"].concat();
+    writing.open_table(KEPT).unwrap().insert(HEAD, &summed(&head)[..]).unwrap();
+    writing.commit().unwrap();
+    drop(database);
+    assert_eq!(open(&path, "n1").1, Err(Fault::Version(VERSION + 1)));
+}
+
+#[test]
+fn torn_and_foreign_files_are_put_aside_and_never_half_used() {
+    let place = tempfile::tempdir().unwrap();
+    for (n, spoil) in [0usize, 1, 2, 3, 4].into_iter().enumerate() {
+        let path = place.path().join(format!("store{n}"));
+        kept(&path, &[7; 2000]);
+        let mut bytes = std::fs::read(&path).unwrap();
+        match spoil {
+            0 => bytes.truncate(bytes.len() / 2),
+            1 => bytes.truncate(100),
+            2 => bytes = b"this is a text, and long enough to be read as something".repeat(200),
+            3 => bytes[..4096].fill(0),
+            // One bit of what was kept.
+            _ => {
+                let at = bytes.windows(64).position(|w| w == [7; 64]).unwrap();
+                bytes[at + 5] ^= 1;
+            }
+        }
+        std::fs::write(&path, &bytes).unwrap();
+        let (mut store, found) = open(&path, "n1");
+        match found {
+            Err(Fault::Torn(_)) => {
+                assert!(path.with_added_extension("torn").exists(), "put aside");
+            }
+            Err(Fault::NotWritable(_)) => {}
+            other => panic!("spoilt by {spoil}: {other:?}"),
+        }
+        let number = store.keep(b"anew".to_vec());
+        if store.failing().0.is_none() || spoil != 1 {
+            wait(|| store.synced() >= number);
+            drop(store);
+            assert_eq!(open(&path, "n1").1.unwrap().promises, Some(b"anew".to_vec()));
+        }
+    }
+}
+
+/// A file on a disk that is full, or very slow, when told.
+#[derive(Debug)]
+struct Disk {
+    file: FileBackend,
+    state: Arc<AtomicU8>,
+}
+
+const FULL: u8 = 1;
+const SLOW: u8 = 2;
+
+impl Disk {
+    fn at(&self) -> Result<(), std::io::Error> {
+        match self.state.load(Ordering::Relaxed) {
+            FULL => Err(std::io::Error::from(std::io::ErrorKind::StorageFull)),
+            SLOW => {
+                std::thread::sleep(Duration::from_millis(100));
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+impl StorageBackend for Disk {
+    fn len(&self) -> Result<u64, std::io::Error> {
+        self.file.len()
+    }
+    fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), std::io::Error> {
+        self.file.read(offset, out)
+    }
+    fn set_len(&self, len: u64) -> Result<(), std::io::Error> {
+        self.at().and_then(|()| self.file.set_len(len))
+    }
+    fn sync_data(&self) -> Result<(), std::io::Error> {
+        self.at().and_then(|()| self.file.sync_data())
+    }
+    fn write(&self, offset: u64, data: &[u8]) -> Result<(), std::io::Error> {
+        self.at().and_then(|()| self.file.write(offset, data))
+    }
+    fn close(&self) -> Result<(), std::io::Error> {
+        self.file.close()
+    }
+}
+
+fn on_disk(path: &Path, state: &Arc<AtomicU8>) -> Store {
+    let state = state.clone();
+    let opener: Opener = Box::new(move |path| {
+        let options =
+            std::fs::OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
+        let file = FileBackend::new(options.map_err(StorageError::Io)?)?;
+        Database::builder().create_with_backend(Disk { file, state: state.clone() })
+    });
+    Store::open_by(opener, path.to_path_buf(), "n1".into(), || {})
+}
+
+#[test]
+fn a_disk_that_fills_up_and_empties_again_loses_nothing_that_was_said_to_be_kept() {
+    let place = tempfile::tempdir().unwrap();
+    let path = place.path().join("store");
+    let state = Arc::new(AtomicU8::new(0));
+    let mut store = on_disk(&path, &state);
+    assert_eq!(store.found(SOON), Ok(Found::default()));
+    let first = store.keep(vec![1; 64]);
+    wait(|| store.synced() >= first);
+    state.store(FULL, Ordering::Relaxed);
+    let second = store.keep(vec![2; 64]);
+    wait(|| matches!(store.failing().0, Some(Fault::NotWritable(_))));
+    assert_eq!(store.synced(), first, "what is not on the disk is not said to be");
+    assert!(store.failing().1 > Duration::ZERO);
+    state.store(0, Ordering::Relaxed);
+    wait(|| store.synced() >= second);
+    assert_eq!(store.failing(), (None, Duration::ZERO));
+    drop(store);
+    assert_eq!(open(&path, "n1").1.unwrap().promises, Some(vec![2; 64]));
+}
+
+#[test]
+fn a_slow_disk_holds_up_nobody_but_what_waits_for_it() {
+    let place = tempfile::tempdir().unwrap();
+    let path = place.path().join("store");
+    kept(&path, &[1]);
+    let state = Arc::new(AtomicU8::new(SLOW));
+    let mut store = on_disk(&path, &state);
+    let _ = store.found(SOON);
+    let began = Instant::now();
+    let last = (0..100).map(|n| store.keep(vec![n; 64])).last().unwrap();
+    assert!(began.elapsed() < Duration::from_millis(100), "whoever keeps does not wait");
+    wait(|| store.failing().1 > Duration::from_millis(50));
+    state.store(0, Ordering::Relaxed);
+    wait(|| store.synced() == last);
+}
+
+#[test]
+fn a_place_that_is_not_there_is_named_and_tried_again() {
+    let place = tempfile::tempdir().unwrap();
+    let path = place.path().join("not yet").join("store");
+    let (mut store, found) = open(&path, "n1");
+    assert!(matches!(found, Err(Fault::NotWritable(_))), "{found:?}");
+    let number = store.keep(vec![1]);
+    std::fs::create_dir(path.parent().unwrap()).unwrap();
+    wait(|| store.synced() >= number);
+}
