Asked lists: a fleet that starts at once does not ask at once

Followed: all copies ask at 0.02 s, 22 are reset or refused, again at 0.3 to 0.5 s and at 1.0 to 1.5 s; the last had an answer after 3 s. Change (discovery.rs): with more than eight copies told the first call waits by chance, up to half a second for 32, and the first pauses grow by the root of their number (with eight or fewer all is as before; lists that are pushed are not touched).

--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -123,11 +123,18 @@
 
     /// The pause after so many calls in a row that failed.
     fn pause(&self, failed: u32) -> Duration {
-        let longest =
-            (PAID_PAUSE * 2u32.pow(failed.min(PAID_DOUBLED))).min(PAID_PAUSE_MOST.mul_f64(self.crowd));
+        // The first ones by its root: what refuses thirty at once may bear three hundred.
+        let pause = PAID_PAUSE.mul_f64(self.crowd.sqrt()) * 2u32.pow(failed.min(PAID_DOUBLED));
+        let longest = pause.min(PAID_PAUSE_MOST.mul_f64(self.crowd));
         longest.mul_f64(0.5 + 0.5 * self.chance.borrow_mut().share())
     }
 
+    /// Before the first call: a fleet that starts at once does not ask at once.
+    fn at_first(&self) -> Duration {
+        let after_eight = PAID_PAUSE.mul_f64(self.crowd.sqrt()).saturating_sub(PAID_PAUSE);
+        (after_eight * 2).mul_f64(self.chance.borrow_mut().share())
+    }
+
     /// Until the next look beside a sound watch, after so many in a row that failed.
     fn until_look(&self, failed: u32) -> Duration {
         let doubled = f64::from(2u32.pow(failed.min(PAID_DOUBLED)));
@@ -302,6 +309,7 @@
 
     async fn watch_for_ever(&self) -> Infallible {
         let mut failed = 0;
+        sleep(self.paid.map_or(Duration::ZERO, Paid::at_first)).await;
         loop {
             let Some(known) = self.rev.get() else {
                 self.had.notified().await;
