--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -356,7 +356,7 @@
     serial: u64,
     vertical: Vertical,
     slo: At,
-    /// From then on what is in is worth most: the answer has to travel, and turns come a tick late and wait for one.
+    /// From then on what is in is worth most: the answer has to travel.
     answer_by: At,
     ends: At,
     arrived: At,
@@ -535,7 +535,7 @@
         let ends = now + left;
         // Clients that come with little time left count until then: all shares of the SLO time are of that.
         let slo = (now + (trade.counts() + stretch).min(terms.hard_limit)).min(ends);
-        let answer_by = slo.min(ends) - self.tick * 3.0;
+        let answer_by = (slo - self.tick * 3.0).min(ends - self.tick);
         let serial = self.mark();
         self.count_asked(v.0 as usize, count);
         let zone = self.meant_for();
@@ -730,7 +730,7 @@
         let Some(open) = self.queries.get(&part.query) else { return false };
         self.may_begin(now, id, part.sent.len() as u32)
             && !part.done
-            && now < open.ends - self.tick * 3.0
+            && now < open.ends - self.tick
             && part.tried() < self.tries.limit
             && (part.out() == 0 || self.tries.may_duplicate)
     }
@@ -1139,7 +1139,7 @@
     /// beyond patience; second copies of what is overdue, through the same cover.
     fn tend(&mut self, port: &mut dyn Port, now: At, id: Query, serial: u64) {
         let Some(open) = self.queries.get(&id).filter(|q| q.serial == serial) else { return };
-        let (end, answer_by) = (open.ends - self.tick * 3.0, open.answer_by);
+        let (end, answer_by) = (open.ends - self.tick, open.answer_by);
         let patience = (open.slo - open.arrived) * Self::WAIT_SHARE;
         let few = open.in_parts as f64 >= open.parts.len() as f64 * Self::MOST_IN;
         let latest = (open.slo - open.arrived) * if few { Self::LATEST_SHARE } else { 1.0 };
