Review: one last word for clients, one look at the end's hour, no pause where lists are pushed

Cause: the change wrote twice how a client is told something and left time to read it (408 for half a request, 503 at the end), asked twice in one look whether the last answer's moment has come, and put a sleep of no length before the first watch of pushed lists too. Change: acceptor.rs last_word serves both, over is worked out once; discovery.rs waits only where calls are paid for. No other behaviour changed, no test touched. The decision module is as it was.

--- a/crates/pipitcrank-node/src/acceptor.rs
+++ b/crates/pipitcrank-node/src/acceptor.rs
@@ -50,10 +50,10 @@
 const SEE_OFF_PIECE: usize = 64 * 1024;
 const SEE_OFF_PAUSE: Duration = Duration::from_millis(2);
 
-/// What a client gets whose request did not come whole, and how long it is left to read that: others may wait for its
-/// place.
+/// What a client gets whose request did not come whole.
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-const TOO_SLOW_READ: Duration = Duration::from_millis(250);
+/// So long is a client left to read a last word of ours: others may wait for its place.
+const LAST_WORD_READ: Duration = Duration::from_millis(250);
 
 /// What a client gets who waited in the accept queue at the end, when there was no place, how long its request is waited
 /// for before, and how many are seen off so at a time: a descriptor each, of those that no side has.
@@ -240,15 +240,15 @@
                     // Idle connections end now, busy ones with their answer.
                     moods.send_replace(Mood::Leave);
                 }
+                let over = since.is_some_and(|s| s.elapsed() >= last);
                 if let Some(queue) = rest.take() {
-                    let over = since.is_some_and(|s| s.elapsed() >= last);
                     rest = rounds.take_the_rest(queue, &clients, &turned_away).filter(|_| !over);
                     if rest.is_none() {
                         tracing::info!("no longer listening");
                     }
                 }
                 // Guards against half a request found by the kill: it gets its answer, too.
-                if since.is_some_and(|s| s.elapsed() >= last) {
+                if over {
                     connections.end();
                 }
                 if connections.none() && Rc::strong_count(&turned_away) == 1 && rest.is_none() && quiet() {
@@ -278,8 +278,13 @@
     let mut piece = vec![0; LONGEST_HEAD];
     // Guards against a reset that takes the answer with it: what it has asked is read.
     let _ = tokio::time::timeout(NO_PLACE_WAIT, stream.read(&mut piece)).await;
-    if stream.try_write(NO_PLACE).is_ok() {
-        let _ = tokio::time::timeout(TOO_SLOW_READ, see_off(stream)).await;
+    last_word(stream, NO_PLACE).await;
+}
+
+/// Says that, and lets the client read it for a while: others may wait for its place.
+async fn last_word(stream: TcpStream, word: &[u8]) {
+    if stream.try_write(word).is_ok() {
+        let _ = tokio::time::timeout(LAST_WORD_READ, see_off(stream)).await;
     }
 }
 
@@ -325,10 +330,7 @@
             () = connection.called_to_leave() => match connection.doing() {
                 Doing::Idle => return ConnectionEnd::Idle,
                 Doing::Begun if connection.is_flushed() => {
-                    let stream = serving.into_parts().io.into_inner().stream;
-                    if stream.try_write(TOO_SLOW).is_ok() {
-                        let _ = tokio::time::timeout(TOO_SLOW_READ, see_off(stream)).await;
-                    }
+                    last_word(serving.into_parts().io.into_inner().stream, TOO_SLOW).await;
                     return ConnectionEnd::Silent;
                 }
                 _ => return ConnectionEnd::Silent,
--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -309,7 +309,9 @@
 
     async fn watch_for_ever(&self) -> Infallible {
         let mut failed = 0;
-        sleep(self.paid.map_or(Duration::ZERO, Paid::at_first)).await;
+        if let Some(paid) = self.paid {
+            sleep(paid.at_first()).await;
+        }
         loop {
             let Some(known) = self.rev.get() else {
                 self.had.notified().await;
