--- a/crates/pipitcrank-node/src/acceptor.rs
+++ b/crates/pipitcrank-node/src/acceptor.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 use tower_service::Service;
 
+use crate::audit::{Rule, violated};
 use crate::client_connections::{ClientConnection, ClientConnections, Doing};
 use crate::clock::duration;
 use crate::counters::Counters;
@@ -112,6 +113,9 @@
         tokio::task::spawn_local(async move {
             let end = serve(come, router, &connection, mood, idle).await;
             counters.add("clients", end.name());
+            if end.is_ours() && connection.doing() == Doing::Open {
+                violated(&counters, Rule::ClosedUnanswered, "of a connection", end.name());
+            }
             connections.leave(&connection);
             drop(place);
         });
--- /dev/null
+++ b/crates/pipitcrank-node/src/audit/tests.rs
@@ -0,0 +1,208 @@
+use pipitcrank::ids::{Effect, Ending, Leaf, Part, Vertical};
+use pipitcrank::time::{At, Span};
+
+use super::*;
+
+const VIEW: Vertical = Vertical(0);
+const SALE: Vertical = Vertical(1);
+const PAY: Vertical = Vertical(2);
+const LEAF: Leaf = Leaf(7);
+
+fn at(ms: i64) -> At {
+    At::from_us(ms * 1000)
+}
+
+fn terms() -> Terms {
+    let vertical =
+        |effect, floor| VerticalTerms { effect, dedup_window: Span::from_ms(1000), floor, whole_from: 1.0 };
+    Terms {
+        verticals: vec![
+            vertical(Effect::Repeatable, 0.5),
+            vertical(Effect::SideEffecting, 1.0),
+            vertical(Effect::Deduplicated, 1.0),
+        ],
+        may_duplicate: false,
+        try_limit: 3,
+        drain_grace: Span::from_ms(200),
+        budget_free: 1.0,
+        budget_ratio: 0.1,
+        budget_span: Some(Span::from_ms(2000)),
+    }
+}
+
+struct Books {
+    audit: Audit,
+    counters: Counters,
+}
+
+impl Books {
+    /// With one query of that vertical, of two parts, whose client waits until 4 s.
+    fn with(vertical: Vertical) -> Books {
+        Books::told(terms(), vertical)
+    }
+
+    fn told(terms: Terms, vertical: Vertical) -> Books {
+        let counters = Counters::default();
+        let mut books = Books { audit: Audit::new(terms, counters.clone()), counters };
+        books.takes(1, vertical, &[Part(0), Part(1)]);
+        books
+    }
+
+    fn takes(&mut self, ticket: u64, vertical: Vertical, parts: &[Part]) {
+        let client_ends = at(4000);
+        let taken = Taken { ticket, id: "q", vertical, client_ends, lent: false, parts };
+        self.audit.taken(at(0), taken);
+    }
+
+    fn sends(&mut self, ms: i64, part: u32, attempt: u32) {
+        let told = at(4000) - at(ms);
+        self.audit.sent(at(ms), Sent { part: Part(part), attempt, leaf: LEAF, told });
+    }
+
+    fn ends(&mut self, part: u32, attempt: u32, ending: Ending) {
+        self.audit.ended(Part(part), attempt, ending);
+    }
+
+    fn broken(&self) -> Vec<String> {
+        self.counters.all().into_iter().filter(|(what, ..)| what == "violations").map(|(_, w, _)| w).collect()
+    }
+}
+
+#[test]
+fn what_keeps_to_the_rules_is_no_violation_and_leaves_nothing_behind() {
+    let mut books = Books::with(VIEW);
+    books.sends(10, 0, 0);
+    books.sends(10, 1, 0);
+    books.ends(0, 0, Ending::Cut);
+    books.sends(30, 0, 1);
+    books.ends(0, 1, Ending::Pass);
+    books.ends(1, 0, Ending::Pass);
+    books.audit.answered(at(60), 1, Some(1.0), true);
+    books.audit.let_go_part(Part(0));
+    books.audit.let_go_query(1);
+    books.audit.let_go_part(Part(1));
+    assert_eq!((books.broken(), books.audit.held()), (vec![], (0, 0)));
+}
+
+#[test]
+fn a_part_sent_after_its_querys_answer_is_counted() {
+    let mut books = Books::with(VIEW);
+    books.audit.answered(at(60), 1, None, false);
+    books.sends(70, 0, 0);
+    assert_eq!(books.broken(), ["sent_after_answer"]);
+}
+
+#[test]
+fn a_part_sent_long_after_its_client_closed_is_counted() {
+    let mut books = Books::with(VIEW);
+    books.audit.closed(at(50), 1);
+    books.sends(149, 0, 0);
+    assert!(books.broken().is_empty(), "within 0.1 s");
+    books.sends(151, 1, 0);
+    assert_eq!(books.broken(), ["sent_after_close"]);
+}
+
+#[test]
+fn more_time_told_than_the_client_has_is_counted() {
+    let mut books = Books::with(VIEW);
+    let told = Span::from_ms(3151);
+    books.audit.sent(at(1000), Sent { part: Part(0), attempt: 0, leaf: LEAF, told });
+    assert_eq!(books.broken(), ["deadline_told"]);
+}
+
+#[test]
+fn a_side_effecting_part_goes_again_only_if_it_never_ran() {
+    let mut books = Books::with(SALE);
+    books.sends(10, 0, 0);
+    books.ends(0, 0, Ending::NoRoute);
+    books.sends(20, 0, 1);
+    assert!(books.broken().is_empty());
+    books.ends(0, 1, Ending::TooSlow);
+    books.sends(30, 0, 2);
+    assert!(books.broken().contains(&"repeated_unsafe".to_string()));
+}
+
+#[test]
+fn a_deduplicated_part_goes_again_only_within_its_window() {
+    let mut books = Books::with(PAY);
+    books.sends(10, 0, 0);
+    books.ends(0, 0, Ending::Cut);
+    books.sends(1010, 0, 1);
+    assert!(books.broken().is_empty());
+    books.ends(0, 1, Ending::NoRoute);
+    books.sends(1011, 0, 2);
+    assert!(books.broken().contains(&"repeated_late".to_string()));
+}
+
+#[test]
+fn a_second_copy_and_too_many_tries_are_counted() {
+    let mut books = Books::told(Terms { budget_span: None, ..terms() }, VIEW);
+    books.sends(10, 0, 0);
+    books.sends(20, 0, 1);
+    assert_eq!(books.broken(), ["second_copy"]);
+    for attempt in 0..2 {
+        books.ends(0, attempt, Ending::Fault);
+    }
+    books.sends(30, 0, 2);
+    assert_eq!(books.broken(), ["second_copy"], "three tries are allowed");
+    books.ends(0, 2, Ending::Fault);
+    books.sends(40, 0, 3);
+    assert_eq!(books.broken(), ["second_copy", "too_many_tries"]);
+}
+
+#[test]
+fn a_part_sent_to_a_drained_replica_beyond_the_grace_is_counted() {
+    let mut books = Books::with(VIEW);
+    books.audit.listed(LEAF, Some(at(100)));
+    books.audit.listed(LEAF, Some(at(250)));
+    books.sends(300, 0, 0);
+    assert!(books.broken().is_empty(), "within the grace");
+    books.sends(301, 1, 0);
+    assert_eq!(books.broken(), ["sent_to_drained"], "counted from when it was told first");
+}
+
+#[test]
+fn further_attempts_beyond_the_budget_are_counted() {
+    // Three taken allow one further attempt and three tenths.
+    let mut books = Books::with(VIEW);
+    for (part, ms) in [(0, 10), (1, 20)] {
+        books.sends(ms, part, 0);
+        books.ends(part, 0, Ending::Cut);
+    }
+    books.sends(30, 0, 1);
+    assert!(books.broken().is_empty());
+    books.sends(40, 1, 1);
+    assert_eq!(books.broken(), ["budget"]);
+}
+
+#[test]
+fn an_attempt_taken_back_spends_nothing() {
+    let mut books = Books::with(VIEW);
+    books.sends(10, 0, 0);
+    books.ends(0, 0, Ending::Cut);
+    for _ in 0..5 {
+        books.sends(30, 0, 1);
+        books.audit.taken_back(Part(0), 1);
+    }
+    books.sends(40, 0, 1);
+    assert!(books.broken().is_empty());
+}
+
+#[test]
+fn late_second_and_dishonest_answers_are_counted() {
+    let mut books = Books::with(VIEW);
+    books.audit.answered(at(4400), 1, Some(0.5), false);
+    assert!(books.broken().is_empty());
+    books.audit.answered(at(4400), 1, None, false);
+    assert_eq!(books.broken(), ["second_answer"]);
+    let mut books = Books::with(VIEW);
+    books.audit.answered(at(4501), 1, Some(0.9), true);
+    assert_eq!(books.broken(), ["dishonest_answer", "late_answer"]);
+}
+
+#[test]
+fn a_client_that_leaves_long_after_its_time_without_an_answer_is_counted() {
+    let mut books = Books::with(VIEW);
+    books.audit.closed(at(4501), 1);
+    assert_eq!(books.broken(), ["late_answer"]);
+}
--- a/crates/pipitcrank-node/src/charter.rs
+++ b/crates/pipitcrank-node/src/charter.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use crate::audit;
 use crate::clock::{Clock, duration};
 use crate::counters::Counters;
 use crate::discovery::News;
@@ -194,9 +195,34 @@
             counters,
         );
         exchange.name_zones(zones);
+        exchange.audit(self.audit_terms()?);
         Ok(exchange)
     }
 
+    /// What the run-time check of the rules goes by.
+    fn audit_terms(&self) -> Result<audit::Terms, Faulty> {
+        let settings = self.settings()?;
+        let vertical = |n: usize| {
+            let window = settings.number_or(&format!("/classes/{n}/dedup_window_s"), 0.0)?;
+            Ok(audit::VerticalTerms {
+                effect: settings.effect(n)?,
+                dedup_window: Span::from_s(window),
+                floor: settings.number(&format!("/domain/floor_by_class/{n}"))?,
+                whole_from: settings.number(&format!("/domain/complete_from/{n}"))?,
+            })
+        };
+        let span = Span::from_s(settings.number_or("/rules/budget_span_s", 0.0)?);
+        Ok(audit::Terms {
+            verticals: (0..settings.verticals()?.len()).map(vertical).collect::<Result<_, _>>()?,
+            may_duplicate: settings.flag("/allowed/may_duplicate")?,
+            try_limit: settings.count("/allowed/try_limit")?,
+            drain_grace: settings.span("/rules/drain_grace_s")?,
+            budget_free: settings.number_or("/rules/extra_free", 0.0)?,
+            budget_ratio: settings.number_or("/rules/repeat_ratio", 0.0)?,
+            budget_span: (span > Span::ZERO).then_some(span),
+        })
+    }
+
     /// What its chance is made from.
     pub fn seed(&self) -> Result<u64, Faulty> {
         let seed = self.told().text("/seed")?;
--- a/crates/pipitcrank-node/src/ends.rs
+++ b/crates/pipitcrank-node/src/ends.rs
@@ -46,6 +46,14 @@
         }
     }
 
+    /// Whether we ended it, for a reason of ours.
+    pub fn is_ours(self) -> bool {
+        matches!(
+            self,
+            ConnectionEnd::BadBytes | ConnectionEnd::Silent | ConnectionEnd::Idle | ConnectionEnd::LetGo
+        )
+    }
+
     /// What it means for a leaf call on it. Until its frame is written whole a call can't have run.
     pub fn ending(self, written: bool) -> Ending {
         if written { Ending::Cut } else { Ending::NoRoute }
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -13,15 +13,19 @@
 use pipitcrank::decide::Root;
 use pipitcrank::decide::zones::{Seen, Shares, Tally, Zone};
 use pipitcrank::ids::{Ending, Leaf, Part, Query, Vertical};
-use pipitcrank::names::Names;
-use pipitcrank::port::Port;
 use pipitcrank::time::{At, Span};
 use pipitcrank_handover::division;
 use pipitcrank_handover::snapshot::{SeenLeaf, Snapshot};
 
+use crate::audit::{self, Audit, Sent, Taken};
 use crate::counters::Counters;
 use crate::ends::ending_name;
 use crate::frames::{CallPart, Report};
+use crate::reasons::NotSent;
+
+mod desk;
+
+use desk::{Desk, HeldLeaf, HeldPart, HeldQuery, Out, Wish};
 
 /// A query as a client asked it.
 pub struct Asked {
@@ -100,6 +104,9 @@
 /// One part's leaf call, by its number among the part's calls.
 pub type CallNo = (Part, u32);
 
+/// Under this target each request's way is logged, by its id: taken, sent, not sent, ended, answered.
+pub const REQUESTS: &str = "pipitcrank::requests";
+
 /// What the exchange wants done on the leaf side.
 pub trait LeafSide {
     /// The leaf is reached at that address from now on.
@@ -123,176 +130,6 @@
     EndBy(At),
 }
 
-struct HeldQuery {
-    ticket: u64,
-    then: Option<Then>,
-    /// In the order asked.
-    parts: Vec<u32>,
-    vertical: Vertical,
-    idempotency_key: Option<Arc<str>>,
-    lent: Option<Lent>,
-}
-
-struct HeldPart {
-    id: Rc<str>,
-    /// None once its query is let go of, whose index another may have by then while a call of this part is still out.
-    query: Option<u32>,
-    shard: u32,
-    weight: f64,
-    work: Option<f64>,
-    text: Arc<str>,
-    value: Option<String>,
-    calls: u32,
-}
-
-struct HeldLeaf {
-    address: Option<SocketAddr>,
-    cell: u32,
-    zone: Option<String>,
-    started: Option<At>,
-    /// It stands for a cell of that site, as numbered at start.
-    site: Option<u16>,
-    /// When this co-ordinator was told that it drains or is gone, until it is listed as up again.
-    off: Option<At>,
-}
-
-struct Out {
-    leaf: Leaf,
-    until: At,
-    /// Its frame is being written, or was.
-    released: bool,
-}
-
-/// What the module asked for, until the turn is over.
-enum Wish {
-    Call(Leaf, CallNo),
-    GiveUp(Leaf, CallNo),
-    Probe(Leaf),
-    Meet(Leaf, SocketAddr),
-    LetGo(Leaf),
-}
-
-#[derive(Default)]
-struct Desk {
-    queries: Names,
-    parts: Names,
-    leaves: Names,
-    /// By index; each ends when the module lets go of it.
-    held_queries: BTreeMap<u32, HeldQuery>,
-    held_parts: BTreeMap<u32, HeldPart>,
-    held_leaves: BTreeMap<u32, HeldLeaf>,
-    /// Queries by the front's ticket; an entry ends with its query.
-    tickets: BTreeMap<u64, u32>,
-    /// Leaf calls out, and when waiting for them ends; emptied by their ends.
-    out: BTreeMap<CallNo, Out>,
-    untils: BTreeSet<(At, CallNo)>,
-    /// Alarms; emptied as they ring.
-    alarms: BTreeSet<(At, u64)>,
-    /// Emptied at each turn's end.
-    wishes: Vec<Wish>,
-    counters: Counters,
-}
-
-impl Desk {
-    /// Ends a call for the outside, and says at which leaf it was out; none if it has ended before.
-    fn close(&mut self, call: CallNo) -> Option<Leaf> {
-        let Out { leaf, until, .. } = self.out.remove(&call)?;
-        self.untils.remove(&(until, call));
-        Some(leaf)
-    }
-
-    /// Queries and parts open: a part that is in is not.
-    fn open(&self) -> usize {
-        let open = self.held_parts.values().filter(|p| p.value.is_none() && p.query.is_some());
-        self.held_queries.len() + open.count()
-    }
-
-    fn finish(&mut self, query: Query, last: Final, word: &'static str) {
-        self.counters.add("queries", word);
-        let held = self.held_queries.get_mut(&query.0);
-        if let Some(then) = held.and_then(|held| held.then.take()) {
-            then(last);
-        }
-    }
-}
-
-impl Port for Desk {
-    fn leaf_call(&mut self, part: Part, leaf: Leaf, until: At) {
-        let held = self.held_parts.get_mut(&part.0).expect("called parts are held");
-        let call = (part, held.calls);
-        held.calls += 1;
-        let lent = held.query.and_then(|q| self.held_queries.get(&q)).and_then(|q| q.lent.as_ref());
-        if let Some(lent) = lent.filter(|_| call.1 > 0) {
-            lent.made.set(lent.made.get() + 1);
-        }
-        self.out.insert(call, Out { leaf, until, released: false });
-        self.untils.insert((until, call));
-        self.wishes.push(Wish::Call(leaf, call));
-    }
-
-    fn abandon(&mut self, part: Part, nth: u32) {
-        if let Some(leaf) = self.out.get(&(part, nth)).map(|out| out.leaf) {
-            self.wishes.push(Wish::GiveUp(leaf, (part, nth)));
-        }
-    }
-
-    fn merge(&mut self, query: Query, whole: bool) {
-        let parts = self.held_queries.get(&query.0).map(|q| &q.parts[..]).unwrap_or_default();
-        let hits = parts.iter().filter_map(|p| {
-            let part = self.held_parts.get_mut(p)?;
-            Some((part.shard, part.value.take()?))
-        });
-        let hits = hits.collect();
-        self.finish(query, Final::Merged { whole, hits }, if whole { "merged" } else { "merged_in_part" });
-    }
-
-    fn reject(&mut self, query: Query, stay_away: Span) {
-        self.finish(query, Final::Rejected { stay_away }, "rejected");
-    }
-
-    fn abort(&mut self, query: Query) {
-        self.finish(query, Final::Aborted, "aborted");
-    }
-
-    fn wake_me(&mut self, at: At, label: u64) {
-        self.alarms.insert((at, label));
-    }
-
-    fn probe(&mut self, leaf: Leaf) {
-        self.wishes.push(Wish::Probe(leaf));
-    }
-
-    fn watch(&mut self) {} // Discovery is always watched.
-
-    fn note(&mut self, text: &str) {
-        tracing::info!("{text}");
-    }
-
-    fn let_go_query(&mut self, query: Query) {
-        self.queries.leave(query.0);
-        if let Some(held) = self.held_queries.remove(&query.0) {
-            self.tickets.remove(&held.ticket);
-            // Guards against a call that waits for its connection while its query ends: it was taken for one of the query that
-            // got the index next, and went out for nobody.
-            for part in held.parts {
-                let ours = self.held_parts.get_mut(&part).filter(|p| p.query == Some(query.0));
-                ours.into_iter().for_each(|p| p.query = None);
-            }
-        }
-    }
-
-    fn let_go_part(&mut self, part: Part) {
-        self.parts.leave(part.0);
-        self.held_parts.remove(&part.0);
-    }
-
-    fn let_go_leaf(&mut self, leaf: Leaf) {
-        self.leaves.leave(leaf.0);
-        self.held_leaves.remove(&leaf.0);
-        self.wishes.push(Wish::LetGo(leaf));
-    }
-}
-
 /// A zone's place among those that there are.
 fn place(zones: &[String], name: &Option<String>) -> Option<Zone> {
     let place = zones.iter().position(|known| Some(known) == name.as_ref())?;
@@ -341,8 +178,18 @@
         }
     }
 
+    /// Has the rules checked as it goes.
+    pub fn audit(&mut self, terms: audit::Terms) {
+        self.desk.audit = Some(Audit::new(terms, self.desk.counters.clone()));
+    }
+
     // What happens outside.
 
+    /// What time it is, for all that is told next.
+    pub fn now_is(&mut self, now: At) {
+        self.desk.now = now;
+    }
+
     /// A query came in; the ticket, which is never used again, stands for it until its final answer.
     pub fn asked(&mut self, ticket: u64, asked: Asked, then: Then) {
         self.inbox.push(Happened::Asked(ticket, asked, then, None));
@@ -354,13 +201,16 @@
     }
 
     pub fn client_gone(&mut self, ticket: u64) {
+        if let Some(audit) = &mut self.desk.audit {
+            audit.closed(self.desk.now, ticket);
+        }
         self.gone.insert(ticket);
         self.inbox.push(Happened::Gone(ticket));
     }
 
     /// A leaf call ended; only its first end counts.
     pub fn ended(&mut self, call: CallNo, ending: Ending, value: Option<String>, report: Option<Report>) {
-        if let Some(leaf) = self.desk.close(call) {
+        if let Some(leaf) = self.desk.close(call, ending) {
             self.inbox.push(Happened::Ended(leaf, call, ending, value, report));
         }
     }
@@ -423,11 +273,10 @@
         self.desk.held_leaves.get(&leaf.0).is_some_and(|l| l.off.is_some())
     }
 
-    /// The last look just before a call's first byte is written: what of it may still go, and how. Guards against
-    /// frames held up on the way to the socket while their query ended, their time ran out, or their leaf drained:
-    /// those count as never run.
+    /// The last look just before a call's first byte is written: what of it may still go, and how. Whatever is sent passes here.
+    /// Guards against frames held up on the way to the socket while their query ended, their time ran out, or their leaf
+    /// drained: those count as never run.
     pub fn release(&mut self, now: At, leaf: Leaf, parts: &mut Vec<CallNo>) -> Vec<CallPart> {
-        let drained = self.drains(leaf) || !self.desk.held_leaves.contains_key(&leaf.0);
         let mut going = Vec::new();
         parts.retain(|&call| {
             // Guards against a call given up while it was queued, whose number another part's call has by now: that
@@ -438,27 +287,62 @@
                 return false;
             };
             *released = true;
-            let part = &self.desk.held_parts[&call.0.0];
-            let query = part.query.and_then(|q| self.desk.held_queries.get(&q));
-            let query = query.filter(|q| !self.gone.contains(&q.ticket));
-            let Some(query) =
-                query.filter(|_| !drained && now < *until && self.root.may_begin(now, call.0, call.1))
-            else {
-                self.ended(call, Ending::Stale, None, None);
-                return false;
-            };
-            going.push(CallPart {
-                id: part.id.clone(),
-                shard: part.shard,
-                wait: *until - now,
-                idempotency_key: query.idempotency_key.clone(),
-                text: part.text.clone(),
-            });
-            true
+            let until = *until;
+            match self.may_send(now, leaf, call, until) {
+                Ok(part) => {
+                    going.push(part);
+                    self.note_sent(now, leaf, call, until - now);
+                    true
+                }
+                Err(why) => {
+                    self.note_not_sent(call, why);
+                    self.ended(call, Ending::Stale, None, None);
+                    false
+                }
+            }
         });
         going
     }
 
+    /// The guard of all sending: rules on ended queries, closed clients, drained leaves, time and repeats.
+    fn may_send(&self, now: At, leaf: Leaf, call: CallNo, until: At) -> Result<CallPart, NotSent> {
+        let part = &self.desk.held_parts[&call.0.0];
+        let query = part.query.and_then(|q| self.desk.held_queries.get(&q)).ok_or(NotSent::QueryEnded)?;
+        if self.gone.contains(&query.ticket) {
+            return Err(NotSent::ClientClosed);
+        }
+        if self.drains(leaf) || !self.desk.held_leaves.contains_key(&leaf.0) {
+            return Err(NotSent::ReplicaDrained);
+        }
+        if now >= until {
+            return Err(NotSent::TimeOver);
+        }
+        if !self.root.may_begin(now, call.0, call.1) {
+            return Err(NotSent::RepeatForbidden);
+        }
+        Ok(CallPart {
+            id: part.id.clone(),
+            shard: part.shard,
+            wait: until - now,
+            idempotency_key: query.idempotency_key.clone(),
+            text: part.text.clone(),
+        })
+    }
+
+    fn note_sent(&mut self, now: At, leaf: Leaf, call: CallNo, told: Span) {
+        let part = &self.desk.held_parts[&call.0.0];
+        tracing::debug!(target: REQUESTS, part = &*part.id, attempt = call.1, leaf = leaf.0, told_s = told.s(), "sent");
+        if let Some(audit) = &mut self.desk.audit {
+            audit.sent(now, Sent { part: call.0, attempt: call.1, leaf, told });
+        }
+    }
+
+    fn note_not_sent(&self, call: CallNo, why: NotSent) {
+        self.desk.counters.add("not_sent", why.name());
+        let part = &self.desk.held_parts[&call.0.0];
+        tracing::debug!(target: REQUESTS, part = &*part.id, attempt = call.1, why = why.name(), "not sent");
+    }
+
     /// A call queued for that leaf was never begun, and won't be. Guards against ending another part's call that has its
     /// number by now and may be out: it would go out a second time.
     pub fn never_began(&mut self, leaf: Leaf, call: CallNo) {
@@ -471,6 +355,9 @@
     pub fn take_back(&mut self, parts: &[CallNo]) {
         for call in parts {
             self.desk.out.get_mut(call).into_iter().for_each(|out| out.released = false);
+            if let Some(audit) = &mut self.desk.audit {
+                audit.taken_back(call.0, call.1);
+            }
         }
     }
 
@@ -588,6 +475,7 @@
     // Turns.
 
     pub fn turn(&mut self, now: At, leaf_side: &mut dyn LeafSide) {
+        self.now_is(now);
         let mut inbox = std::mem::take(&mut self.inbox).into_iter().peekable();
         while let Some(mut happened) = inbox.next() {
             // Guards against a look at all leaves for each of hundreds that change in one moment. Told one by one they
@@ -605,7 +493,7 @@
             self.root.woken(&mut self.desk, now, label);
         }
         while let Some((_, call)) = self.desk.untils.first().copied().filter(|u| u.0 <= now) {
-            if let Some(leaf) = self.desk.close(call) {
+            if let Some(leaf) = self.desk.close(call, Ending::TooSlow) {
                 self.desk.wishes.push(Wish::GiveUp(leaf, call));
                 self.end_call(now, call, Ending::TooSlow, None);
             }
@@ -658,6 +546,12 @@
         let query = Query(desk.queries.enter(&id));
         let indices: Vec<u32> = ids.iter().map(|p| desk.parts.enter(p)).collect();
         desk.tickets.insert(ticket, query.0);
+        tracing::debug!(target: REQUESTS, request = id, parts = parts.len(), left_s = (ends - now).s(), "taken");
+        if let Some(audit) = &mut desk.audit {
+            let parts: Vec<Part> = indices.iter().map(|&p| Part(p)).collect();
+            let lent = lent.is_some();
+            audit.taken(now, Taken { ticket, id: &id, vertical, client_ends: ends, lent, parts: &parts });
+        }
         let (then, held_parts) = (Some(then), indices.clone());
         let held = HeldQuery { ticket, then, parts: held_parts, vertical, idempotency_key, lent };
         desk.held_queries.insert(query.0, held);
@@ -673,6 +567,7 @@
                 text: text.clone(),
                 value: None,
                 calls: 0,
+                last_ending: None,
             };
             desk.held_parts.insert(index, held);
         }
@@ -688,6 +583,8 @@
     fn end_call(&mut self, now: At, call: CallNo, ending: Ending, value: Option<String>) {
         self.desk.counters.add("leaf_calls", ending_name(ending));
         let Some(part) = self.desk.held_parts.get_mut(&call.0.0) else { return };
+        tracing::debug!(target: REQUESTS, part = &*part.id, attempt = call.1, ending = ending_name(ending), "ended");
+        part.last_ending = Some(ending);
         if ending == Ending::Pass && part.value.is_none() {
             let held = part.query.and_then(|q| self.desk.held_queries.get_mut(&q));
             let lent = held.and_then(|q| q.lent.as_mut());
@@ -828,6 +725,7 @@
         if whole {
             let near = self.desk.held_leaves.values_mut().filter(|l| l.site.is_none());
             near.for_each(|l| l.off = l.off.or(Some(at)));
+            self.desk.audit_lists();
             // Other sites are not discovery's to name.
             for (&leaf, held) in self.desk.held_leaves.iter().filter(|(_, l)| l.site.is_some()) {
                 self.root.leaf(Leaf(leaf), held.cell, true, None);
@@ -844,6 +742,9 @@
                 self.desk.counters.add("discovery", "unknown_zone");
             }
             held.off = if up { None } else { held.off.or(Some(at)) };
+            if let Some(audit) = &mut self.desk.audit {
+                audit.listed(leaf, held.off);
+            }
             if let Some(address) = address.filter(|a| held.address != Some(*a)) {
                 held.address = Some(address);
                 self.desk.wishes.push(Wish::Meet(leaf, address));
--- /dev/null
+++ b/crates/pipitcrank-node/src/exchange/desk.rs
@@ -0,0 +1,246 @@
+//! What the exchange holds of queries, parts, leaves and calls, and what the decision module asks of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use pipitcrank::ids::{Ending, Leaf, Part, Query, Refusal, Vertical};
+use pipitcrank::names::Names;
+use pipitcrank::port::Port;
+use pipitcrank::time::{At, Span};
+
+use super::{CallNo, Final, Lent, REQUESTS, Then};
+use crate::audit::Audit;
+use crate::counters::Counters;
+use crate::reasons::Again;
+
+pub(super) struct HeldQuery {
+    pub(super) ticket: u64,
+    pub(super) then: Option<Then>,
+    /// In the order asked.
+    pub(super) parts: Vec<u32>,
+    pub(super) vertical: Vertical,
+    pub(super) idempotency_key: Option<Arc<str>>,
+    pub(super) lent: Option<Lent>,
+}
+
+pub(super) struct HeldPart {
+    pub(super) id: Rc<str>,
+    /// None once its query is let go of, whose index another may have by then while a call of this part is still out.
+    pub(super) query: Option<u32>,
+    pub(super) shard: u32,
+    pub(super) weight: f64,
+    pub(super) work: Option<f64>,
+    pub(super) text: Arc<str>,
+    pub(super) value: Option<String>,
+    pub(super) calls: u32,
+    /// How the attempt that ended last did.
+    pub(super) last_ending: Option<Ending>,
+}
+
+pub(super) struct HeldLeaf {
+    pub(super) address: Option<SocketAddr>,
+    pub(super) cell: u32,
+    pub(super) zone: Option<String>,
+    pub(super) started: Option<At>,
+    /// It stands for a cell of that site, as numbered at start.
+    pub(super) site: Option<u16>,
+    /// When this co-ordinator was told that it drains or is gone, until it is listed as up again.
+    pub(super) off: Option<At>,
+}
+
+pub(super) struct Out {
+    pub(super) leaf: Leaf,
+    pub(super) until: At,
+    /// Its frame is being written, or was.
+    pub(super) released: bool,
+}
+
+/// What the module asked for, until the turn is over.
+pub(super) enum Wish {
+    Call(Leaf, CallNo),
+    GiveUp(Leaf, CallNo),
+    Probe(Leaf),
+    Meet(Leaf, SocketAddr),
+    LetGo(Leaf),
+}
+
+#[derive(Default)]
+pub(super) struct Desk {
+    pub(super) queries: Names,
+    pub(super) parts: Names,
+    pub(super) leaves: Names,
+    /// By index; each ends when the module lets go of it.
+    pub(super) held_queries: BTreeMap<u32, HeldQuery>,
+    pub(super) held_parts: BTreeMap<u32, HeldPart>,
+    pub(super) held_leaves: BTreeMap<u32, HeldLeaf>,
+    /// Queries by the front's ticket; an entry ends with its query.
+    pub(super) tickets: BTreeMap<u64, u32>,
+    /// Leaf calls out, and when waiting for them ends; emptied by their ends.
+    pub(super) out: BTreeMap<CallNo, Out>,
+    pub(super) untils: BTreeSet<(At, CallNo)>,
+    /// Alarms; emptied as they ring.
+    pub(super) alarms: BTreeSet<(At, u64)>,
+    /// Emptied at each turn's end.
+    pub(super) wishes: Vec<Wish>,
+    pub(super) counters: Counters,
+    /// The run-time check, where it is on.
+    pub(super) audit: Option<Audit>,
+    /// As last told.
+    pub(super) now: At,
+}
+
+impl Desk {
+    /// Ends a call for the outside, and says at which leaf it was out; none if it has ended before.
+    pub(super) fn close(&mut self, call: CallNo, ending: Ending) -> Option<Leaf> {
+        let Out { leaf, until, .. } = self.out.remove(&call)?;
+        if let Some(audit) = &mut self.audit {
+            audit.ended(call.0, call.1, ending);
+        }
+        self.untils.remove(&(until, call));
+        Some(leaf)
+    }
+
+    /// Queries and parts open: a part that is in is not.
+    pub(super) fn open(&self) -> usize {
+        let open = self.held_parts.values().filter(|p| p.value.is_none() && p.query.is_some());
+        self.held_queries.len() + open.count()
+    }
+
+    fn finish(&mut self, query: Query, last: Final, word: &'static str) {
+        self.counters.add("queries", word);
+        tracing::debug!(target: REQUESTS, request = self.queries.name(query.0), ending = word, "answered");
+        self.check_answer(query, &last);
+        let held = self.held_queries.get_mut(&query.0);
+        if let Some(then) = held.and_then(|held| held.then.take()) {
+            then(last);
+        }
+    }
+
+    /// Rejected or aborted, and why.
+    fn refuse(&mut self, query: Query, last: Final, word: &'static str, why: Refusal) {
+        self.counters.add("refusals", why.name());
+        tracing::debug!(target: REQUESTS, request = self.queries.name(query.0), why = why.name(), "refused");
+        self.finish(query, last, word);
+    }
+
+    fn check_answer(&mut self, query: Query, last: &Final) {
+        let (Some(audit), Some(held)) = (&mut self.audit, self.held_queries.get(&query.0)) else { return };
+        let weight_of = |shard: &u32| {
+            let mut parts = held.parts.iter().filter_map(|p| self.held_parts.get(p));
+            parts.find(|p| p.shard == *shard).map_or(0.0, |p| p.weight)
+        };
+        let (weight, whole) = match last {
+            Final::Merged { whole, hits } => (Some(hits.iter().map(|(s, _)| weight_of(s)).sum()), *whole),
+            _ => (None, false),
+        };
+        audit.answered(self.now, held.ticket, weight, whole);
+    }
+
+    /// The leaves that a whole list may have left out.
+    pub(super) fn audit_lists(&mut self) {
+        let Some(audit) = &mut self.audit else { return };
+        for (&leaf, held) in self.held_leaves.iter().filter(|(_, l)| l.site.is_none()) {
+            audit.listed(Leaf(leaf), held.off);
+        }
+    }
+
+    /// Why the part goes once more.
+    fn again(&self, part: Part) -> Option<Again> {
+        let held = self.held_parts.get(&part.0).filter(|held| held.calls > 0)?;
+        if self.out.range((part, 0)..=(part, u32::MAX)).next().is_some() {
+            return Some(Again::Hedge);
+        }
+        held.last_ending.map(Again::After)
+    }
+}
+
+impl Port for Desk {
+    fn leaf_call(&mut self, part: Part, leaf: Leaf, until: At) {
+        if let Some(again) = self.again(part) {
+            self.counters.add("again", again.name());
+        }
+        let held = self.held_parts.get_mut(&part.0).expect("called parts are held");
+        let call = (part, held.calls);
+        held.calls += 1;
+        let lent = held.query.and_then(|q| self.held_queries.get(&q)).and_then(|q| q.lent.as_ref());
+        if let Some(lent) = lent.filter(|_| call.1 > 0) {
+            lent.made.set(lent.made.get() + 1);
+        }
+        self.out.insert(call, Out { leaf, until, released: false });
+        self.untils.insert((until, call));
+        self.wishes.push(Wish::Call(leaf, call));
+    }
+
+    fn abandon(&mut self, part: Part, nth: u32) {
+        if let Some(leaf) = self.out.get(&(part, nth)).map(|out| out.leaf) {
+            self.wishes.push(Wish::GiveUp(leaf, (part, nth)));
+        }
+    }
+
+    fn merge(&mut self, query: Query, whole: bool) {
+        let parts = self.held_queries.get(&query.0).map(|q| &q.parts[..]).unwrap_or_default();
+        let hits = parts.iter().filter_map(|p| {
+            let part = self.held_parts.get_mut(p)?;
+            Some((part.shard, part.value.take()?))
+        });
+        let hits = hits.collect();
+        self.finish(query, Final::Merged { whole, hits }, if whole { "merged" } else { "merged_in_part" });
+    }
+
+    fn reject(&mut self, query: Query, stay_away: Span, why: Refusal) {
+        self.refuse(query, Final::Rejected { stay_away }, "rejected", why);
+    }
+
+    fn abort(&mut self, query: Query, why: Refusal) {
+        self.refuse(query, Final::Aborted, "aborted", why);
+    }
+
+    fn wake_me(&mut self, at: At, label: u64) {
+        self.alarms.insert((at, label));
+    }
+
+    fn probe(&mut self, leaf: Leaf) {
+        self.wishes.push(Wish::Probe(leaf));
+    }
+
+    fn watch(&mut self) {} // Discovery is always watched.
+
+    fn note(&mut self, text: &str) {
+        tracing::info!("{text}");
+    }
+
+    fn let_go_query(&mut self, query: Query) {
+        self.queries.leave(query.0);
+        if let Some(held) = self.held_queries.remove(&query.0) {
+            self.tickets.remove(&held.ticket);
+            if let Some(audit) = &mut self.audit {
+                audit.let_go_query(held.ticket);
+            }
+            // Guards against a call that waits for its connection while its query ends: it was taken for one of the query that
+            // got the index next, and went out for nobody.
+            for part in held.parts {
+                let ours = self.held_parts.get_mut(&part).filter(|p| p.query == Some(query.0));
+                ours.into_iter().for_each(|p| p.query = None);
+            }
+        }
+    }
+
+    fn let_go_part(&mut self, part: Part) {
+        self.parts.leave(part.0);
+        self.held_parts.remove(&part.0);
+        if let Some(audit) = &mut self.audit {
+            audit.let_go_part(part);
+        }
+    }
+
+    fn let_go_leaf(&mut self, leaf: Leaf) {
+        self.leaves.leave(leaf.0);
+        self.held_leaves.remove(&leaf.0);
+        if let Some(audit) = &mut self.audit {
+            audit.let_go_leaf(leaf);
+        }
+        self.wishes.push(Wish::LetGo(leaf));
+    }
+}
--- a/crates/pipitcrank-node/src/hall.rs
+++ b/crates/pipitcrank-node/src/hall.rs
@@ -171,6 +171,7 @@
         let now = self.clock.now();
         self.late.set(self.late.get() || now - self.told.replace(now) > LATE);
         let mut exchange = self.exchange.borrow_mut();
+        exchange.now_is(now);
         let told = what(&mut exchange);
         if !exchange.idle() {
             self.bell.notify_one();
--- a/crates/pipitcrank-node/src/lib.rs
+++ b/crates/pipitcrank-node/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the co-ordinator on sockets is made of, one job a file.
 
 pub mod acceptor;
+pub mod audit;
 pub mod awake;
 pub mod charter;
 pub mod client_connections;
@@ -14,6 +15,7 @@
 pub mod hall;
 pub mod leaves;
 pub mod objects;
+pub mod reasons;
 pub mod relay;
 pub mod reload;
 pub mod request_reader;
--- a/crates/pipitcrank-node/tests/exchange.rs
+++ b/crates/pipitcrank-node/tests/exchange.rs
@@ -9,6 +9,7 @@
 use pipitcrank::time::{At, Span};
 use pipitcrank::told::Told;
 use pipitcrank_handover::snapshot::Snapshot;
+use pipitcrank_node::audit;
 use pipitcrank_node::counters::Counters;
 use pipitcrank_node::exchange::{Asked, AskedPart, CallNo, Exchange, Final, LeafSide, Lent, Listed};
 use pipitcrank_node::frames::Report;
@@ -61,6 +62,26 @@
     Listed { uid: format!("leaf-{n}"), address, cell: n, zone: None, up, started: None }
 }
 
+/// The rules that the run-time check goes by, of those settings.
+fn audit_terms(told: &serde_json::Value) -> audit::Terms {
+    let number = |key: &str| told.pointer(key).and_then(serde_json::Value::as_f64);
+    let vertical = |n: usize| audit::VerticalTerms {
+        effect: Told::new(told).effect(n).unwrap(),
+        dedup_window: Span::from_s(number(&format!("/classes/{n}/dedup_window_s")).unwrap_or(0.0)),
+        floor: number(&format!("/domain/floor_by_class/{n}")).unwrap(),
+        whole_from: number(&format!("/domain/complete_from/{n}")).unwrap(),
+    };
+    audit::Terms {
+        verticals: (0..told["classes"].as_array().unwrap().len()).map(vertical).collect(),
+        may_duplicate: told["allowed"]["may_duplicate"].as_bool().unwrap(),
+        try_limit: number("/allowed/try_limit").unwrap() as u32,
+        drain_grace: Span::ZERO,
+        budget_free: number("/rules/extra_free").unwrap_or(0.0),
+        budget_ratio: number("/rules/repeat_ratio").unwrap_or(0.0),
+        budget_span: number("/rules/budget_span_s").map(Span::from_s),
+    }
+}
+
 type Answers = Rc<RefCell<Vec<(String, Final)>>>;
 
 struct Stage {
@@ -71,6 +92,16 @@
     tickets: u64,
 }
 
+impl Drop for Stage {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            let all = self.counters.all();
+            let broken: Vec<_> = all.into_iter().filter(|(what, ..)| what == "violations").collect();
+            assert!(broken.is_empty(), "rules broken: {broken:?}");
+        }
+    }
+}
+
 impl Stage {
     /// Three leaves in a ring of three cells, each shard held by two.
     fn set() -> Stage {
@@ -82,6 +113,7 @@
         let counters = Counters::default();
         let root = Told::new(&told).root(7).unwrap();
         let mut exchange = Exchange::new(root, MOST_OPEN, 4, counters.clone());
+        exchange.audit(audit_terms(&told));
         exchange.list(at(0), true, (0..3).map(|n| listed(n, true)).collect());
         let mut stage =
             Stage { exchange, ledger: Ledger::default(), counters, answers: Answers::default(), tickets: 0 };
--- a/crates/pipitcrank-simhost/src/door.rs
+++ b/crates/pipitcrank-simhost/src/door.rs
@@ -5,7 +5,7 @@
 
 use pipitcrank::decide::Root;
 use pipitcrank::decide::zones::Zone;
-use pipitcrank::ids::{Ending, Leaf, Part, Query, Vertical};
+use pipitcrank::ids::{Ending, Leaf, Part, Query, Refusal, Vertical};
 use pipitcrank::names::Names;
 use pipitcrank::port::Port;
 use pipitcrank::time::{At, Span};
@@ -79,13 +79,13 @@
         self.say(&line);
     }
 
-    fn reject(&mut self, query: Query, stay_away: Span) {
+    fn reject(&mut self, query: Query, stay_away: Span, _why: Refusal) {
         let (i, job) = (&self.instance, self.queries.name(query.0));
         let line = format!("DECLINE i={i} job={job} stay_away_s={:.6}", stay_away.s());
         self.say(&line);
     }
 
-    fn abort(&mut self, query: Query) {
+    fn abort(&mut self, query: Query, _why: Refusal) {
         let line = format!("DROP_REQUEST i={} job={}", self.instance, self.queries.name(query.0));
         self.say(&line);
     }
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -19,7 +19,7 @@
 pub mod zones;
 
 use crate::chance::Chance;
-use crate::ids::{Effect, Ending, Leaf, Part, Query, Vertical};
+use crate::ids::{Effect, Ending, Leaf, Part, Query, Refusal, Vertical};
 use crate::port::Port;
 use crate::time::{At, Span};
 
@@ -543,7 +543,7 @@
             Open { serial, vertical: v, slo, answer_by, ends, arrived: now, a_part, size, ..Open::default() };
         self.queries.insert(id, Open { first_whole: true, zone, ..open });
         if self.turned_away(v.0 as usize) {
-            return self.give_up(port, now, id);
+            return self.give_up(port, now, id, Refusal::TurnedAway);
         }
         self.tend(port, now, id, serial);
     }
@@ -610,7 +610,7 @@
             let parts = std::mem::take(&mut open.parts);
             self.drop_parts(port, parts);
             if last {
-                self.give_up(port, now, id);
+                self.give_up(port, now, id, Refusal::TimeOver);
             }
             return;
         }
@@ -619,7 +619,7 @@
 
     /// Final, at once: rejected where asking again is harmless, saying when to come back where allowed;
     /// aborted otherwise (rule 2). Guards against a client asking again at once into the same jam.
-    fn give_up(&mut self, port: &mut dyn Port, now: At, id: Query) {
+    fn give_up(&mut self, port: &mut dyn Port, now: At, id: Query, why: Refusal) {
         let open = &self.queries[&id];
         // Guards against a time to stay held too short for any answer: then only rejections tell who stayed.
         self.trades[open.vertical.0 as usize].stayed(now - open.arrived);
@@ -627,9 +627,9 @@
         let unrun = |p: &Part| self.parts[p].sent.iter().all(|s| s.never_ran);
         let begun = open.parts.iter().any(|p| !self.parts[p].sent.is_empty());
         if effect == Effect::Repeatable || open.parts.iter().all(unrun) {
-            port.reject(id, self.waited(open.vertical));
+            port.reject(id, self.waited(open.vertical), why);
         } else {
-            port.abort(id);
+            port.abort(id, why);
         }
         if begun {
             self.judge(false);
@@ -868,7 +868,7 @@
         let may_come = |p: &&Part| self.parts[p].done || self.parts[p].out() > 0 || self.could_go(now, **p);
         let hope: f64 = open.parts.iter().filter(may_come).map(|p| self.parts[p].weight).sum();
         if hope < self.bounds(open).0 {
-            self.give_up(port, now, query);
+            self.give_up(port, now, query, Refusal::NoHope);
         }
     }
 
@@ -1149,8 +1149,12 @@
         let (any, whole) = self.answer(open);
         if any && now >= answer_by {
             self.merge(port, now, id, whole, now >= end);
-        } else if now >= end || worthless || now - open.arrived > patience && open.parts.iter().all(unsent) {
-            self.give_up(port, now, id);
+        } else if now >= end {
+            self.give_up(port, now, id, Refusal::TimeOver);
+        } else if worthless {
+            self.give_up(port, now, id, Refusal::LateIsWorthless);
+        } else if now - open.arrived > patience && open.parts.iter().all(unsent) {
+            self.give_up(port, now, id, Refusal::NoLeafInTime);
         }
         let Some(open) = self.queries.get(&id) else { return };
         for part in if now < open.slo { open.parts.clone() } else { Vec::new() } {
--- a/crates/pipitcrank/src/ids.rs
+++ b/crates/pipitcrank/src/ids.rs
@@ -26,6 +26,34 @@
     Stale,
 }
 
+/// Why a query ended without an answer from its parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its share is turned away: the zones left can't carry it.
+    TurnedAway,
+    /// No leaf could take its first calls within its patience.
+    NoLeafInTime,
+    /// Its client's time is all but over.
+    TimeOver,
+    /// Its SLO time is over, and a late answer earns nothing.
+    LateIsWorthless,
+    /// The parts that can still come in do not reach an answer.
+    NoHope,
+}
+
+impl Refusal {
+    /// Its word in counters and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Refusal::TurnedAway => "turned_away",
+            Refusal::NoLeafInTime => "no_leaf_in_time",
+            Refusal::TimeOver => "time_over",
+            Refusal::LateIsWorthless => "late_is_worthless",
+            Refusal::NoHope => "no_hope",
+        }
+    }
+}
+
 /// What a second run of a part would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
--- a/crates/pipitcrank/src/port.rs
+++ b/crates/pipitcrank/src/port.rs
@@ -1,7 +1,7 @@
 //! What the decision module asks of the outside. Whoever implements it carries out each call as it stands and
 //! in the order made; nothing here is decided.
 
-use crate::ids::{Leaf, Part, Query};
+use crate::ids::{Leaf, Part, Query, Refusal};
 use crate::time::{At, Span};
 
 pub trait Port {
@@ -13,9 +13,9 @@
     /// Answers the query from the parts that are in.
     fn merge(&mut self, query: Query, whole: bool);
     /// Turns the query away and says that asking again is harmless.
-    fn reject(&mut self, query: Query, stay_away: Span);
+    fn reject(&mut self, query: Query, stay_away: Span, why: Refusal);
     /// Ends the query and promises nothing about its effect.
-    fn abort(&mut self, query: Query);
+    fn abort(&mut self, query: Query, why: Refusal);
     /// Asks for `Root::woken` with this label at that time.
     fn wake_me(&mut self, at: At, label: u64);
     fn probe(&mut self, leaf: Leaf);
--- a/crates/pipitcrank/src/told.rs
+++ b/crates/pipitcrank/src/told.rs
@@ -203,17 +203,23 @@
         Ok(root)
     }
 
+    /// What a second run of a part of that vertical would do.
+    pub fn effect(&self, n: usize) -> Result<Effect, Faulty> {
+        let key = format!("/classes/{n}/idempotency");
+        match self.text(&key)? {
+            "safe" => Ok(Effect::Repeatable),
+            "keyed" => Ok(Effect::Deduplicated),
+            "unsafe" => Ok(Effect::SideEffecting),
+            _ => Err(self.faulty(&key, "has none of safe, keyed, unsafe")),
+        }
+    }
+
     fn terms(&self, n: usize) -> Result<Terms, Faulty> {
         let of = |key: &str| format!("/classes/{n}/{key}");
         let domain = |key: &str| format!("/domain/{key}/{n}");
         Ok(Terms {
             name: self.text(&of("name"))?.to_string(),
-            effect: match self.text(&of("idempotency"))? {
-                "safe" => Effect::Repeatable,
-                "keyed" => Effect::Deduplicated,
-                "unsafe" => Effect::SideEffecting,
-                _ => return Err(self.faulty(&of("idempotency"), "has none of safe, keyed, unsafe")),
-            },
+            effect: self.effect(n)?,
             dedup_window: Span::from_s(self.within_or(&of("dedup_window_s"), 0.0, 0.0, LONGEST_S)?),
             slo: self.span(&of("aim_s"))?,
             slo_stretch: self.within_or(&of("aim_stretch"), 0.0, 0.0, MOST)?,
--- a/crates/pipitcrank/tests/helper/mod.rs
+++ b/crates/pipitcrank/tests/helper/mod.rs
@@ -2,7 +2,7 @@
 
 use pipitcrank::chance::Chance;
 use pipitcrank::decide::{Budget, Cover, FailBack, Root, Terms, Tries};
-use pipitcrank::ids::{Effect, Leaf, Part, Query};
+use pipitcrank::ids::{Effect, Leaf, Part, Query, Refusal};
 use pipitcrank::port::Port;
 use pipitcrank::time::{At, Span};
 
@@ -34,10 +34,10 @@
     fn merge(&mut self, query: Query, whole: bool) {
         self.0.push(Act::Merge(query, whole));
     }
-    fn reject(&mut self, query: Query, _stay_away: Span) {
+    fn reject(&mut self, query: Query, _stay_away: Span, _why: Refusal) {
         self.0.push(Act::Reject(query));
     }
-    fn abort(&mut self, query: Query) {
+    fn abort(&mut self, query: Query, _why: Refusal) {
         self.0.push(Act::Abort(query));
     }
     fn wake_me(&mut self, at: At, label: u64) {
