A soak test over real processes: shim for failing system calls, own proxies, troubles that overlap

Change: pipitcrank trial soak and soak-short (rig/src/soak: scene, clients, script, judge), 24 or 6 processes, 12 replicas behind proxies, two ways to discovery, 32 kinds of trouble of which three or two overlap, all from a seed; rig/shim/faults.c, loaded into the processes under test alone, with rates in a mapped file (short reads and writes, accept, socket, connect, bind, open, EINTR, broken connections, held writes, a stepped wall clock). Judged by 14 rules from outside and by each process's own check and log. An unknown trouble ends with the accepted ones. Ruled out: faults in the stand-ins alone (they can't make our own calls fail); one process (rules on slow start hang on all).

--- a/crates/pipitcrank-cli/src/main.rs
+++ b/crates/pipitcrank-cli/src/main.rs
@@ -110,7 +110,7 @@
     },
     /// Play a named scenario with faults on loopback; exits with 0 only if its promise held
     Trial {
-        /// Its name: upgrade, upgrade-overloaded, upgrade-known, gateway, gateway-table, zones, return
+        /// Its name: upgrade, upgrade-overloaded, upgrade-known, gateway, gateway-table, zones, return, soak, soak-short
         name: String,
         /// The same seed plays the same script
         #[arg(long, default_value_t = 1)]
@@ -118,7 +118,7 @@
         /// Upgrades in a row, for `upgrade`
         #[arg(long, default_value_t = 8)]
         rounds: u32,
-        /// One kind of round alone, such as plain or newcrashes
+        /// One kind of round or trouble alone, such as plain, newcrashes or short-reads
         #[arg(long)]
         only: Option<String>,
         /// Figures as one JSON object
--- a/crates/pipitcrank-rig/src/leaf.rs
+++ b/crates/pipitcrank-rig/src/leaf.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, Semaphore};
 
-use crate::ledger::Ledger;
+use crate::ledger::{Arrival, Ledger};
 
 /// Parts that wait for work, at most.
 const WAITING: usize = 200;
@@ -56,6 +56,7 @@
 }
 
 struct Shared {
+    address: SocketAddr,
     manner: Cell<Manner>,
     work: Work,
     slots: Semaphore,
@@ -81,6 +82,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let shared = Rc::new(Shared {
+            address,
             manner: Cell::new(Manner::Answers),
             work,
             slots: Semaphore::new(work.at_once),
@@ -211,6 +213,12 @@
             b'Q' => {
                 for part in parts(&words) {
                     shared.came();
+                    shared.ledger.arrived(|| Arrival {
+                        part: part.id.clone(),
+                        at: Instant::now(),
+                        leaf: shared.address,
+                        told: part.told,
+                    });
                     take(shared, part, out.clone(), given_up.clone());
                 }
             }
@@ -224,6 +232,7 @@
 struct Part {
     id: String,
     shard: u32,
+    told: Duration,
     text: String,
 }
 
@@ -231,9 +240,15 @@
     let mut found = Vec::new();
     while let Some((line, rest)) = call.split_once('\n') {
         let words: Vec<&str> = line.split(' ').collect();
-        let [id, shard, _, length] = words[..] else { break };
+        let [id, shard, list, length] = words[..] else { break };
         let Some((text, after)) = length.parse().ok().and_then(|n| rest.split_at_checked(n)) else { break };
-        found.push(Part { id: id.to_string(), shard: shard.parse().unwrap_or(0), text: text.to_string() });
+        let told = list.split(',').find_map(|w| w.strip_prefix("d=")?.parse().ok()).unwrap_or(0);
+        found.push(Part {
+            id: id.to_string(),
+            shard: shard.parse().unwrap_or(0),
+            told: Duration::from_millis(told),
+            text: text.to_string(),
+        });
         call = after;
     }
     found
--- a/crates/pipitcrank-rig/src/ledger.rs
+++ b/crates/pipitcrank-rig/src/ledger.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -22,8 +23,20 @@
     Lost,
 }
 
+/// A part as it came to a leaf.
+#[derive(Clone)]
+pub struct Arrival {
+    pub part: String,
+    pub at: Instant,
+    pub leaf: SocketAddr,
+    /// The time that the co-ordinator says it waits.
+    pub told: Duration,
+}
+
 struct Books {
     start: Instant,
+    /// Where arrivals are kept: all so far.
+    arrivals: Option<Vec<Arrival>>,
     /// When each query was asked, and of how many parts.
     asked: Vec<(Duration, usize)>,
     /// When parts ran that had run before.
@@ -51,6 +64,7 @@
     fn default() -> Ledger {
         Ledger(Rc::new(RefCell::new(Books {
             start: Instant::now(),
+            arrivals: None,
             asked: Vec::new(),
             further: Vec::new(),
             queries: BTreeMap::new(),
@@ -66,6 +80,23 @@
 }
 
 impl Ledger {
+    /// One that keeps each part's arrivals.
+    pub fn with_arrivals() -> Ledger {
+        let ledger = Ledger::default();
+        ledger.0.borrow_mut().arrivals = Some(Vec::new());
+        ledger
+    }
+
+    pub fn arrived(&self, arrival: impl FnOnce() -> Arrival) {
+        if let Some(arrivals) = &mut self.0.borrow_mut().arrivals {
+            arrivals.push(arrival());
+        }
+    }
+
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.0.borrow().arrivals.clone().unwrap_or_default()
+    }
+
     pub fn asked(&self, id: &str, parts: usize) {
         let mut books = self.0.borrow_mut();
         let at = books.start.elapsed();
--- a/crates/pipitcrank-rig/src/lib.rs
+++ b/crates/pipitcrank-rig/src/lib.rs
@@ -5,11 +5,13 @@
 pub mod client;
 pub mod demo;
 pub mod discovery;
+pub mod faults;
 pub mod fleet;
 pub mod leaf;
 pub mod ledger;
 pub mod link;
 pub mod net;
 pub mod process;
+pub mod soak;
 pub mod trial;
 pub mod zoned;
--- a/crates/pipitcrank-rig/src/process.rs
+++ b/crates/pipitcrank-rig/src/process.rs
@@ -41,6 +41,8 @@
     pub charter: PathBuf,
     pub folder: Folder,
     told: Value,
+    /// Variables it is started with, beside its own.
+    variables: Vec<(String, String)>,
 }
 
 /// Times of an upgrade's steps, in seconds.
@@ -69,20 +71,45 @@
         let folder = Folder::new("serve")?;
         let own = folder.path().join("pipitcrank");
         std::fs::copy(program, &own).context("the program can't be copied")?;
+        let process = Process::begin(own, folder, told, operators, Vec::new())?;
+        process.up().await?;
+        Ok(process)
+    }
+
+    /// Starts the program where it is, with those variables, and does not wait until it serves.
+    pub fn start_with(program: &Path, told: Value, variables: Vec<(String, String)>) -> Result<Process> {
+        Process::begin(program.to_path_buf(), Folder::new("serve")?, told, None, variables)
+    }
+
+    fn begin(
+        program: PathBuf,
+        folder: Folder,
+        told: Value,
+        operators: Option<String>,
+        variables: Vec<(String, String)>,
+    ) -> Result<Process> {
         let charter = folder.path().join("charter.json");
         let address: SocketAddr = told["listen"].as_str().context("/listen")?.parse()?;
-        let process_told = told.clone();
         std::fs::write(&charter, told.to_string())?;
-        let child = Process::spawn(&own, &charter, folder.path(), operators)?;
-        let process = Process { child, address, program: own, charter, folder, told: process_told };
-        process.up().await?;
-        Ok(process)
+        let child = Process::spawn(&program, &charter, folder.path(), operators, &variables)?;
+        Ok(Process { child, address, program, charter, folder, told, variables })
     }
 
-    fn spawn(program: &Path, charter: &Path, folder: &Path, operators: Option<String>) -> Result<Child> {
+    fn spawn(
+        program: &Path,
+        charter: &Path,
+        folder: &Path,
+        operators: Option<String>,
+        variables: &[(String, String)],
+    ) -> Result<Child> {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(folder.join("log"))?;
         let mut command = Command::new(program);
-        command.arg("serve").env("NODE_CONFIG", charter).stdin(Stdio::null()).stderr(log);
+        command
+            .arg("serve")
+            .envs(variables.iter().cloned())
+            .env("NODE_CONFIG", charter)
+            .stdin(Stdio::null())
+            .stderr(log);
         if let Some(text) = operators {
             let path = folder.join("operators.dhall");
             std::fs::write(&path, text)?;
@@ -108,7 +135,8 @@
 
     /// The same, without waiting until it serves.
     pub fn begin_again(&mut self, operators: Option<String>) -> Result<()> {
-        self.child = Process::spawn(&self.program, &self.charter, self.folder.path(), operators)?;
+        self.child =
+            Process::spawn(&self.program, &self.charter, self.folder.path(), operators, &self.variables)?;
         Ok(())
     }
 
--- /dev/null
+++ b/crates/pipitcrank-rig/src/soak/judge.rs
@@ -0,0 +1,282 @@
+//! What came of a soak test, judged by the rules: from outside, by what clients and replicas saw, and by each process's
+//! own run-time check. What this program saw late is not held against a process.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+
+use super::clients::{End, Manner, Request};
+use super::scene::{
+    COLD, COLD_FROM, DEDUP_WINDOW, DRAIN_GRACE, FALL, Node, OVERLOAD_FACTOR, Replica, Scene, WORK,
+};
+use super::script::Trouble;
+use crate::ledger::Arrival;
+use crate::trial::Outcome;
+
+/// A final answer counts for so long after the client's time.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// What the way and this program's own timers may take.
+const SEEN_LATE: Duration = Duration::from_millis(60);
+/// An attempt may begin so long after its client closed.
+const CLOSE_SLACK: Duration = Duration::from_millis(100);
+/// A process may be held up for so long between reading its clock and writing.
+const HELD_UP: Duration = Duration::from_millis(150);
+/// The time told may be so much more than the client has.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+/// What discovery has counts as told so long after.
+const TOLD_AFTER: Duration = Duration::from_secs(6);
+/// Half a request gets an error or a close within that.
+const HALF_LIMIT: Duration = Duration::from_secs(3);
+/// From a start until it serves.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+/// Of the plain requests that were taken so many are served at least: a play in which nobody is served shows nothing.
+const SERVED_LEAST: f64 = 0.5;
+/// Examples of each violation that are named.
+const EXAMPLES: usize = 4;
+
+struct Judge<'a> {
+    scene: &'a Scene,
+    found: BTreeMap<&'static str, Vec<String>>,
+}
+
+pub async fn judge(scene: &Scene, troubles: Vec<Trouble>) -> Result<Outcome> {
+    let mut judge = Judge { scene, found: BTreeMap::new() };
+    for request in scene.requests.borrow().iter() {
+        judge.request(request);
+    }
+    let arrivals = scene.ledger.arrivals();
+    judge.arrivals(&arrivals);
+    for replica in scene.replicas.borrow().iter().chain(scene.retired.borrow().iter()) {
+        judge.slow_start(replica, &arrivals);
+    }
+    for (n, node) in scene.nodes.iter().enumerate() {
+        judge.process(n, node).await;
+    }
+    Ok(judge.outcome(&troubles, arrivals.len()))
+}
+
+impl Judge<'_> {
+    fn breaks(&mut self, what: &'static str, detail: String) {
+        self.found.entry(what).or_default().push(detail);
+    }
+
+    /// Seconds since the play began.
+    fn at(&self, at: Instant) -> f64 {
+        at.saturating_duration_since(self.scene.begun).as_secs_f64()
+    }
+
+    fn request(&mut self, request: &Request) {
+        let node = &self.scene.nodes[request.node];
+        let over = request.asked + request.wait + ANSWER_SLACK;
+        let killed = |until: Instant| {
+            let kills = node.kills.borrow();
+            kills.iter().any(|k| *k + SEEN_LATE >= request.asked && *k <= until)
+        };
+        let asked = format!("{} {:?} asked at {:.3}", request.id, request.manner, self.at(request.asked));
+        let named = |how: &str| format!("{asked} {how}");
+        if request.spoilt {
+            self.breaks("answers not as replicas gave them", named(""));
+        }
+        match &request.end {
+            End::Answered { status, at } => {
+                let late = at.saturating_duration_since(over + SEEN_LATE + self.scene.lag_at(*at));
+                if late > Duration::ZERO && !killed(*at) {
+                    self.breaks("answers too late", named(&format!("by {late:?} more, {status}")));
+                }
+                if !matches!(status, 200 | 429 | 500 | 503) {
+                    self.breaks("sound requests held to be faulty", named(&format!("status {status}")));
+                }
+            }
+            End::Cut { at, kept } if !killed(*at + SEEN_LATE) => {
+                let how = if *kept { "kept" } else { "new" };
+                self.breaks("requests cut off", named(&format!("cut at {:.3}, {how}", self.at(*at))));
+            }
+            End::Silence if request.manner == Manner::Half => {
+                self.breaks("halves left without a word", named("5 s"));
+            }
+            End::Silence if !killed(over) => self.breaks("requests without an answer", named("")),
+            End::Refused { at } => {
+                let took = at.saturating_duration_since(request.asked);
+                if took > HALF_LIMIT + SEEN_LATE + self.scene.lag_at(*at) {
+                    self.breaks("halves left without a word", named(&format!("{took:?}")));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn arrivals(&mut self, arrivals: &[Arrival]) {
+        let requests = self.scene.requests.borrow();
+        let by_id: BTreeMap<&str, &Request> = requests.iter().map(|r| (r.id.as_str(), r)).collect();
+        let mut first: BTreeMap<&str, Instant> = BTreeMap::new();
+        for arrival in arrivals {
+            let Some((id, _)) = arrival.part.rsplit_once('.') else { continue };
+            if arrival.part.starts_with("pay-") {
+                let since = *first.entry(&arrival.part).or_insert(arrival.at);
+                self.repeat(arrival, since);
+            }
+            if let Some(request) = by_id.get(id) {
+                self.sent_for(request, arrival);
+            }
+            self.drained(arrival);
+        }
+        drop(requests);
+        let again = self.scene.ledger.ran_again("sale-");
+        if again > 0 {
+            self.breaks("side-effecting parts run twice", format!("{again}"));
+        }
+    }
+
+    /// What is to be added to a limit where the process may have been held up, or this program late.
+    fn slack(&self, request: &Request, at: Instant) -> Duration {
+        let node = &self.scene.nodes[request.node];
+        let held = node.was_held_up(at - Duration::from_millis(500), at);
+        SEEN_LATE + self.scene.lag_at(at) + if held { HELD_UP } else { Duration::ZERO }
+    }
+
+    /// What was on its way while that way was stalled came later than it was sent.
+    fn was_stalled(&self, arrival: &Arrival) -> bool {
+        let before = arrival.at - Duration::from_millis(50);
+        let stalls = self.scene.stalls.borrow();
+        let mut of_leaf = stalls.iter().filter(|s| s.0 == arrival.leaf);
+        of_leaf.any(|(_, from, to)| *from <= arrival.at && to.is_none_or(|to| to >= before))
+    }
+
+    fn sent_for(&mut self, request: &Request, arrival: &Arrival) {
+        if self.was_stalled(arrival) {
+            return;
+        }
+        let slack = self.slack(request, arrival.at);
+        let named = |judge: &Judge, how: String| {
+            format!("{} {:?} arrived at {:.3} {how}", arrival.part, request.manner, judge.at(arrival.at))
+        };
+        if let End::Left { at } = request.end {
+            let after = arrival.at.saturating_duration_since(at);
+            if after > CLOSE_SLACK + slack {
+                let named = named(self, format!("{after:?} after the close"));
+                self.breaks("attempts begun after the client closed", named);
+            }
+        }
+        let left = (request.asked + request.wait).saturating_duration_since(arrival.at);
+        if arrival.told > left + DEADLINE_SLACK + slack {
+            let named = named(self, format!("told {:?}, left {left:?}", arrival.told));
+            self.breaks("more time told than the client had", named);
+        }
+        if let End::Answered { at, .. } = request.end {
+            let after = arrival.at.saturating_duration_since(at);
+            if after > slack {
+                let named = named(self, format!("{after:?} after the answer"));
+                self.breaks("attempts begun after the answer", named);
+            }
+        }
+    }
+
+    fn repeat(&mut self, arrival: &Arrival, first: Instant) {
+        let after = arrival.at.saturating_duration_since(first);
+        let slack = SEEN_LATE + self.scene.lag_at(arrival.at) + HELD_UP;
+        if after > DEDUP_WINDOW + slack && !self.was_stalled(arrival) {
+            let detail = format!("{} {after:?} after the first", arrival.part);
+            self.breaks("deduplicated parts repeated beyond their window", detail);
+        }
+    }
+
+    fn drained(&mut self, arrival: &Arrival) {
+        if self.was_stalled(arrival) {
+            return;
+        }
+        let told_by = |told: Instant| {
+            let mut by = told;
+            for (from, to) in self.scene.lists_out.borrow().iter() {
+                if *from <= by + TOLD_AFTER {
+                    by = by.max(to.unwrap_or(arrival.at));
+                }
+            }
+            by + TOLD_AFTER + DRAIN_GRACE + HELD_UP + SEEN_LATE
+        };
+        let drains = self.scene.drains.borrow();
+        let mut of_leaf = drains.iter().filter(|d| d.0 == arrival.leaf);
+        let sent = of_leaf.any(|(_, told, until)| {
+            arrival.at > told_by(*told) && until.is_none_or(|until| arrival.at < until)
+        });
+        drop(drains);
+        if sent {
+            let detail = format!("{} at {:.3}", arrival.part, self.at(arrival.at));
+            self.breaks("sent to a drained replica", detail);
+        }
+    }
+
+    /// All that came to a replica in slow start, from all processes together.
+    fn slow_start(&mut self, replica: &Replica, arrivals: &[Arrival]) {
+        let Some(started) = replica.started else { return };
+        let came: Vec<Duration> = arrivals
+            .iter()
+            .filter(|a| a.leaf == replica.leaf.address && !self.was_stalled(a))
+            .map(|a| a.at.saturating_duration_since(started))
+            .collect();
+        let capacity = WORK.at_once as f64 / WORK.usual.as_secs_f64();
+        for (n, &at) in came.iter().enumerate().filter(|(_, at)| **at < COLD) {
+            let first = came.partition_point(|t| *t + FALL < at);
+            let age = at.as_secs_f64() / COLD.as_secs_f64();
+            let warmth = COLD_FROM + (1.0 - COLD_FROM) * age;
+            let allowed = OVERLOAD_FACTOR * warmth * capacity * FALL.as_secs_f64();
+            let spread = if allowed < 30.0 { 3.0 * allowed.sqrt() + 3.0 } else { 2.0 * allowed.sqrt() + 2.0 };
+            let count = n + 1 - first;
+            if count as f64 > allowed + spread {
+                let detail = format!("{} {count} at {at:?}, allowed {:.0}", replica.name, allowed + spread);
+                return self.breaks("replicas in slow start sent too much", detail);
+            }
+        }
+    }
+
+    async fn process(&mut self, n: usize, node: &Node) {
+        let mut process = node.process.lock().await;
+        let log = process.log();
+        let lines = |words: &str| log.lines().filter(|l| l.contains(words)).collect::<Vec<_>>();
+        for line in lines("a rule is broken") {
+            self.breaks("rules broken by a process's own check", format!("process {n}: {line}"));
+        }
+        for line in lines("panicked") {
+            self.breaks("panics", format!("process {n}: {line}"));
+        }
+        if let Some(status) = process.ended() {
+            let last = log.lines().last().unwrap_or("").to_string();
+            self.breaks("processes that ended by themselves", format!("process {n}: {status}; {last}"));
+        }
+        for ready in node.ready.borrow().iter().filter(|r| **r > READY_LIMIT) {
+            self.breaks("starts that took too long", format!("process {n}: {ready:?}"));
+        }
+    }
+
+    fn outcome(self, troubles: &[Trouble], arrivals: usize) -> Outcome {
+        let mut outcome = Outcome::default();
+        let requests = self.scene.requests.borrow();
+        let plain = || requests.iter().filter(|r| r.manner == Manner::Plain);
+        let ended = |status: u16| {
+            plain().filter(|r| matches!(r.end, End::Answered { status: s, .. } if s == status)).count()
+        };
+        let (served, taken) = (ended(200), plain().filter(|r| r.end != End::NotTaken).count());
+        outcome.figure("requests", requests.len() as f64);
+        outcome.figure("parts that came to replicas", arrivals as f64);
+        outcome.figure("troubles", troubles.len() as f64);
+        outcome.figure("plain requests taken", taken as f64);
+        outcome.figure("plain requests served", served as f64);
+        outcome.figure("plain requests refused", ended(503) as f64);
+        outcome.figure("plain requests failed", ended(500) as f64);
+        let worst = self.scene.lags.borrow().iter().map(|l| l.1).max().unwrap_or_default();
+        outcome.figure("this program late by, ms", worst.as_secs_f64() * 1000.0);
+        outcome.promise(served as f64 >= taken as f64 * SERVED_LEAST, "hardly anybody was served");
+        for (what, details) in &self.found {
+            outcome.nought(what, details.len() as u64);
+            for detail in details.iter().take(EXAMPLES) {
+                eprintln!("{what}: {detail}");
+            }
+        }
+        if !self.found.is_empty() {
+            for Trouble { kind, on, from, to } in troubles {
+                eprintln!("trouble {:7.3} to {:7.3} {} {on}", self.at(*from), self.at(*to), kind.name());
+            }
+        }
+        outcome
+    }
+}
--- /dev/null
+++ b/crates/pipitcrank-rig/src/soak/scene.rs
@@ -0,0 +1,270 @@
+//! What a soak test is played on: processes, replicas behind ways that can be troubled, discovery behind two of them, and
+//! the record of all that happened.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result};
+use serde_json::{Value, json};
+use tokio::sync::Mutex;
+
+use super::Size;
+use super::clients::Request;
+use crate::discovery::{Discovery, row};
+use crate::faults::{Faults, Shim};
+use crate::fleet::charter_of;
+use crate::leaf::{Leaf, Work};
+use crate::ledger::Ledger;
+use crate::link::{Link, Way};
+use crate::process::Process;
+
+pub const CELLS: u32 = 6;
+pub const SHARDS: u32 = 12;
+const REPLICAS: usize = 12;
+const SOCKETS: u32 = 256;
+const MOST_OPEN: u32 = 500;
+/// Part of a second's work that a replica does at once, and how long a part takes.
+pub const WORK: Work = Work { usual: Duration::from_millis(10), at_once: 2 };
+
+/// Figures of rules that processes are told, as the judge needs them.
+pub const DRAIN_GRACE: Duration = Duration::from_millis(500);
+pub const DEDUP_WINDOW: Duration = Duration::from_millis(1200);
+pub const COLD: Duration = Duration::from_secs(8);
+pub const COLD_FROM: f64 = 0.05;
+pub const OVERLOAD_FACTOR: f64 = 2.0;
+pub const FALL: Duration = Duration::from_millis(1000);
+/// SIGKILL comes so long after SIGTERM: the longest deadline told and 0.7 s more.
+pub const GRACE: Duration = Duration::from_millis(2700);
+pub const LONGEST_DEADLINE_S: f64 = 2.0;
+
+/// One replica: at work, or gone.
+pub struct Replica {
+    pub name: String,
+    pub cell: u32,
+    pub leaf: Leaf,
+    pub way: Link,
+    /// Unix time of its start in milliseconds, 0 if long ago; and when that was.
+    pub boot_ms: i64,
+    pub started: Option<Instant>,
+}
+
+impl Replica {
+    fn row(&self, state: &str) -> Value {
+        row(&self.name, self.way.address, self.cell, state, self.boot_ms)
+    }
+}
+
+/// One process of the program.
+pub struct Node {
+    pub process: Mutex<Process>,
+    pub address: SocketAddr,
+    pub faults: Faults,
+    /// When it was killed outright.
+    pub kills: RefCell<Vec<Instant>>,
+    /// From when to when it was ending, down or starting.
+    pub away: RefCell<Vec<(Instant, Option<Instant>)>>,
+    /// From when to when it was held up or its calls failed.
+    pub held_up: RefCell<Vec<(Instant, Option<Instant>)>>,
+    /// Times from a start until it served.
+    pub ready: RefCell<Vec<Duration>>,
+}
+
+pub struct Scene {
+    pub begun: Instant,
+    pub nodes: Vec<Node>,
+    pub replicas: RefCell<Vec<Replica>>,
+    /// Gone for good, as they were.
+    pub retired: RefCell<Vec<Replica>>,
+    pub discovery: Discovery,
+    /// The ways to discovery that processes are told.
+    pub ways_to_discovery: [Link; 2],
+    pub ledger: Ledger,
+    pub requests: RefCell<Vec<Request>>,
+    /// When each replica address was told draining or gone, and until when.
+    pub drains: RefCell<Vec<(SocketAddr, Instant, Option<Instant>)>>,
+    /// When lists could not be had: from, to.
+    pub lists_out: RefCell<Vec<(Instant, Option<Instant>)>>,
+    /// When what was sent to a replica was kept on its way: from, to.
+    pub stalls: RefCell<Vec<(SocketAddr, Instant, Option<Instant>)>>,
+    /// How late this program itself was, and when.
+    pub lags: RefCell<Vec<(Instant, Duration)>>,
+    /// Seconds by which all wall clocks are off.
+    wall_step: Cell<f64>,
+    next_replica: Cell<usize>,
+    seed: u64,
+    _shim: Shim,
+}
+
+fn loopback() -> Way {
+    Way::of(Duration::from_micros(400))
+}
+
+impl Scene {
+    pub async fn start(program: &Path, seed: u64, size: Size) -> Result<Rc<Scene>> {
+        let ledger = Ledger::with_arrivals();
+        let mut replicas = Vec::new();
+        for n in 0..REPLICAS {
+            replicas.push(replica(n, n as u32 % CELLS, seed, &ledger, None).await?);
+        }
+        let discovery = Discovery::start(replicas.iter().map(|r| r.row("active")).collect()).await?;
+        let to_discovery = |n: u64| Link::start(seed ^ n, discovery.address, loopback());
+        let ways_to_discovery = [to_discovery(11).await?, to_discovery(12).await?];
+        let shim = Shim::build()?;
+        let mut nodes = Vec::new();
+        for n in 0..size.processes {
+            let told = told(&discovery, ways_to_discovery[0].address, seed, n, size.processes)?;
+            let faults = shim.for_process(&n.to_string(), seed ^ (n as u64) << 8)?;
+            let process = Process::start_with(program, told, faults.variables())?;
+            nodes.push(Node {
+                address: process.address,
+                process: Mutex::new(process),
+                faults,
+                kills: RefCell::default(),
+                away: RefCell::default(),
+                held_up: RefCell::default(),
+                ready: RefCell::default(),
+            });
+        }
+        for node in &nodes {
+            node.process.lock().await.up().await?;
+        }
+        let scene = Rc::new(Scene {
+            begun: Instant::now(),
+            nodes,
+            replicas: RefCell::new(replicas),
+            retired: RefCell::default(),
+            discovery,
+            ways_to_discovery,
+            ledger,
+            requests: RefCell::default(),
+            drains: RefCell::default(),
+            lists_out: RefCell::default(),
+            stalls: RefCell::default(),
+            lags: RefCell::default(),
+            wall_step: Cell::default(),
+            next_replica: Cell::new(REPLICAS),
+            seed,
+            _shim: shim,
+        });
+        tokio::task::spawn_local(watch_own_lag(scene.clone()));
+        Ok(scene)
+    }
+
+    /// One clock for all machines: processes read it, and replicas' starts are told by it.
+    pub fn step_all_wall_clocks(&self, seconds: f64) -> Result<()> {
+        self.wall_step.set(seconds);
+        self.nodes.iter().try_for_each(|node| node.faults.step_wall_clock(seconds))
+    }
+
+    pub fn drain(&self, n: usize) {
+        let replicas = self.replicas.borrow();
+        let replica = &replicas[n];
+        self.drains.borrow_mut().push((replica.leaf.address, Instant::now(), None));
+        self.discovery.changes(replica.row("leaving"));
+    }
+
+    pub fn undrain(&self, n: usize) {
+        let replicas = self.replicas.borrow();
+        let replica = &replicas[n];
+        let mut drains = self.drains.borrow_mut();
+        let drain = drains.iter_mut().rev().find(|d| d.0 == replica.leaf.address && d.2.is_none());
+        if let Some((_, _, until)) = drain {
+            *until = Some(Instant::now());
+        }
+        self.discovery.changes(replica.row("active"));
+    }
+
+    /// The replica is gone without a word, and a cold one comes in its place some time later.
+    pub async fn replace(&self, n: usize, after: Duration) -> Result<()> {
+        let (cell, old_row) = {
+            let replicas = self.replicas.borrow();
+            replicas[n].leaf.kill();
+            replicas[n].way.cut();
+            (replicas[n].cell, replicas[n].row("left"))
+        };
+        tokio::time::sleep(after).await;
+        let number = self.next_replica.replace(self.next_replica.get() + 1);
+        let started = Some(Instant::now());
+        let mut new = replica(number, cell, self.seed, &self.ledger, started).await?;
+        new.boot_ms += (self.wall_step.get() * 1000.0) as i64;
+        new.leaf.starts_cold(COLD);
+        let new_row = new.row("active");
+        let gone = self.replicas.borrow()[n].leaf.address;
+        self.drains.borrow_mut().push((gone, Instant::now(), None));
+        self.discovery.changes(old_row);
+        self.discovery.changes(new_row);
+        let old = std::mem::replace(&mut self.replicas.borrow_mut()[n], new);
+        self.retired.borrow_mut().push(old);
+        Ok(())
+    }
+
+    /// How late this program was around that moment.
+    pub fn lag_at(&self, at: Instant) -> Duration {
+        let near = |t: Instant| t + Duration::from_millis(150) >= at && t <= at + Duration::from_millis(600);
+        let lags = self.lags.borrow();
+        lags.iter().filter(|(t, _)| near(*t)).map(|l| l.1).max().unwrap_or_default()
+    }
+}
+
+impl Node {
+    /// Whether it was so at any time between.
+    pub fn overlaps(times: &[(Instant, Option<Instant>)], from: Instant, to: Instant) -> bool {
+        times.iter().any(|(begun, ended)| *begun <= to && ended.is_none_or(|ended| ended >= from))
+    }
+
+    pub fn was_held_up(&self, from: Instant, to: Instant) -> bool {
+        Node::overlaps(&self.held_up.borrow(), from, to)
+    }
+}
+
+async fn replica(
+    number: usize,
+    cell: u32,
+    seed: u64,
+    ledger: &Ledger,
+    started: Option<Instant>,
+) -> Result<Replica> {
+    let leaf = Leaf::start(seed ^ (number as u64) << 32, WORK, ledger.clone()).await?;
+    let way = Link::start(seed ^ (number as u64) << 16, leaf.address, loopback()).await?;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).context("the clock stands before 1970")?;
+    let boot_ms = if started.is_some() { now.as_millis() as i64 } else { 0 };
+    Ok(Replica { name: format!("replica-{number}"), cell, leaf, way, boot_ms, started })
+}
+
+fn told(discovery: &Discovery, watched: SocketAddr, seed: u64, n: usize, processes: usize) -> Result<Value> {
+    let known = discovery.known();
+    let mut told =
+        charter_of(watched, known, CELLS, SHARDS, seed ^ (n as u64 + 1) * 7919, SOCKETS, MOST_OPEN)?;
+    told["name"] = json!(format!("soak-{n}"));
+    let class = |name: &str, kind: &str| {
+        json!({"name": name, "aim_s": 0.8, "hard_limit_s": LONGEST_DEADLINE_S, "idempotency": kind,
+            "dedup_window_s": DEDUP_WINDOW.as_secs_f64()})
+    };
+    let settings = &mut told["settings"];
+    settings["classes"] =
+        json!([class("view", "safe"), class("rank", "safe"), class("sale", "unsafe"), class("pay", "keyed")]);
+    settings["balancers"] = json!(processes);
+    settings["domain"]["complete_from"] = json!([1.0, 1.0, 1.0, 1.0]);
+    settings["domain"]["floor_by_class"] = json!([1.0, 0.5, 1.0, 1.0]);
+    settings["domain"]["follow_up"] = json!([0, 0, 0, 0]);
+    settings["rules"] = json!({"cold_from": COLD_FROM, "cold_s": COLD.as_secs_f64(),
+        "drain_grace_s": DRAIN_GRACE.as_secs_f64(), "fall_s": FALL.as_secs_f64(),
+        "overload_factor": OVERLOAD_FACTOR, "repeat_ratio": 0.2, "extra_free": 5, "budget_span_s": 2.0});
+    Ok(told)
+}
+
+/// What this program sees late it must not hold against a process.
+async fn watch_own_lag(scene: Rc<Scene>) {
+    const STEP: Duration = Duration::from_millis(5);
+    loop {
+        let begun = Instant::now();
+        tokio::time::sleep(STEP).await;
+        let lag = begun.elapsed().saturating_sub(STEP);
+        if lag > STEP {
+            scene.lags.borrow_mut().push((Instant::now(), lag));
+        }
+    }
+}
--- a/crates/pipitcrank-rig/src/trial/mod.rs
+++ b/crates/pipitcrank-rig/src/trial/mod.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 
 use crate::ledger::{Ended, Ledger};
+use crate::soak;
 
 /// No trial lasts longer, and a round more, whatever hangs.
 const LONGEST: Duration = Duration::from_secs(60);
@@ -91,7 +92,8 @@
     })
 }
 
-pub const NAMES: &str = "upgrade, upgrade-overloaded, upgrade-known, gateway, gateway-table, zones, return";
+pub const NAMES: &str =
+    "upgrade, upgrade-overloaded, upgrade-known, gateway, gateway-table, zones, return, soak, soak-short";
 
 /// What of a trial can be told: the same seed plays the same script.
 pub struct Terms<'a> {
@@ -114,6 +116,8 @@
         "gateway-table" => on_one_thread(limit * 3, gateway::table(program, seed))?,
         "zones" => on_one_thread(limit * 2, zones::play(program, seed, only, !json))?,
         "return" => on_one_thread(limit * 3, returns::play(program, seed, only, !json))?,
+        "soak" => on_one_thread(limit * 2, soak::play(program, seed, soak::Size::FULL, only, !json))?,
+        "soak-short" => on_one_thread(limit * 2, soak::play(program, seed, soak::Size::SHORT, only, !json))?,
         _ => bail!("no trial is named '{name}'; there are: {NAMES}"),
     };
     outcome.show(json)?;
