Soak: one trouble alone changes a replica's place in the list; addresses that come again

Change: a lock on a replica's place in the list, drains of an address end with the next start there, lateness of the test program itself is summed.

--- a/crates/pipitcrank-rig/src/soak/judge.rs
+++ b/crates/pipitcrank-rig/src/soak/judge.rs
@@ -212,6 +212,7 @@
         let came: Vec<Duration> = arrivals
             .iter()
             .filter(|a| a.leaf == replica.leaf.address && !self.was_stalled(a))
+            .filter(|a| a.at >= started && replica.gone.is_none_or(|gone| a.at < gone))
             .map(|a| a.at.saturating_duration_since(started))
             .collect();
         let capacity = WORK.at_once as f64 / WORK.usual.as_secs_f64();
--- a/crates/pipitcrank-rig/src/soak/scene.rs
+++ b/crates/pipitcrank-rig/src/soak/scene.rs
@@ -2,6 +2,7 @@
 //! the record of all that happened.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -39,6 +40,8 @@
 /// SIGKILL comes so long after SIGTERM: the longest deadline told and 0.7 s more.
 pub const GRACE: Duration = Duration::from_millis(2700);
 pub const LONGEST_DEADLINE_S: f64 = 2.0;
+/// What this program did late shows for so long.
+const LAG_LASTS: Duration = Duration::from_millis(600);
 
 /// One replica: at work, or gone.
 pub struct Replica {
@@ -49,6 +52,8 @@
     /// Unix time of its start in milliseconds, 0 if long ago; and when that was.
     pub boot_ms: i64,
     pub started: Option<Instant>,
+    /// When it was gone.
+    pub gone: Option<Instant>,
 }
 
 impl Replica {
@@ -91,6 +96,8 @@
     pub stalls: RefCell<Vec<(SocketAddr, Instant, Option<Instant>)>>,
     /// How late this program itself was, and when.
     pub lags: RefCell<Vec<(Instant, Duration)>>,
+    /// Replicas that some trouble drains or replaces.
+    taken: RefCell<BTreeSet<usize>>,
     /// Seconds by which all wall clocks are off.
     wall_step: Cell<f64>,
     next_replica: Cell<usize>,
@@ -144,6 +151,7 @@
             lists_out: RefCell::default(),
             stalls: RefCell::default(),
             lags: RefCell::default(),
+            taken: RefCell::default(),
             wall_step: Cell::default(),
             next_replica: Cell::new(REPLICAS),
             seed,
@@ -180,7 +188,8 @@
     /// The replica is gone without a word, and a cold one comes in its place some time later.
     pub async fn replace(&self, n: usize, after: Duration) -> Result<()> {
         let (cell, old_row) = {
-            let replicas = self.replicas.borrow();
+            let mut replicas = self.replicas.borrow_mut();
+            replicas[n].gone = Some(Instant::now());
             replicas[n].leaf.kill();
             replicas[n].way.cut();
             (replicas[n].cell, replicas[n].row("left"))
@@ -191,6 +200,10 @@
         let mut new = replica(number, cell, self.seed, &self.ledger, started).await?;
         new.boot_ms += (self.wall_step.get() * 1000.0) as i64;
         new.leaf.starts_cold(COLD);
+        // It may have got the address of one that is gone.
+        for drain in self.drains.borrow_mut().iter_mut().filter(|d| d.0 == new.leaf.address) {
+            drain.2 = drain.2.or(started);
+        }
         let new_row = new.row("active");
         let gone = self.replicas.borrow()[n].leaf.address;
         self.drains.borrow_mut().push((gone, Instant::now(), None));
@@ -201,11 +214,31 @@
         Ok(())
     }
 
-    /// How late this program was around that moment.
+    /// How late this program was around that moment, all together.
     pub fn lag_at(&self, at: Instant) -> Duration {
-        let near = |t: Instant| t + Duration::from_millis(150) >= at && t <= at + Duration::from_millis(600);
-        let lags = self.lags.borrow();
-        lags.iter().filter(|(t, _)| near(*t)).map(|l| l.1).max().unwrap_or_default()
+        let near = |t: Instant| t + LAG_LASTS >= at && t <= at + LAG_LASTS;
+        self.lags.borrow().iter().filter(|(t, _)| near(*t)).map(|l| l.1).sum()
+    }
+
+    /// The replica of that number, or the next that no other trouble drains or replaces; free again when dropped.
+    pub fn alone_on(&self, replica: usize) -> Option<Alone<'_>> {
+        let count = self.replicas.borrow().len();
+        let mut taken = self.taken.borrow_mut();
+        let free = (0..count).map(|n| (replica + n) % count).find(|n| !taken.contains(n))?;
+        taken.insert(free);
+        Some(Alone { scene: self, replica: free })
+    }
+}
+
+/// A replica whose place in the list one trouble alone changes.
+pub struct Alone<'a> {
+    scene: &'a Scene,
+    pub replica: usize,
+}
+
+impl Drop for Alone<'_> {
+    fn drop(&mut self) {
+        self.scene.taken.borrow_mut().remove(&self.replica);
     }
 }
 
@@ -231,7 +264,7 @@
     let way = Link::start(seed ^ (number as u64) << 16, leaf.address, loopback()).await?;
     let now = SystemTime::now().duration_since(UNIX_EPOCH).context("the clock stands before 1970")?;
     let boot_ms = if started.is_some() { now.as_millis() as i64 } else { 0 };
-    Ok(Replica { name: format!("replica-{number}"), cell, leaf, way, boot_ms, started })
+    Ok(Replica { name: format!("replica-{number}"), cell, leaf, way, boot_ms, started, gone: None })
 }
 
 fn told(discovery: &Discovery, watched: SocketAddr, seed: u64, n: usize, processes: usize) -> Result<Value> {
--- a/crates/pipitcrank-rig/src/soak/script.rs
+++ b/crates/pipitcrank-rig/src/soak/script.rs
@@ -199,7 +199,11 @@
         Kind::ReplicaBusy => manner(scene, draw, Manner::Busy).await,
         Kind::ReplicaGarbles => manner(scene, draw, Manner::Garbles).await,
         Kind::ReplicaSlow => manner(scene, draw, Manner::Slow(15.0)).await,
-        Kind::ReplicaReplaced => scene.replace(draw.replica, draw.lasts / 2).await?,
+        Kind::ReplicaReplaced => {
+            if let Some(alone) = scene.alone_on(draw.replica) {
+                scene.replace(alone.replica, draw.lasts / 2).await?;
+            }
+        }
         Kind::Drain => drain(scene, draw).await,
         Kind::WayStalls => way_stalls(scene, draw).await,
         Kind::WayBreaks => {
@@ -255,7 +259,9 @@
             // All machines read one clock: the replica's start is told by the stepped one.
             let step = if draw.share < 0.5 { -3600.0 } else { 3600.0 };
             scene.step_all_wall_clocks(step)?;
-            scene.replace(draw.replica, Duration::from_millis(100)).await?;
+            if let Some(alone) = scene.alone_on(draw.replica) {
+                scene.replace(alone.replica, Duration::from_millis(100)).await?;
+            }
             tokio::time::sleep(draw.lasts).await;
             scene.step_all_wall_clocks(0.0)?;
         }
@@ -357,12 +363,10 @@
 }
 
 async fn drain(scene: &Scene, draw: &Draw) {
-    let name = scene.replicas.borrow()[draw.replica].name.clone();
-    scene.drain(draw.replica);
-    tokio::time::sleep(draw.lasts * 3).await;
-    let same = scene.replicas.borrow()[draw.replica].name == name;
-    if same {
-        scene.undrain(draw.replica);
+    if let Some(alone) = scene.alone_on(draw.replica) {
+        scene.drain(alone.replica);
+        tokio::time::sleep(draw.lasts * 4).await;
+        scene.undrain(alone.replica);
     }
 }
 
