--- a/crates/pipitcrank-cli/tests/leaving.rs
+++ b/crates/pipitcrank-cli/tests/leaving.rs
@@ -105,6 +105,42 @@
     }
 }
 
+/// The end of a chunked body is the library's to find; with bytes behind it that the library could not use yet, the close
+/// behind those was not seen before the answer.
+#[test]
+fn whoever_has_closed_behind_a_chunked_body_gets_no_retry() {
+    for (behind, resets) in [(0, false), (10, false), (100_000, false), (100_000, true)] {
+        on_one_thread(LIMIT, async {
+            let ([mut a, mut b], _source, process) = two_leaves().await?;
+            let mut client = connect(process.address).await?;
+            let plain = question("view-1").request();
+            let (head, body) = plain.split_once("\r\n\r\n").unwrap();
+            let head = head.split("\r\n").filter(|l| !l.starts_with("Content-Length"));
+            let head = head.collect::<Vec<_>>().join("\r\n");
+            let request = format!(
+                "{head}\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n{}",
+                body.len(),
+                "x".repeat(behind)
+            );
+            client.write_all(request.as_bytes()).await?;
+            let first = tokio::select! {
+                call = a.call() => call,
+                call = b.call() => call,
+            };
+            if resets {
+                client.set_zero_linger()?;
+            }
+            drop(client);
+            counted(&process, "queries client_gone", 1).await;
+            first.fails();
+            tokio::time::sleep(LONG).await;
+            assert!(a.came().is_none() && b.came().is_none(), "a retry for a client that left: {behind}");
+            Ok(())
+        })
+        .unwrap();
+    }
+}
+
 /// Where calls may be cancelled, and where not: there nothing ends the call but the last look before its first byte, and by
 /// then another query has the place of the one that ended. Its call went out, under the other's key.
 #[test]
