Streams read and write until the system would block; closes seen behind chunked bodies

Ruled out: a loop in hyper's adapter alone (the replicas' side had the same fault); a parser of chunked bodies (the front says when the body is whole). Change: stream.rs, one type for clients, replicas and discovery; system_errors.rs, a policy for each class of error, with tests; dial.rs for both kinds of connections; closes_behind_body; what stands behind a request is thrown away in pieces with pauses, without end.

--- a/crates/pipitcrank-node/src/acceptor.rs
+++ b/crates/pipitcrank-node/src/acceptor.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::Router;
@@ -15,7 +16,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
@@ -29,8 +29,9 @@
 use crate::ends::ConnectionEnd;
 use crate::front::{Arrival, EndCalled};
 use crate::hall::{Place, Sockets};
-use crate::request_reader::{Framing, Heads, RequestReader};
+use crate::request_reader::{BEHIND_PAUSE, BEHIND_PIECE, Framing, Heads, RequestReader};
 use crate::shutdown::ShutdownSchedule;
+use crate::stream::Stream;
 
 /// Longest request head taken: with all places for clients in use, heads and bodies stay under a quarter of the
 /// memory told.
@@ -278,18 +279,21 @@
 }
 
 /// A client for whom there is no place is told so at once, and not left to a reset.
-async fn turn_away(mut stream: TcpStream) {
-    let mut piece = vec![0; LONGEST_HEAD];
+async fn turn_away(stream: TcpStream) {
+    let (stream, mut piece) = (Stream::new(stream), Vec::with_capacity(LONGEST_HEAD));
     // Guards against a reset that takes the answer with it: what it has asked is read.
-    let _ = tokio::time::timeout(NO_PLACE_WAIT, stream.read(&mut piece)).await;
-    last_word(stream, NO_PLACE).await;
+    let _ = tokio::time::timeout(NO_PLACE_WAIT, stream.read_some(&mut piece)).await;
+    last_word(&stream, NO_PLACE).await;
 }
 
 /// Says that, and lets the client read it for a while: others may wait for its place.
-async fn last_word(stream: TcpStream, word: &[u8]) {
-    if stream.try_write(word).is_ok() {
-        let _ = tokio::time::timeout(LAST_WORD_READ, see_off(stream)).await;
-    }
+async fn last_word(stream: &Stream, word: &[u8]) {
+    let said = async {
+        if stream.write_all(word).await.is_ok() {
+            see_off(stream).await;
+        }
+    };
+    let _ = tokio::time::timeout(LAST_WORD_READ, said).await;
 }
 
 async fn serve(
@@ -300,15 +304,16 @@
     idle: Duration,
 ) -> ConnectionEnd {
     let Adopted { stream, read, .. } = come;
-    let _ = stream.set_nodelay(true);
+    let stream = Rc::new(Stream::new(stream));
     let heads = Rc::new(RefCell::new(Heads::new(LONGEST_HEAD)));
     let reader = RequestReader {
-        stream,
+        stream: stream.clone(),
         connection: connection.clone(),
         heads: heads.clone(),
         ended: false,
         before: read,
         behind: 0,
+        pause: None,
     };
     let moods = mood.clone();
     let service = service_fn(|request| {
@@ -334,20 +339,24 @@
             () = connection.called_to_leave() => match connection.doing() {
                 Doing::Idle => return ConnectionEnd::Idle,
                 Doing::Begun if connection.is_flushed() => {
-                    last_word(serving.into_parts().io.into_inner().stream, TOO_SLOW).await;
+                    last_word(&stream, TOO_SLOW).await;
                     return ConnectionEnd::Silent;
                 }
                 _ => return ConnectionEnd::Silent,
             },
+            // Guards against a close that is not seen behind bytes which the library does not read on from.
+            () = closes_behind_body(&stream, connection) => return ConnectionEnd::Closed,
             Ok(()) = mood.changed() => now = mood.borrow_and_update().clone(),
             () = connection.rests(matches!(now, Mood::Pass(_)), idle), if !matches!(now, Mood::Stay) => {
                 let Mood::Pass(to) = now else { break ConnectionEnd::LetGo };
                 let whole_within = connection.whole_within(Instant::now());
                 let parts = serving.into_parts();
-                let reader = parts.io.into_inner();
+                let RequestReader { stream: ours, before, .. } = parts.io.into_inner();
+                drop(ours);
                 // What the library has read and not used, and what had come before and was not read by it.
-                let read = [&parts.read_buf[..], &reader.before[..]].concat().into();
-                let _ = to.send(Adopted { stream: reader.stream, read, whole_within });
+                let read = [&parts.read_buf[..], &before[..]].concat().into();
+                let Some(stream) = Rc::into_inner(stream) else { return ConnectionEnd::Reset };
+                let _ = to.send(Adopted { stream: stream.into_tcp(), read, whole_within });
                 return ConnectionEnd::Passed;
             }
         }
@@ -356,13 +365,31 @@
     if !reader.ended && end != ConnectionEnd::Reset {
         connection.turns_to(Doing::Parting, Instant::now());
         tokio::select! {
-            () = see_off(reader.stream) => {}
+            () = see_off(&stream) => {}
             () = connection.called_to_leave() => {}
         }
     }
     end
 }
 
+/// Ends when the client closes behind a request whose body came whole in chunks. Where a chunked body ends only the library
+/// knows, and it reads no further where it has bytes behind it that it can't use yet; so those are read off here.
+async fn closes_behind_body(stream: &Stream, connection: &ClientConnection) {
+    connection.body_is_whole().await;
+    let (mut piece, mut read) = (Vec::with_capacity(SEE_OFF_PIECE), 0);
+    loop {
+        piece.clear();
+        match stream.read_some(&mut piece).await {
+            Ok(n) if n > 0 => read += n,
+            _ => return,
+        }
+        if read > BEHIND_PIECE {
+            read = 0;
+            tokio::time::sleep(BEHIND_PAUSE).await;
+        }
+    }
+}
+
 /// One request of a connection, from its head to its answer.
 async fn answer(
     router: Router,
@@ -373,8 +400,13 @@
 ) -> Result<axum::response::Response, std::convert::Infallible> {
     connection.turns_to(Doing::Open, Instant::now());
     // Seen by the reader alone: of a request framed both ways the library shows one only.
-    let mixed = heads.borrow().framing() == Some(Framing::Mixed);
-    request.extensions_mut().insert(Arrival { whole_by: connection.whole_by(), mixed });
+    let framing = heads.borrow().framing();
+    let whole = match framing {
+        Some(Framing::Chunked) => connection.body_comes(),
+        _ => Arc::default(),
+    };
+    let mixed = framing == Some(Framing::Mixed);
+    request.extensions_mut().insert(Arrival { whole_by: connection.whole_by(), mixed, whole });
     let answered = { router }.call(request.map(Body::new)).await;
     let mut heads = heads.borrow_mut();
     let follows = heads.may_follow() && !matches!(*mood.borrow(), Mood::Leave);
@@ -392,14 +424,15 @@
 }
 
 /// Says that nothing more comes from us, and lets the client read that in peace.
-async fn see_off(mut stream: TcpStream) {
-    if stream.shutdown().await.is_err() {
+async fn see_off(stream: &Stream) {
+    if stream.shut_down().is_err() {
         return;
     }
     let until = Instant::now() + SEE_OFF;
-    let (mut piece, mut left) = (vec![0; SEE_OFF_PIECE], SEE_OFF_BYTES);
+    let (mut piece, mut left) = (Vec::with_capacity(SEE_OFF_PIECE), SEE_OFF_BYTES);
     while left > 0 && Instant::now() < until {
-        match tokio::time::timeout(SEE_OFF_SILENT, stream.read(&mut piece)).await {
+        piece.clear();
+        match tokio::time::timeout(SEE_OFF_SILENT, stream.read_some(&mut piece)).await {
             Ok(Ok(n)) if n > 0 => left = left.saturating_sub(n),
             _ => return,
         }
--- a/crates/pipitcrank-node/src/acceptor/tests.rs
+++ b/crates/pipitcrank-node/src/acceptor/tests.rs
@@ -3,6 +3,7 @@
 
 use axum::routing::get;
 use pipitcrank::time::{At, Span};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc::unbounded_channel;
 
 use super::*;
--- a/crates/pipitcrank-node/src/client_connections.rs
+++ b/crates/pipitcrank-node/src/client_connections.rs
@@ -3,11 +3,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::front::BodyWhole;
+
 /// A request has to be whole this long after it began, the first on a connection after connecting: who does not
 /// get so far is owed an error or a close within 3 s, and half a second of that may pass waiting for the processor.
 const WHOLE_WITHIN: Duration = Duration::from_millis(2500);
@@ -51,6 +54,9 @@
     /// Its last answer says that the connection ends with it.
     last: Cell<bool>,
     moved_on: Notify,
+    /// Of a request whose body comes in chunks: whether that is whole.
+    body: RefCell<Option<Arc<BodyWhole>>>,
+    body_begun: Notify,
 }
 
 impl ClientConnection {
@@ -59,7 +65,20 @@
         let called_from = doing.clone();
         let (leaving, flushed) = (Cell::default(), Cell::new(true));
         let (leave, last, moved_on) = (Notify::new(), Cell::default(), Notify::new());
-        ClientConnection { came: now, doing, whole_by, leaving, leave, called_from, flushed, last, moved_on }
+        let (body, body_begun) = (RefCell::default(), Notify::new());
+        ClientConnection {
+            came: now,
+            doing,
+            whole_by,
+            leaving,
+            leave,
+            called_from,
+            flushed,
+            last,
+            moved_on,
+            body,
+            body_begun,
+        }
     }
 
     /// Goes on from where another process had it: between two requests, or with some of one read, which has to be
@@ -70,6 +89,25 @@
         self.whole_by.set(now + whole_within.unwrap_or(WHOLE_WITHIN).min(WHOLE_WITHIN));
     }
 
+    /// A request's body comes in chunks; whoever reads it says when it is whole.
+    pub fn body_comes(&self) -> Arc<BodyWhole> {
+        let body = Arc::<BodyWhole>::default();
+        *self.body.borrow_mut() = Some(body.clone());
+        self.body_begun.notify_one();
+        body
+    }
+
+    /// Ends when the body of a request that came in chunks is whole.
+    pub async fn body_is_whole(&self) {
+        loop {
+            let body = self.body.borrow().clone();
+            match body {
+                Some(body) => return body.wait().await,
+                None => self.body_begun.notified().await,
+            }
+        }
+    }
+
     /// The answer at hand ends the connection.
     pub fn ends(&self) {
         self.last.set(true);
--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -15,7 +15,6 @@
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use pipitcrank::chance::Chance;
 use serde::Deserialize;
@@ -24,6 +23,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::clock::Clock;
+use crate::dial::Connector;
 use crate::ends::ConnectionEnd;
 use crate::exchange::Listed;
 use crate::hall::Hall;
@@ -142,7 +142,7 @@
     }
 }
 
-type Asker = Client<HttpConnector, Empty<Bytes>>;
+type Asker = Client<Connector, Empty<Bytes>>;
 
 /// Version of the list that is held; none asks for the whole list.
 pub type Rev = Rc<Cell<Option<u64>>>;
@@ -150,10 +150,8 @@
 /// Watches for ever, wherever discovery is at the moment; `rev` is the version of the list as first known, and then
 /// as held. `paid`: lists are told to who asks alone.
 pub async fn watch(hall: Rc<Hall>, mut address: watch::Receiver<String>, rev: Rev, paid: Option<Paid>) {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
     // Each call has a connection of its own. Guards against one kept that has died: it would swallow call after call.
-    let client: Asker = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(connector);
+    let client: Asker = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(Connector);
     loop {
         let at = address.borrow_and_update().clone();
         let (again, had, doubted) = (Notify::new(), Notify::new(), Cell::new(false));
--- a/crates/pipitcrank-node/src/front.rs
+++ b/crates/pipitcrank-node/src/front.rs
@@ -3,7 +3,7 @@
 
 use std::borrow::Cow;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use axum::Router;
 use axum::body::{Body, Bytes, to_bytes};
@@ -16,7 +16,7 @@
 use pipitcrank::time::{At, Span};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::Instant;
 
 use crate::awake::Awake;
@@ -32,13 +32,35 @@
 /// When this process was asked to end, once it was.
 pub type EndCalled = watch::Receiver<Option<At>>;
 
+/// Says when a request's body has been read whole.
+#[derive(Default)]
+pub struct BodyWhole {
+    is: AtomicBool,
+    became: Notify,
+}
+
+impl BodyWhole {
+    fn set(&self) {
+        self.is.store(true, Ordering::Relaxed);
+        self.became.notify_one();
+    }
+
+    /// Ends when it has been.
+    pub async fn wait(&self) {
+        while !self.is.load(Ordering::Relaxed) {
+            self.became.notified().await;
+        }
+    }
+}
+
 /// What is known of a request beside its text.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 pub struct Arrival {
     /// By then it has to be here whole.
     pub whole_by: Instant,
     /// It says in two ways at once where it ends.
     pub mixed: bool,
+    pub whole: Arc<BodyWhole>,
 }
 
 /// Longest time a client may claim to wait: beyond a day it is no time that anybody waits.
@@ -150,7 +172,7 @@
         refused.headers_mut().insert(ALLOW, HeaderValue::from_static("POST"));
         return refused;
     }
-    let arrival = parts.extensions.get::<Arrival>().copied();
+    let arrival = parts.extensions.get::<Arrival>().cloned();
     let asked = match read(&door, Vertical(vertical as u16), &parts.headers, arrival, body).await {
         Ok(asked) => asked,
         Err((status, what)) => {
@@ -199,7 +221,7 @@
     let unread = door.awake.unread_for(received);
     let wrong = |what: &'static str| (StatusCode::BAD_REQUEST, what);
     // Guards against a request hidden in the body of another: neither is taken.
-    if arrival.is_some_and(|a| a.mixed) {
+    if arrival.as_ref().is_some_and(|a| a.mixed) {
         return Err(wrong("it has both Content-Length and Transfer-Encoding"));
     }
     // A header that stands there twice says nothing: two readers may not take the same one.
@@ -227,7 +249,7 @@
     let left = Span::from_ms(left.ok_or(wrong("Req-Deadline-Ms is not a number of milliseconds"))?);
     // Guards against places held by clients whose body never comes, whatever time they claim to wait.
     let own = Instant::now() + duration(left);
-    let whole_by = arrival.map_or(own, |a| a.whole_by.min(own));
+    let whole_by = arrival.as_ref().map_or(own, |a| a.whole_by.min(own));
     let body = tokio::select! {
         biased;
         body = to_bytes(body, MOST_BODY) => body,
@@ -236,6 +258,9 @@
         }
     };
     let body = body.map_err(|e| too_large_or_broken(&e))?;
+    if let Some(arrival) = arrival {
+        arrival.whole.set();
+    }
     let ends = ends(received + left - unread, *door.end_called.borrow(), door.last_answer);
     let asked = decode(&body, id, vertical, ends, door.shards).map_err(wrong)?;
     Ok(Asked { idempotency_key: key.map(Into::into), ..asked })
--- a/crates/pipitcrank-node/src/request_reader.rs
+++ b/crates/pipitcrank-node/src/request_reader.rs
@@ -5,13 +5,14 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{Instant, Sleep, sleep};
 
 use crate::client_connections::{ClientConnection, Doing};
+use crate::stream::Stream;
 
 /// How a request says where it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -117,25 +118,29 @@
 }
 
 pub struct RequestReader {
-    pub stream: TcpStream,
+    pub stream: Rc<Stream>,
     pub connection: Rc<ClientConnection>,
     pub heads: Rc<std::cell::RefCell<Heads>>,
     /// The client has closed its side.
     pub ended: bool,
     /// What another process had read from it: comes before all else.
     pub before: Bytes,
-    /// Bytes thrown away that came behind the request at hand.
+    /// Bytes thrown away that came behind the request at hand, since the last pause.
     pub behind: usize,
+    /// The pause under way.
+    pub pause: Option<Pin<Box<Sleep>>>,
 }
 
-/// Who sends more than this behind a request has no use for its answer: several hundred requests at once.
-const MOST_BEHIND: usize = 1 << 20;
+/// So much of what stands behind a request is thrown away in one go, then others get their turns: a client that sends
+/// without end must not cost them the processor, and its own close has to be found behind all of it soon.
+pub const BEHIND_PIECE: usize = 1 << 20;
+pub const BEHIND_PAUSE: Duration = Duration::from_millis(1);
 
 impl RequestReader {
     /// Takes bytes from before, or from the connection.
     fn poll_some(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         if self.before.is_empty() {
-            return Pin::new(&mut self.stream).poll_read(cx, buf);
+            return self.stream.poll_read_some(cx, buf).map_ok(drop);
         }
         let n = buf.remaining().min(self.before.len());
         buf.put_slice(&self.before[..n]);
@@ -170,39 +175,43 @@
             // Guards against a client that has closed and is not seen to: the library reads no further where it has bytes
             // that it can't use yet.
             self.behind += all;
-            if self.behind > MOST_BEHIND {
-                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+            if self.behind > BEHIND_PIECE {
+                self.behind = 0;
+                self.pause = Some(Box::pin(sleep(BEHIND_PAUSE)));
+            }
+            if let Some(pause) = &mut self.pause {
+                ready!(pause.as_mut().poll(cx));
+                self.pause = None;
             }
         }
     }
 }
 
 impl AsyncWrite for RequestReader {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.stream.poll_write_some(cx, bytes)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
+        pieces: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.stream.poll_write_pieces(cx, pieces)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Called once all that there was to write has been written.
-        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         self.connection.flushed();
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.stream.shut_down())
     }
 }
 
--- /dev/null
+++ b/crates/pipitcrank-node/src/system_errors/tests.rs
@@ -0,0 +1,44 @@
+use std::cell::Cell;
+
+use super::*;
+
+fn error(errno: Errno) -> io::Error {
+    errno.into()
+}
+
+#[test]
+fn an_accept_that_fails_for_one_connection_or_for_want_is_made_again() {
+    for errno in [Errno::CONNABORTED, Errno::INTR, Errno::PROTO, Errno::HOSTUNREACH, Errno::NETDOWN] {
+        assert_eq!(of_accept(&error(errno)), Policy::RetryAtOnce, "{errno}");
+    }
+    for errno in [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM] {
+        assert_eq!(of_accept(&error(errno)), Policy::RetryAfterPause, "{errno}");
+    }
+    assert_eq!(of_accept(&error(Errno::BADF)), Policy::GiveUp);
+}
+
+#[test]
+fn a_dial_that_the_other_side_refuses_is_not_made_again() {
+    for errno in [Errno::CONNREFUSED, Errno::TIMEDOUT, Errno::CONNRESET] {
+        assert_eq!(of_open(&error(errno)), Policy::GiveUp, "{errno}");
+    }
+}
+
+/// What came of attempts that fail so often with that, and how many were made.
+async fn attempts(errno: Errno, fail: u32) -> (bool, u32) {
+    let made = Cell::new(0);
+    let attempt = async || {
+        made.set(made.get() + 1);
+        if made.get() <= fail { Err(error(errno)) } else { Ok(()) }
+    };
+    (retried(attempt).await.is_ok(), made.get())
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_passes_is_waited_for_and_what_does_not_is_told() {
+    assert_eq!(attempts(Errno::NFILE, 40).await, (true, 41));
+    assert_eq!(attempts(Errno::INTR, 40).await, (true, 41));
+    assert_eq!(attempts(Errno::NETUNREACH, 2).await, (true, 3));
+    assert_eq!(attempts(Errno::NETUNREACH, 40).await, (false, 3));
+    assert_eq!(attempts(Errno::CONNREFUSED, 40).await, (false, 1));
+}
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -6,20 +6,17 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use hyper_util::client::legacy::connect::HttpConnector;
 use pipitcrank::ids::Ending;
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::Instant;
-use tower_service::Service;
 
+use crate::dial::dial;
 use crate::ends::ConnectionEnd;
 use crate::exchange::CallNo;
 use crate::frames::{self, FromLeaf};
 use crate::hall::Hall;
 use crate::leaves::{Job, Wire};
+use crate::stream::Stream;
 
 /// What is being written: nothing, a job whose first byte has not gone, or the rest of a frame.
 enum Writing {
@@ -55,12 +52,9 @@
     left.filter_map(|job| if let Job::Call(parts) = job { Some(parts) } else { None }).collect()
 }
 
-async fn open(address: SocketAddr, limit: Duration) -> Result<TcpStream, ConnectionEnd> {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    let uri = format!("http://{address}").parse().map_err(|_| ConnectionEnd::Refused)?;
-    match tokio::time::timeout(limit, connector.call(uri)).await {
-        Ok(Ok(stream)) => Ok(stream.into_inner()),
+async fn open(address: SocketAddr, limit: Duration) -> Result<Stream, ConnectionEnd> {
+    match tokio::time::timeout(limit, dial(address)).await {
+        Ok(Ok(stream)) => Ok(stream),
         Ok(Err(e)) => {
             tracing::debug!("no connection to {address}: {e}");
             Err(ConnectionEnd::Refused)
@@ -73,11 +67,10 @@
     hall: &Rc<Hall>,
     wire: &Wire,
     jobs: &mut UnboundedReceiver<Job>,
-    stream: TcpStream,
+    stream: Stream,
     way_limit: Duration,
     idle_limit: Duration,
 ) -> ConnectionEnd {
-    let (mut from, to) = stream.into_split();
     let mut buffer = BytesMut::with_capacity(4096);
     let mut writing = Writing::Nothing;
     let mut used = Instant::now();
@@ -98,7 +91,7 @@
             () = tokio::time::sleep_until(used + idle_limit), if nothing && idle(wire) => {
                 return ConnectionEnd::Idle;
             }
-            read = from.read_buf(&mut buffer) => match read {
+            read = stream.read_some(&mut buffer) => match read {
                 Ok(0) => return ConnectionEnd::Closed,
                 Err(_) => return ConnectionEnd::Reset,
                 Ok(_) => {
@@ -132,14 +125,14 @@
                 tracing::warn!("leaf {} did not end a frame", wire.leaf.0);
                 return ConnectionEnd::BadBytes;
             }
-            ready = to.writable(), if !nothing => {
+            ready = stream.writable(), if !nothing => {
                 if ready.is_err() {
                     return ConnectionEnd::Reset;
                 }
                 if matches!(writing, Writing::Next(Job::Call(_))) {
                     hall.catch_up().await;
                 }
-                writing = match write(hall, wire, &to, writing) {
+                writing = match write(hall, wire, &stream, writing) {
                     Ok(writing) => writing,
                     Err(_) => return ConnectionEnd::Reset,
                 };
@@ -175,7 +168,7 @@
 }
 
 /// One step of writing.
-fn write(hall: &Rc<Hall>, wire: &Wire, to: &OwnedWriteHalf, writing: Writing) -> io::Result<Writing> {
+fn write(hall: &Rc<Hall>, wire: &Wire, to: &Stream, writing: Writing) -> io::Result<Writing> {
     let begins = matches!(writing, Writing::Next(_));
     let (mut rest, parts) = match writing {
         Writing::Nothing => return Ok(Writing::Nothing),
--- a/crates/pipitcrank-node/src/wire/tests.rs
+++ b/crates/pipitcrank-node/src/wire/tests.rs
@@ -3,8 +3,7 @@
 use pipitcrank::ids::{Leaf, Part, Vertical};
 use pipitcrank::time::Span;
 use pipitcrank::told::Told;
-use tokio::net::TcpListener;
-use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::unbounded_channel;
 
 use super::*;
@@ -48,15 +47,15 @@
 }
 
 /// One leaf at the end of a connection, and a query whose one call to it is out.
-async fn one_call_out() -> (TcpStream, OwnedReadHalf, OwnedWriteHalf, Rc<Hall>, CallNo) {
+async fn one_call_out() -> (TcpStream, Stream, Rc<Hall>, CallNo) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let stream = TcpStream::connect(address).await.unwrap();
     let (leaf_end, _) = listener.accept().await.unwrap();
-    let (from, to) = stream.into_split();
+    let to = Stream::new(stream);
     to.writable().await.unwrap();
     let (hall, call) = one_query(address);
-    (leaf_end, from, to, hall, call)
+    (leaf_end, to, hall, call)
 }
 
 /// A hall that has one leaf there and one query, the first, with its one call out.
@@ -118,7 +117,7 @@
 /// A call was queued on this connection and given up there; its number is that of a call queued on another one now.
 #[tokio::test]
 async fn a_call_that_another_connection_carries_does_not_go_out_here() {
-    let (_leaf_end, _from, to, hall, call) = one_call_out().await;
+    let (_leaf_end, to, hall, call) = one_call_out().await;
     let (jobs, _) = unbounded_channel();
     let here = Wire::new(Leaf(0), jobs.clone());
     let there = Wire { carried: carries(call), ..Wire::new(Leaf(0), jobs) };
@@ -136,7 +135,7 @@
 
 #[tokio::test]
 async fn a_call_of_which_no_byte_has_gone_is_looked_at_again() {
-    let (_unread, _from, to, hall, call) = one_call_out().await;
+    let (_unread, to, hall, call) = one_call_out().await;
     while to.try_write(&[0; 1 << 16]).is_ok() {}
     let (jobs, _) = unbounded_channel();
     let wire = Wire { carried: carries(call), ..Wire::new(Leaf(0), jobs) };
@@ -152,7 +151,7 @@
 #[tokio::test]
 async fn a_probe_queued_for_a_leaf_that_drains_meanwhile_does_not_go_out() {
     for drains in [false, true] {
-        let (leaf_end, _from, to, hall, _call) = one_call_out().await;
+        let (leaf_end, to, hall, _call) = one_call_out().await;
         let (jobs, _queue) = unbounded_channel();
         let wire = Wire::new(Leaf(0), jobs);
         wire.probes.set(1);
