--- a/crates/pipitcrank-cli/tests/crossings.rs
+++ b/crates/pipitcrank-cli/tests/crossings.rs
@@ -103,6 +103,39 @@
     .unwrap();
 }
 
+/// The process stands still while a request comes: what lies unread counts from when it was written, so its replica is told
+/// no more time than its client has, but for the slack.
+#[test]
+fn a_request_read_late_is_told_no_more_time_than_its_client_has() {
+    const SLACK: Duration = Duration::from_millis(150);
+    on_one_thread(LIMIT, async {
+        let (mut leaf, _source, process) = one_leaf(256).await?;
+        for (n, stood_still) in [180, 300, 500, 900].into_iter().enumerate() {
+            // Some time after the last standstill.
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            let wait = Duration::from_millis(1500);
+            let asked = Question { wait, ..question(&format!("view-{n}")) };
+            let mut kept = BufReader::new(connect(process.address).await?);
+            let before = Question { id: format!("view-before-{n}"), ..asked.clone() };
+            kept.get_mut().write_all(before.request().as_bytes()).await?;
+            leaf.call().await.answers();
+            assert_eq!(read_answer(&mut kept).await.map(|a| a.status), Some(200));
+            process.signal(Signal::STOP)?;
+            kept.get_mut().write_all(asked.request().as_bytes()).await?;
+            let written = Instant::now();
+            tokio::time::sleep(Duration::from_millis(stood_still)).await;
+            process.signal(Signal::CONT)?;
+            let call = leaf.call().await;
+            let left = wait.saturating_sub(written.elapsed());
+            assert!(call.told <= left + SLACK, "{stood_still} ms: told {:?}, left {left:?}", call.told);
+            call.answers();
+            assert_eq!(read_answer(&mut kept).await.map(|a| a.status), Some(200));
+        }
+        Ok(())
+    })
+    .unwrap();
+}
+
 /// What the list says while a process ends holds for what it still sends: told by the watch, and at a SIGHUP in its end by a
 /// look, where the watch is silent.
 #[test]
--- a/crates/pipitcrank-cli/tests/stand_ins/mod.rs
+++ b/crates/pipitcrank-cli/tests/stand_ins/mod.rs
@@ -40,6 +40,8 @@
     pub id: String,
     /// What stood behind `k=` in its list.
     pub key: Option<String>,
+    /// The time that the co-ordinator says it waits.
+    pub told: Duration,
     say: UnboundedSender<Say>,
 }
 
@@ -153,7 +155,9 @@
                     let words: Vec<&str> = line.split(' ').collect();
                     let [id, _, list, length] = words[..] else { panic!("a part's line is '{line}'") };
                     let key = list.split(',').find_map(|w| w.strip_prefix("k=")).map(str::to_string);
-                    let _ = hand_out.send(Asked { id: id.to_string(), key, say: say.clone() });
+                    let told = list.split(',').find_map(|w| w.strip_prefix("d=")?.parse().ok());
+                    let told = Duration::from_millis(told.expect("a time told"));
+                    let _ = hand_out.send(Asked { id: id.to_string(), key, told, say: say.clone() });
                     call = &after[length.parse::<usize>().expect("a length")..];
                 }
             }
--- a/crates/pipitcrank-cli/tests/system_calls.rs
+++ b/crates/pipitcrank-cli/tests/system_calls.rs
@@ -2,17 +2,18 @@
 
 mod stand_ins;
 
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::Result;
 use pipitcrank_rig::client::{Clients, Question};
+use pipitcrank_rig::discovery::row;
 use pipitcrank_rig::faults::{Fault, Faults, Shim};
 use pipitcrank_rig::fleet::Fleet;
 use pipitcrank_rig::leaf::Work;
 use pipitcrank_rig::ledger::{Ended, Ledger};
 use pipitcrank_rig::process::Process;
 use pipitcrank_rig::trial::on_one_thread;
-use stand_ins::program;
+use stand_ins::{Leaf, Source, charter, program};
 
 const LIMIT: Duration = Duration::from_secs(90);
 const WORK: Work = Work { usual: Duration::from_millis(4), at_once: 32 };
@@ -26,7 +27,7 @@
 
 impl Scene {
     async fn start(seed: u64) -> Result<Scene> {
-        let fleet = Fleet::start(seed, WORK).await?;
+        let fleet = Fleet::start_with(seed, WORK, Ledger::with_arrivals()).await?;
         let shim = Shim::build()?;
         let faults = shim.for_process("one", seed)?;
         let told = fleet.charter(seed, 512, 3000)?;
@@ -94,3 +95,100 @@
     })
     .unwrap();
 }
+
+/// Accepts fail for a while: the time in the accept queue is the client's as well.
+#[test]
+fn a_request_that_waited_to_be_accepted_is_told_no_more_time_than_its_client_has() {
+    const SLACK: Duration = Duration::from_millis(150);
+    on_one_thread(LIMIT, async {
+        let scene = Scene::start(5).await?;
+        scene.asks("before", 20).await;
+        for (n, fails_for) in [250, 700].into_iter().enumerate() {
+            let id = format!("view-waits-{n}");
+            scene.faults.set(Fault::Accept, 1.0)?;
+            let ledger = Ledger::default();
+            let clients = Clients::new(scene.process.address, ledger.clone());
+            let (asked, written) = (question(&id), Instant::now());
+            let wait = asked.wait;
+            let asking = tokio::task::spawn_local(async move { clients.ask(asked).await });
+            tokio::time::sleep(Duration::from_millis(fails_for)).await;
+            scene.faults.set(Fault::Accept, 0.0)?;
+            asking.await?;
+            all_merged(&ledger, 1, &scene.process.log());
+            let arrivals = scene.fleet.ledger.arrivals();
+            let came: Vec<_> = arrivals.iter().filter(|a| a.part.starts_with(&id)).collect();
+            assert_eq!(came.len(), 6);
+            for arrival in came {
+                let left = (written + wait).saturating_duration_since(arrival.at);
+                assert!(arrival.told <= left + SLACK, "told {:?}, left {left:?}", arrival.told);
+            }
+        }
+        Ok(())
+    })
+    .unwrap();
+}
+
+/// Calls that the old and the new replica got, in each stretch so long after the new one was listed.
+async fn calls_after_a_step(step_s: f64, stretches: &[Duration]) -> Result<Vec<[usize; 2]>> {
+    let (mut old, mut new) = (Leaf::start().await?, Leaf::start().await?);
+    let source = Source::start(1, vec![row("old", old.address, 0, "active", 0)]).await?;
+    let mut told = charter(&source, 1, 256)?;
+    told["settings"]["allowed"]["probing"] = false.into();
+    told["settings"]["rules"] = serde_json::json!({"cold_from": 0.05, "cold_s": COLD.as_secs_f64(),
+        "drain_grace_s": 2.0, "fall_s": 0.5, "overload_factor": 1.0});
+    let shim = Shim::build()?;
+    let faults = shim.for_process("one", 1)?;
+    let process = Process::start_with(program(), told, faults.variables())?;
+    process.up().await?;
+    source.until_watched().await;
+    let clients = Clients::new(process.address, Ledger::default());
+    let mut n = 0;
+    let mut asks = async |old: &mut Leaf, new: &mut Leaf, lasts: Duration| {
+        let (begun, mut counted) = (Instant::now(), [0, 0]);
+        while begun.elapsed() < lasts {
+            n += 1;
+            let asked = Question { shards: vec![0], ..question(&format!("view-{n}")) };
+            let asking = clients.ask(asked);
+            let mut asking = std::pin::pin!(asking);
+            let call = tokio::select! {
+                call = old.call() => { counted[0] += 1; call }
+                call = new.call() => { counted[1] += 1; call }
+                _ = &mut asking => continue,
+            };
+            call.answers();
+            asking.await;
+            tokio::time::sleep(Duration::from_millis(3)).await;
+        }
+        counted
+    };
+    asks(&mut old, &mut new, Duration::from_secs(1)).await;
+    // All machines read the one clock: the new replica's start is told by it as it is now.
+    faults.step_wall_clock(step_s)?;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as i64;
+    let boot_ms = now + (step_s * 1000.0) as i64;
+    let rows = [("old", old.address, 0), ("new", new.address, boot_ms)];
+    source.holds(2, rows.map(|(name, at, boot)| row(name, at, 0, "active", boot)).to_vec());
+    let mut counted = Vec::new();
+    for &stretch in stretches {
+        counted.push(asks(&mut old, &mut new, stretch).await);
+    }
+    Ok(counted)
+}
+
+const COLD: Duration = Duration::from_secs(3);
+
+/// The wall clock steps, then a replica starts: its slow start is neither skipped nor lasts until the old time comes again.
+#[test]
+fn a_replica_that_starts_after_a_step_of_the_wall_clock_is_in_slow_start_for_its_time() {
+    for step_s in [0.0, -3600.0, 3600.0, -2.0, 2.0] {
+        on_one_thread(LIMIT, async {
+            let stretches = [COLD / 4, COLD, Duration::from_secs(1)];
+            let counted = calls_after_a_step(step_s, &stretches).await?;
+            let share = |[old, new]: [usize; 2]| new as f64 / (old + new).max(1) as f64;
+            assert!(share(counted[0]) < 0.25, "cold, {step_s} s: {counted:?}");
+            assert!(share(counted[2]) > 0.25, "warm, {step_s} s: {counted:?}");
+            Ok(())
+        })
+        .unwrap();
+    }
+}
