Further attempts count as they go out; starts and reloads wait for calls that fail for a while

Ruled out: dating by the decision with a longer window (it takes budget from everybody); retries of a faulty configuration (what is wrong in it stays wrong). Change: Root::begin, asked at the last look before a call's first byte, counts a further call anew and may bar it (ids::Barred, not_sent budget_spent); system_errors::waited_for, 8 s at a start, 40 s at a reload.

--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -304,8 +304,8 @@
         going
     }
 
-    /// The guard of all sending: rules on ended queries, closed clients, drained leaves, time and repeats.
-    fn may_send(&self, now: At, leaf: Leaf, call: CallNo, until: At) -> Result<CallPart, NotSent> {
+    /// The guard of all sending: rules on ended queries, closed clients, drained leaves, time, repeats and the budget.
+    fn may_send(&mut self, now: At, leaf: Leaf, call: CallNo, until: At) -> Result<CallPart, NotSent> {
         let part = &self.desk.held_parts[&call.0.0];
         let query = part.query.and_then(|q| self.desk.held_queries.get(&q)).ok_or(NotSent::QueryEnded)?;
         if self.gone.contains(&query.ticket) {
@@ -317,9 +317,8 @@
         if now >= until {
             return Err(NotSent::TimeOver);
         }
-        if !self.root.may_begin(now, call.0, call.1) {
-            return Err(NotSent::RepeatForbidden);
-        }
+        // Last: it counts the call as gone out.
+        self.root.begin(now, call.0, call.1)?;
         Ok(CallPart {
             id: part.id.clone(),
             shard: part.shard,
--- a/crates/pipitcrank-node/src/reasons.rs
+++ b/crates/pipitcrank-node/src/reasons.rs
@@ -1,7 +1,7 @@
 //! Typed reasons for what is not a plain success: why a call was not sent, why a part goes again. Why a connection ended
 //! is in `ends.rs`, why a query was refused in the core (`ids::Refusal`).
 
-use pipitcrank::ids::Ending;
+use pipitcrank::ids::{Barred, Ending};
 
 /// Why a call was dropped at the last look before its first byte.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,6 +16,17 @@
     TimeOver,
     /// An earlier attempt may have run, and this one may not follow it now.
     RepeatForbidden,
+    /// Further attempts that went out meanwhile have used the budget up.
+    BudgetSpent,
+}
+
+impl From<Barred> for NotSent {
+    fn from(barred: Barred) -> NotSent {
+        match barred {
+            Barred::Repeat => NotSent::RepeatForbidden,
+            Barred::Budget => NotSent::BudgetSpent,
+        }
+    }
 }
 
 impl NotSent {
@@ -26,6 +37,7 @@
             NotSent::ReplicaDrained => "replica_drained",
             NotSent::TimeOver => "time_over",
             NotSent::RepeatForbidden => "repeat_forbidden",
+            NotSent::BudgetSpent => "budget_spent",
         }
     }
 }
--- a/crates/pipitcrank-node/src/reload.rs
+++ b/crates/pipitcrank-node/src/reload.rs
@@ -1,6 +1,7 @@
 //! A new charter while the process runs: at SIGHUP the file is read again, and what may change of it takes effect.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use pipitcrank::told::Faulty;
 use tokio::signal::unix::Signal;
@@ -9,6 +10,10 @@
 use crate::charter::Charter;
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::system_errors::waited_for;
+
+/// A file that can't be opened or read for a while is waited for so long: folders may fail for 30 s.
+const READ_LIMIT: Duration = Duration::from_secs(40);
 
 /// Heeds each SIGHUP. Of the file `discovery` takes effect at once; the variables given at start do not go before
 /// the new file, which was written after them. A file that is faulty anywhere changes nothing.
@@ -20,7 +25,9 @@
     discovery: watch::Sender<String>,
 ) {
     while hangups.recv().await.is_some() {
-        match read(&path, &clock) {
+        // A further signal meanwhile means the same file.
+        let text = waited_for(READ_LIMIT, async || std::fs::read_to_string(&path)).await;
+        match text.map_err(unreadable).and_then(|text| read(&text, &clock)) {
             Ok(address) => {
                 counters.add("reloads", "taken");
                 tracing::info!("charter read again: discovery is at {address}");
@@ -35,10 +42,13 @@
     }
 }
 
-fn read(path: &PathBuf, clock: &Clock) -> Result<String, Faulty> {
-    let fault = |e| Faulty { key: "NODE_CONFIG".to_string(), what: format!("can't be read: {e}") };
-    let text = std::fs::read_to_string(path).map_err(fault)?;
-    let charter = Charter::read(&text, |_| None)?;
+fn unreadable(error: std::io::Error) -> Faulty {
+    Faulty { key: "NODE_CONFIG".to_string(), what: format!("can't be read: {error}") }
+}
+
+/// Where discovery is from now on.
+fn read(text: &str, clock: &Clock) -> Result<String, Faulty> {
+    let charter = Charter::read(text, |_| None)?;
     charter.check(clock)?;
     charter.discovery()
 }
--- a/crates/pipitcrank-node/src/serve.rs
+++ b/crates/pipitcrank-node/src/serve.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::time::Instant;
 
 use pipitcrank::decide::zones::Zone;
 use pipitcrank::time::{At, Span};
@@ -28,16 +29,26 @@
 use crate::relay::Relay;
 use crate::reload;
 use crate::shutdown::ShutdownSchedule;
+use crate::system_errors::{PAUSE, passes, waited_for};
 use crate::worker::{FirstList, Worker};
 
 /// How often it looks whether it stood still.
 const LOOK: std::time::Duration = std::time::Duration::from_millis(50);
 
-/// The file that `NODE_CONFIG` names, and its text.
+/// A start waits so long for what fails for a while: its configuration, its address. Nine in ten are to serve within 10 s.
+const START_LIMIT: std::time::Duration = std::time::Duration::from_secs(8);
+
+/// The file that `NODE_CONFIG` names, and its text; before anything else runs, so it may wait.
 pub fn charter_text() -> Result<(String, String), String> {
     let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
-    Ok((path, text))
+    let until = Instant::now() + START_LIMIT;
+    loop {
+        match std::fs::read_to_string(&path) {
+            Ok(text) => return Ok((path, text)),
+            Err(e) if passes(&e) && Instant::now() < until => std::thread::sleep(PAUSE),
+            Err(e) => return Err(format!("NODE_CONFIG: {path}: {e}")),
+        }
+    }
 }
 
 /// What stands beside the near leaf side is made of.
@@ -143,7 +154,8 @@
                 hall.tell(|e| e.recall(clock.now(), passed, later.is_some(), snapshot));
             }
             list_known();
-            let listener = TcpListener::bind(listen).await.map_err(|e| format!("/listen: {e}"))?;
+            let listener = waited_for(START_LIMIT, || TcpListener::bind(listen)).await;
+            let listener = listener.map_err(|e| format!("/listen: {e}"))?;
             let _ = acceptor.send(Order::Accept(listener));
             tracing::info!("{name} serves at {listen}");
         }
--- a/crates/pipitcrank-node/src/system_errors.rs
+++ b/crates/pipitcrank-node/src/system_errors.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rustix::io::Errno;
+use tokio::time::{Instant, sleep};
 
 /// What a failed call asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,7 +68,26 @@
             Policy::RetryFew if made >= FEW => return Err(error),
             // Other tasks go on between, also where it never succeeds.
             Policy::RetryAtOnce => tokio::task::yield_now().await,
-            Policy::RetryFew | Policy::RetryAfterPause => tokio::time::sleep(PAUSE).await,
+            Policy::RetryFew | Policy::RetryAfterPause => sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Whether an error is of a kind that passes, so that who can't go on without waits for that.
+pub fn passes(error: &io::Error) -> bool {
+    of_open(error) != Policy::GiveUp
+}
+
+/// The same as `retried`, for as long as told, whatever of it passes: what a process can't start without.
+pub async fn waited_for<T, F: Future<Output = io::Result<T>>>(
+    limit: Duration,
+    mut attempt: impl FnMut() -> F,
+) -> io::Result<T> {
+    let until = Instant::now() + limit;
+    loop {
+        match attempt().await {
+            Err(e) if passes(&e) && Instant::now() < until => sleep(PAUSE).await,
+            ended => return ended,
         }
     }
 }
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -19,7 +19,7 @@
 pub mod zones;
 
 use crate::chance::Chance;
-use crate::ids::{Effect, Ending, Leaf, Part, Query, Refusal, Vertical};
+use crate::ids::{Barred, Effect, Ending, Leaf, Part, Query, Refusal, Vertical};
 use crate::port::Port;
 use crate::time::{At, Span};
 
@@ -182,6 +182,23 @@
         self.purse = self.purse.map(|(left, until)| (left - 1.0, until));
     }
 
+    /// A further call that was counted then begins now, where the host can tell; false where it may not. Guards against calls
+    /// that wait for their connections and go out beside those of the next window.
+    pub fn begins(&mut self, counted: At, now: At) -> bool {
+        if self.span == Span::ZERO {
+            return true;
+        }
+        if let Some(place) = self.further.iter().position(|&t| t == counted) {
+            self.further.remove(place);
+        }
+        // What a process that hands over kept was counted as it was decided.
+        let may = self.purse.map_or_else(|| self.left(now) >= 1.0, |(_, until)| now < until);
+        if may {
+            self.further.push_back(now);
+        }
+        may
+    }
+
     pub fn take(&mut self, now: At) {
         self.left(now);
         self.taken.push_back(now);
@@ -323,6 +340,8 @@
 struct Sent {
     leaf: Leaf,
     at: At,
+    /// When the budget counts it: as it was decided, or as it began.
+    counted: At,
     out: bool,
     never_ran: bool,
 }
@@ -713,7 +732,7 @@
     }
 
     /// Rule 2 for that call of the part's, also as it goes out: a repeat counts as it comes to the leaf, to none that knows it.
-    pub fn may_begin(&self, now: At, id: Part, nth: u32) -> bool {
+    fn may_begin(&self, now: At, id: Part, nth: u32) -> bool {
         let part = &self.parts[&id];
         let risky = part.sent.iter().take(nth as usize).find(|s| !s.never_ran).map(|s| s.at);
         let terms = &self.trades[part.vertical.0 as usize].terms;
@@ -724,6 +743,26 @@
         }
     }
 
+    /// The call's first byte is about to be written: rule 2 as it stands now, and rule 6 by what has gone out. To be asked once
+    /// for each call, by hosts whose calls may wait before they go out; with others they begin as they are decided.
+    pub fn begin(&mut self, now: At, id: Part, nth: u32) -> Result<(), Barred> {
+        if !self.may_begin(now, id, nth) {
+            return Err(Barred::Repeat);
+        }
+        let part = &self.parts[&id];
+        let lent = self.queries.get(&part.query).is_some_and(|q| q.lent.is_some());
+        if nth == 0 || lent {
+            return Ok(());
+        }
+        if !self.budget.begins(part.sent[nth as usize].counted, now) {
+            return Err(Barred::Budget);
+        }
+        let part = self.parts.get_mut(&id).expect("calls that begin have their parts");
+        // It may be taken back and begin once more.
+        part.sent[nth as usize].counted = now;
+        Ok(())
+    }
+
     /// Rules 1 and 2 alone: an exhausted budget refills.
     fn could_go(&self, now: At, id: Part) -> bool {
         let part = &self.parts[&id];
@@ -744,7 +783,7 @@
             None if nth > 0 => self.budget.spend(now),
             None => {}
         }
-        part.sent.push(Sent { leaf, at: now, out: true, never_ran: false });
+        part.sent.push(Sent { leaf, at: now, counted: now, out: true, never_ran: false });
         part.waits = false;
         let (work, ends) = (part.work, open.ends);
         let state = self.leaves.get_mut(&leaf).expect("candidates are held");
--- a/crates/pipitcrank/src/ids.rs
+++ b/crates/pipitcrank/src/ids.rs
@@ -26,6 +26,15 @@
     Stale,
 }
 
+/// Why a call that was decided may not begin after all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Barred {
+    /// An earlier attempt may have run, and this one may not follow it now (rule 2).
+    Repeat,
+    /// Further attempts that went out meanwhile have used the budget up (rule 6).
+    Budget,
+}
+
 /// Why a query ended without an answer from its parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
