--- a/crates/pipitcrank-cli/tests/lists.rs
+++ b/crates/pipitcrank-cli/tests/lists.rs
@@ -187,6 +187,21 @@
     .unwrap();
 }
 
+/// Versions begin anew, and come to the very number held, with other replicas behind it.
+#[test]
+fn a_new_life_of_discovery_at_the_version_held_is_followed() {
+    on_one_thread(LIMIT, async {
+        let mut scene = Scene::set().await?;
+        assert!(!scene.goes_to_the_second().await);
+        scene.source.orphans_watches();
+        let had = scene.moves_on(1);
+        let took = scene.told_after(had).await;
+        assert!(took < TOLD, "{took:?}; {}", scene.process.log());
+        Ok(())
+    })
+    .unwrap();
+}
+
 /// A look that was asked for before the watch brought more, and is answered after.
 #[test]
 fn a_look_overtaken_by_the_watch_brings_no_older_list() {
