--- a/crates/pipitcrank-node/src/discovery.rs
+++ b/crates/pipitcrank-node/src/discovery.rs
@@ -292,7 +292,8 @@
             return Ok(false);
         }
         self.doubted.set(false);
-        if self.rev.get() != Some(rev) {
+        // Guards against a restart of discovery after which its versions come to the number held, with another list.
+        if self.rev.get() != Some(rev) || !self.hall.ask(|e| e.holds_list(&rows)) {
             self.tell(rev, whole, rows);
         }
         Ok(true)
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -237,6 +237,22 @@
         self.desk.held_leaves.values().any(|l| l.off.is_none() && l.site.is_none())
     }
 
+    /// Whether that whole list says nothing new; true as well while news of the list wait to be taken.
+    pub fn holds_list(&self, rows: &[Listed]) -> bool {
+        let news = self.inbox.iter().any(|h| matches!(h, Happened::List(..)));
+        let up = self.desk.held_leaves.values().filter(|l| l.off.is_none() && l.site.is_none()).count();
+        let same = |row: &Listed| {
+            let held = self.desk.leaves.find(&row.uid).and_then(|index| self.desk.held_leaves.get(&index));
+            let same = |held: &HeldLeaf| {
+                (held.address, held.cell, held.started) == (row.address, row.cell, row.started)
+                    && held.off.is_none() == row.up
+            };
+            // One that is not up need not be held any more.
+            held.map_or(!row.up, same)
+        };
+        news || rows.iter().filter(|r| r.up).count() == up && rows.iter().all(same)
+    }
+
     /// Whether nothing is held that a client waits for.
     pub fn quiet(&self) -> bool {
         self.inbox.is_empty() && self.desk.held_queries.is_empty()
