--- a/crates/pipitcrank-node/src/acceptor.rs
+++ b/crates/pipitcrank-node/src/acceptor.rs
@@ -30,7 +30,7 @@
 use crate::hall::{Place, Sockets};
 use crate::request_reader::{BEHIND_PAUSE, BEHIND_PIECE, Framing, Heads, RequestReader};
 use crate::shutdown::ShutdownSchedule;
-use crate::stream::Stream;
+use crate::stream::{Expects, Stream};
 
 /// Longest request head taken: with all places for clients in use, heads and bodies stay under a quarter of the
 /// memory told.
@@ -280,7 +280,7 @@
 async fn turn_away(stream: TcpStream) {
     let (stream, mut piece) = (Stream::new(stream), Vec::with_capacity(LONGEST_HEAD));
     // Guards against a reset that takes the answer with it: what it has asked is read.
-    let _ = tokio::time::timeout(NO_PLACE_WAIT, stream.read_some(&mut piece)).await;
+    let _ = tokio::time::timeout(NO_PLACE_WAIT, stream.read_some(&mut piece, Expects::More)).await;
     last_word(&stream, NO_PLACE).await;
 }
 
@@ -377,7 +377,7 @@
     let (mut piece, mut read) = (Vec::with_capacity(SEE_OFF_PIECE), 0);
     loop {
         piece.clear();
-        match stream.read_some(&mut piece).await {
+        match stream.read_some(&mut piece, Expects::More).await {
             Ok(n) if n > 0 => read += n,
             _ => return,
         }
@@ -431,7 +431,7 @@
     let (mut piece, mut left) = (Vec::with_capacity(SEE_OFF_PIECE), SEE_OFF_BYTES);
     while left > 0 && Instant::now() < until {
         piece.clear();
-        match tokio::time::timeout(SEE_OFF_SILENT, stream.read_some(&mut piece)).await {
+        match tokio::time::timeout(SEE_OFF_SILENT, stream.read_some(&mut piece, Expects::More)).await {
             Ok(Ok(n)) if n > 0 => left = left.saturating_sub(n),
             _ => return,
         }
--- a/crates/pipitcrank-node/src/request_reader.rs
+++ b/crates/pipitcrank-node/src/request_reader.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, Sleep, sleep};
 
 use crate::client_connections::{ClientConnection, Doing};
-use crate::stream::Stream;
+use crate::stream::{Expects, Stream};
 
 /// How a request says where it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,6 +68,11 @@
         matches!(self.framing, Some(Framing::Length(_))) && self.left == 0
     }
 
+    /// A request has begun, and is not known to be whole.
+    pub fn awaits_rest(&self) -> bool {
+        !self.head.is_empty() || self.framing.is_some() && !self.whole()
+    }
+
     /// How the request at hand is framed, once its head is whole.
     pub fn framing(&self) -> Option<Framing> {
         self.framing
@@ -140,7 +145,9 @@
     /// Takes bytes from before, or from the connection.
     fn poll_some(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         if self.before.is_empty() {
-            return self.stream.poll_read_some(cx, buf).map_ok(drop);
+            let begun = self.heads.borrow().awaits_rest();
+            let expects = if begun { Expects::More } else { Expects::Nothing };
+            return self.stream.poll_read_some(cx, buf, expects).map_ok(drop);
         }
         let n = buf.remaining().min(self.before.len());
         buf.put_slice(&self.before[..n]);
--- a/crates/pipitcrank-node/src/wire.rs
+++ b/crates/pipitcrank-node/src/wire.rs
@@ -16,7 +16,7 @@
 use crate::frames::{self, FromLeaf};
 use crate::hall::Hall;
 use crate::leaves::{Job, Wire};
-use crate::stream::Stream;
+use crate::stream::{Expects, Stream};
 
 /// What is being written: nothing, a job whose first byte has not gone, or the rest of a frame.
 enum Writing {
@@ -81,6 +81,8 @@
         quiet = if waiting(wire) { quiet.or_else(|| Some(Instant::now())) } else { None };
         let quiet_since = quiet.unwrap_or(used);
         let nothing = matches!(writing, Writing::Nothing);
+        let more = waiting(wire) || wire.half_read.get();
+        let expects = if more { Expects::More } else { Expects::Nothing };
         if wire.let_go.get() && wire.carried.borrow().is_empty() && nothing && jobs.is_empty() {
             return ConnectionEnd::LetGo;
         }
@@ -91,7 +93,7 @@
             () = tokio::time::sleep_until(used + idle_limit), if nothing && idle(wire) => {
                 return ConnectionEnd::Idle;
             }
-            read = stream.read_some(&mut buffer) => match read {
+            read = stream.read_some(&mut buffer, expects) => match read {
                 Ok(0) => return ConnectionEnd::Closed,
                 Err(_) => return ConnectionEnd::Reset,
                 Ok(_) => {
