--- a/crates/pipitcrank-node/src/acceptor/tests.rs
+++ b/crates/pipitcrank-node/src/acceptor/tests.rs
@@ -4,6 +4,7 @@
 use axum::routing::get;
 use pipitcrank::time::{At, Span};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::unbounded_channel;
 
 use super::*;
--- a/crates/pipitcrank-node/src/lib.rs
+++ b/crates/pipitcrank-node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod awake;
 pub mod charter;
 pub mod client_connections;
+pub mod client_task;
 pub mod clock;
 pub mod counters;
 pub mod dial;
--- a/crates/pipitcrank/src/decide.rs
+++ b/crates/pipitcrank/src/decide.rs
@@ -11,13 +11,18 @@
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod budget;
 mod ending;
 pub mod known;
 mod lending;
 mod seen;
 mod sites;
+mod slow_start;
 pub mod zones;
 
+pub use budget::Budget;
+pub use slow_start::FailBack;
+
 use crate::chance::Chance;
 use crate::ids::{Barred, Effect, Ending, Leaf, Part, Query, Refusal, Vertical};
 use crate::port::Port;
@@ -134,119 +139,6 @@
     }
 }
 
-/// Rule 6: leaf calls beyond a part's first, against what was taken, both over one sliding window.
-#[derive(Default)]
-pub struct Budget {
-    share: f64,
-    free: f64,
-    span: Span,
-    /// Times of arrivals and of further calls; emptied as they leave the window.
-    taken: VecDeque<At>,
-    further: VecDeque<At>,
-    /// Calls that others may make for this co-ordinator until then, by who; made, if not told until then.
-    lent: BTreeMap<u64, (u32, At)>,
-    /// Where another process has the budget: all that this one may make, and until when; none before `shut`.
-    purse: Option<(f64, At)>,
-    shut: At,
-}
-
-impl Budget {
-    pub fn new(share: f64, free: f64, span: Option<Span>) -> Budget {
-        let span = span.unwrap_or(Span::ZERO);
-        Budget { share, free, span, shut: At::from_us(i64::MIN), ..Budget::default() }
-    }
-
-    /// Further calls that may be made now. What is lent may be made at any time until it ends, so only
-    /// arrivals count that still do then. Guards against two who spend in turn more than one window allows.
-    pub fn left(&mut self, now: At) -> f64 {
-        for (_, (n, until)) in self.lent.extract_if(.., |_, l| l.1 <= now) {
-            (0..n).for_each(|_| self.further.push_back(until));
-        }
-        // An arrival on the window's edge is taken as out, a further call on it as in.
-        self.taken.retain(|&t| now - t < self.span);
-        self.further.retain(|&t| now - t <= self.span);
-        if self.span == Span::ZERO {
-            return f64::INFINITY;
-        }
-        match self.purse {
-            _ if now < self.shut => 0.0,
-            Some((left, until)) if now < until => left,
-            Some(_) => 0.0,
-            None => self.lasting(self.lent.values().map(|l| l.1).max().unwrap_or(now)),
-        }
-    }
-
-    /// One further call is made.
-    pub fn spend(&mut self, now: At) {
-        self.further.push_back(now);
-        self.purse = self.purse.map(|(left, until)| (left - 1.0, until));
-    }
-
-    /// A further call that was counted then begins now, where the host can tell; false where it may not. Guards against calls
-    /// that wait for their connections and go out beside those of the next window.
-    pub fn begins(&mut self, counted: At, now: At) -> bool {
-        if self.span == Span::ZERO {
-            return true;
-        }
-        if let Some(place) = self.further.iter().position(|&t| t == counted) {
-            self.further.remove(place);
-        }
-        // What a process that hands over kept was counted as it was decided.
-        let may = self.purse.map_or_else(|| self.left(now) >= 1.0, |(_, until)| now < until);
-        if may {
-            self.further.push_back(now);
-        }
-        may
-    }
-
-    pub fn take(&mut self, now: At) {
-        self.left(now);
-        self.taken.push_back(now);
-    }
-}
-
-/// Rule 4: what this co-ordinator may send to a leaf that has just started.
-#[derive(Default)]
-pub struct FailBack {
-    pub cold_from: f64,
-    pub cold: Span,
-    pub factor: f64,
-    pub window: Span,
-    /// Nothing to cold leaves before then: another process has the allowance, or had it.
-    pub shut: At,
-    /// How many co-ordinators there are, this one counted.
-    pub among: u32,
-}
-
-impl FailBack {
-    /// Of the allowance that the rule leaves, how much is used: the rest is for uneven co-ordinators and
-    /// small leaves. At 0.6 a release starved the fresh leaves and jammed the others (if0ee79).
-    const USED: f64 = 0.8;
-    /// Windows without a query whose room is saved: one of hundreds is asked in few, and all would use little of the room.
-    const SAVED: f64 = 2.0;
-
-    fn is_cold(&self, started: Option<At>, now: At) -> bool {
-        started.is_some_and(|t| now - t < self.cold)
-    }
-
-    /// Work that may go to the leaf now. `carried` is the work a second that a leaf carries for this
-    /// co-ordinator: in use below capacity, so a careful stand-in for this co-ordinator's share of it. The
-    /// slowest legal warming is assumed; at least one part is in work at a time. Room for a share of a part goes by the lot
-    /// drawn for the window: hundreds together send what there is room for. One lot for all: queries need all their leaves.
-    fn room(&self, started: Option<At>, now: At, carried: f64, lot: f64, sent: &VecDeque<(At, f64)>) -> f64 {
-        let Some(started) = started.filter(|_| self.is_cold(started, now)) else { return f64::INFINITY };
-        if now < self.shut {
-            return 0.0;
-        }
-        let age = ((now - started).s() / self.cold.s().max(1e-6)).clamp(0.0, 1.0);
-        let share = self.cold_from + (1.0 - self.cold_from) * age;
-        let before = sent.iter().filter(|(t, _)| now - *t <= self.window).map(|(_, w)| w).sum::<f64>();
-        let all = |carried: f64| Self::USED * self.factor * share * carried * self.window.s();
-        let first = before == 0.0 && lot < all(carried.max(1.0 / f64::from(self.among.max(1))));
-        if first { all(carried).max(f64::MIN_POSITIVE) } else { all(carried) - before - lot }
-    }
-}
-
 #[derive(Default)]
 pub struct Tries {
     pub limit: u32,
