--- a/crates/pipitcrank-node/src/client_connections/tests.rs
+++ b/crates/pipitcrank-node/src/client_connections/tests.rs
@@ -67,3 +67,22 @@
     connections.look(start + MS * 5000, 9);
     assert!(reads.leaving.get());
 }
+
+/// Half a request lay in the accept queue for long: its client is owed an error or a close within 3 s of its own time.
+#[test]
+fn time_in_the_accept_queue_counts_as_the_requests() {
+    let connections = ClientConnections::default();
+    let now = Instant::now();
+    let connection = connections.enter(now);
+    connection.waited(Duration::from_millis(2000));
+    connection.turns_to(Doing::Begun, now);
+    connections.look(now + Duration::from_millis(450), 0);
+    assert!(!connection.leaving.get(), "some time is left to it");
+    connections.look(now + Duration::from_millis(550), 0);
+    assert!(connection.leaving.get(), "2.5 s are over for its client");
+    // However long it waited, what lies there is read before it is judged.
+    let connection = connections.enter(now);
+    connection.waited(Duration::from_millis(9000));
+    connections.look(now + Duration::from_millis(150), 0);
+    assert!(!connection.leaving.get());
+}
--- a/crates/pipitcrank-rig/src/soak/scene.rs
+++ b/crates/pipitcrank-rig/src/soak/scene.rs
@@ -270,7 +270,7 @@
 fn told(discovery: &Discovery, watched: SocketAddr, seed: u64, n: usize, processes: usize) -> Result<Value> {
     let known = discovery.known();
     let mut told =
-        charter_of(watched, known, CELLS, SHARDS, seed ^ (n as u64 + 1) * 7919, SOCKETS, MOST_OPEN)?;
+        charter_of(watched, known, CELLS, SHARDS, seed ^ ((n as u64 + 1) * 7919), SOCKETS, MOST_OPEN)?;
     told["name"] = json!(format!("soak-{n}"));
     let class = |name: &str, kind: &str| {
         json!({"name": name, "aim_s": 0.8, "hard_limit_s": LONGEST_DEADLINE_S, "idempotency": kind,
