Half a request's 2.5 s count from when its client may have connected

Cause (Q): whole_by was set from the accept. Change: what a connection may have waited is taken off, but for 250 ms in which what lies there is read.

--- a/crates/pipitcrank-node/src/client_connections.rs
+++ b/crates/pipitcrank-node/src/client_connections.rs
@@ -20,6 +20,8 @@
 const IDLE_GIVES_WAY: Duration = Duration::from_secs(2);
 /// A client that connects has a request to send: many times the way from it is time enough for the first byte.
 const SILENT_GIVES_WAY: Duration = Duration::from_millis(100);
+/// However long a connection waited to be accepted, what lies on it is read first.
+const READ_WITHIN: Duration = Duration::from_millis(250);
 /// What lay on a connection as it was accepted is read within this.
 const LAY_UNREAD: Duration = Duration::from_millis(20);
 /// A request comes in one go, so what stops half way for so long is broken off or a bad client's.
@@ -97,6 +99,8 @@
     /// It may have waited so long to be accepted, with its first request.
     pub fn waited(&self, waited: Duration) {
         self.waited.set(waited);
+        let left = WHOLE_WITHIN.saturating_sub(waited).max(READ_WITHIN);
+        self.whole_by.set(self.came + left);
     }
 
     /// How long the request at hand may have waited to be accepted.
