--- a/crates/pipitcrank-cli/src/main.rs
+++ b/crates/pipitcrank-cli/src/main.rs
@@ -110,7 +110,7 @@
     },
     /// Play a named scenario with faults on loopback; exits with 0 only if its promise held
     Trial {
-        /// Its name: upgrade, upgrade-overloaded, upgrade-known, gateway, gateway-table, zones, return, soak, soak-short
+        /// Its name: upgrade, upgrade-overloaded, upgrade-known, gateway, gateway-table, zones, return, soak, soak-short, soak-hard
         name: String,
         /// The same seed plays the same script
         #[arg(long, default_value_t = 1)]
--- a/crates/pipitcrank-rig/src/soak/mod.rs
+++ b/crates/pipitcrank-rig/src/soak/mod.rs
@@ -29,6 +29,8 @@
 impl Size {
     /// Some dozens of processes: for seeds by hand.
     pub const FULL: Size = Size { processes: 24, lasts: Duration::from_secs(16), rate: 8.0, overlap: 3 };
+    /// More of them, for longer, with more troubles at once.
+    pub const HARD: Size = Size { processes: 36, lasts: Duration::from_secs(24), rate: 8.0, overlap: 6 };
     /// The same in short, for CI.
     pub const SHORT: Size = Size { processes: 6, lasts: Duration::from_secs(8), rate: 6.0, overlap: 2 };
 }
--- a/crates/pipitcrank-rig/src/trial/mod.rs
+++ b/crates/pipitcrank-rig/src/trial/mod.rs
@@ -92,8 +92,7 @@
     })
 }
 
-pub const NAMES: &str =
-    "upgrade, upgrade-overloaded, upgrade-known, gateway, gateway-table, zones, return, soak, soak-short";
+pub const NAMES: &str = "upgrade, upgrade-overloaded, upgrade-known, gateway, gateway-table, zones, return, soak, soak-short, soak-hard";
 
 /// What of a trial can be told: the same seed plays the same script.
 pub struct Terms<'a> {
@@ -117,6 +116,7 @@
         "zones" => on_one_thread(limit * 2, zones::play(program, seed, only, !json))?,
         "return" => on_one_thread(limit * 3, returns::play(program, seed, only, !json))?,
         "soak" => on_one_thread(limit * 2, soak::play(program, seed, soak::Size::FULL, only, !json))?,
+        "soak-hard" => on_one_thread(limit * 2, soak::play(program, seed, soak::Size::HARD, only, !json))?,
         "soak-short" => on_one_thread(limit * 2, soak::play(program, seed, soak::Size::SHORT, only, !json))?,
         _ => bail!("no trial is named '{name}'; there are: {NAMES}"),
     };
