Failed accepts are logged once a second, counted each

Cause: review of the change: 256 tries in a row each 50 ms where descriptors are short would log some 5,000 lines a second. Change: Failures in accept_queue.rs.

--- a/crates/pipitcrank-node/src/accept_queue.rs
+++ b/crates/pipitcrank-node/src/accept_queue.rs
@@ -23,12 +23,12 @@
     listener: TcpListener,
     /// When it was last seen to be empty.
     empty_at: Cell<Instant>,
-    counters: Counters,
+    failures: Failures,
 }
 
 impl AcceptQueue {
     pub fn new(listener: TcpListener, counters: Counters) -> AcceptQueue {
-        AcceptQueue { listener, empty_at: Cell::new(Instant::now()), counters }
+        AcceptQueue { listener, empty_at: Cell::new(Instant::now()), failures: Failures::new(counters) }
     }
 
     /// The next client. An error is one of the listener itself: nobody can be accepted any more.
@@ -43,7 +43,7 @@
             });
             match accepted.await {
                 Ok((stream, _)) => return Ok(Accepted { stream, waited: self.empty_at.get().elapsed() }),
-                Err(e) => match failed(&self.counters, &e) {
+                Err(e) => match self.failures.policy(&e) {
                     Policy::GiveUp => return Err(e),
                     Policy::RetryAtOnce => tokio::task::yield_now().await,
                     Policy::RetryAfterPause | Policy::RetryFew => tokio::time::sleep(PAUSE).await,
@@ -56,7 +56,7 @@
     /// now on the queue itself is asked.
     pub fn close(self) -> Option<ClosingQueue> {
         let listener = self.listener.into_std().ok()?;
-        Some(ClosingQueue { listener, empty_at: self.empty_at.get(), counters: self.counters })
+        Some(ClosingQueue { listener, empty_at: self.empty_at.get(), failures: self.failures })
     }
 }
 
@@ -64,7 +64,7 @@
 pub struct ClosingQueue {
     listener: std::net::TcpListener,
     empty_at: Instant,
-    counters: Counters,
+    failures: Failures,
 }
 
 /// What comes of one look into a closing queue.
@@ -96,7 +96,7 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Next::Empty,
                 Err(e) => e,
             };
-            if failed(&self.counters, &error) == Policy::GiveUp {
+            if self.failures.policy(&error) == Policy::GiveUp {
                 return Next::Broken;
             }
         }
@@ -104,18 +104,33 @@
     }
 }
 
-fn failed(counters: &Counters, error: &io::Error) -> Policy {
-    let policy = of_accept(error);
-    let (word, level_is_debug) = match policy {
-        Policy::RetryAtOnce => ("retried_at_once", true),
-        Policy::RetryAfterPause | Policy::RetryFew => ("retried_after_pause", false),
-        Policy::GiveUp => ("given_up", false),
-    };
-    counters.add("accept_errors", word);
-    if level_is_debug {
-        tracing::debug!("accept failed: {error}");
-    } else {
-        tracing::warn!("accept failed: {error}");
+/// Accepts that failed: counted each, logged now and then.
+struct Failures {
+    counters: Counters,
+    logged: Cell<Option<Instant>>,
+}
+
+/// Failures are logged so often at most: they come by thousands where means run short.
+const LOG_AGAIN: Duration = Duration::from_secs(1);
+
+impl Failures {
+    fn new(counters: Counters) -> Failures {
+        Failures { counters, logged: Cell::default() }
+    }
+
+    /// What the error asks for.
+    fn policy(&self, error: &io::Error) -> Policy {
+        let policy = of_accept(error);
+        let word = match policy {
+            Policy::RetryAtOnce => "retried_at_once",
+            Policy::RetryAfterPause | Policy::RetryFew => "retried_after_pause",
+            Policy::GiveUp => "given_up",
+        };
+        self.counters.add("accept_errors", word);
+        if self.logged.get().is_none_or(|at| at.elapsed() >= LOG_AGAIN) {
+            self.logged.set(Some(Instant::now()));
+            tracing::warn!(policy = word, "accept failed: {error}");
+        }
+        policy
     }
-    policy
 }
