--- a/crates/pipitcrank-node/src/acceptor.rs
+++ b/crates/pipitcrank-node/src/acceptor.rs
@@ -17,6 +17,7 @@
 use crate::client_task::{Mood, serve, turn_away};
 use crate::clock::duration;
 use crate::counters::Counters;
+use crate::exchange::REQUESTS;
 use crate::front::EndCalled;
 use crate::hall::{Place, Sockets};
 use crate::shutdown::ShutdownSchedule;
@@ -68,6 +69,7 @@
         tokio::task::spawn_local(async move {
             let end = serve(come, router, &connection, mood, idle).await;
             counters.add("clients", end.name());
+            tracing::debug!(target: REQUESTS, why = end.name(), at = ?connection.doing(), "client's connection ended");
             if end.is_ours() && connection.doing() == Doing::Open {
                 violated(&counters, Rule::ClosedUnanswered, "of a connection", end.name());
             }
--- a/crates/pipitcrank-node/src/exchange.rs
+++ b/crates/pipitcrank-node/src/exchange.rs
@@ -524,6 +524,7 @@
                 self.gone.remove(&ticket);
                 if let Some(&query) = self.desk.tickets.get(&ticket) {
                     self.desk.counters.add("queries", "client_gone");
+                    tracing::debug!(target: REQUESTS, request = self.desk.queries.name(query), "client gone");
                     self.root.gone(&mut self.desk, now, Query(query));
                 }
             }
--- a/crates/pipitcrank-node/src/exchange/desk.rs
+++ b/crates/pipitcrank-node/src/exchange/desk.rs
@@ -160,6 +160,8 @@
     fn leaf_call(&mut self, part: Part, leaf: Leaf, until: At) {
         if let Some(again) = self.again(part) {
             self.counters.add("again", again.name());
+            let part = self.parts.name(part.0);
+            tracing::debug!(target: REQUESTS, part, leaf = leaf.0, why = again.name(), "goes again");
         }
         let held = self.held_parts.get_mut(&part.0).expect("called parts are held");
         let call = (part, held.calls);
