No clock is read for a replica's start that has its place

Cause: review of the change: each look at the list, every 2 s, read the wall clock and the monotonic one again for every row with a start, though a start keeps the place it was given first. Change: Clock::started_at answers from what is placed before it looks. Behaviour is the same: Wall::place did so after the look.

--- a/crates/pipitcrank-node/src/clock.rs
+++ b/crates/pipitcrank-node/src/clock.rs
@@ -93,6 +93,10 @@
 
     /// When a replica started that says so in Unix time, in milliseconds; never later than now.
     pub fn started_at(&self, unix_ms: i64) -> At {
+        // Each list names most starts again: those have their place, and no clock is read for them.
+        if let Some(&at) = self.wall.lock().unwrap_or_else(PoisonError::into_inner).placed.get(&unix_ms) {
+            return at;
+        }
         self.look_at_wall();
         self.wall.lock().unwrap_or_else(PoisonError::into_inner).place(self.now(), unix_ms)
     }
