--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -54,8 +54,11 @@
             for at, text in self.lines:
                 out.write(f"{at:10.4f} {text}\n")
 
-    def start_node(self, name, config, operators=None):
-        """Starts one co-ordinator by the deploy file's `run`; `operators` is the text of an operators' file."""
+    def start_node(self, name, config, operators=None, variables=()):
+        """Starts one co-ordinator by the deploy file's `run`.
+
+        `operators` is the text of an operators' file; `variables` names those of the platform's variables that are set.
+        """
         with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
             run = tomllib.load(file)["run"]
         path = os.path.join(self.tmp, f"{name}.json")
@@ -68,8 +71,11 @@
             run += f" --operators {operators_path}"
         log = open(os.path.join(self.tmp, f"{name}.log"), "w")
         env = dict(os.environ, NODE_CONFIG=path, TMPDIR=self.tmp)
-        for key in ("NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"):
-            env.pop(key, None)
+        told = {"NODE_NAME": "name", "NODE_LISTEN": "listen", "NODE_DISCOVERY": "discovery"}
+        for variable, key in told.items():
+            env.pop(variable, None)
+            if variable in variables:
+                env[variable] = config[key]
         process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env, stdout=log, stderr=log, start_new_session=True)
         self.processes.append(process)
         node = Node(self, name, process, config["listen"], path, log.name)
@@ -303,7 +309,7 @@
     def __init__(self, world, rows):
         self.world, self.rows, self.rev, self.changes = world, {row["uid"]: row for row in rows}, 41, []
         self.down, self.news, self.up_again = False, asyncio.Event(), asyncio.Event()
-        self.calls = 0
+        self.calls, self.writers = 0, set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -322,11 +328,19 @@
         news, self.news = self.news, asyncio.Event()
         news.set()
 
+    def end(self):
+        """Ends the listener and all connections: further calls are refused."""
+        self.world.note(f"discovery at {self.address} ends")
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def set_down(self, down):
         self.world.note("discovery is down" if down else "discovery is back")
         self.down = down
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             head = await reader.readuntil(b"\r\n\r\n")
             self.calls += 1
@@ -363,6 +377,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
