Memory usage, its limit and the phase of each client's end in /counters and the log

Change: /limits/memory_mb is read and checked (192 where a file has none); counters memory limit_kb, resident_kb, peak_kb, and clients_ended by phase; a warning with all memory counters when usage rises above three quarters of the limit.

--- a/crates/pipitcrank-server/src/clients/client_connections.rs
+++ b/crates/pipitcrank-server/src/clients/client_connections.rs
@@ -45,6 +45,19 @@
     Lingering,
 }
 
+impl ConnectionPhase {
+    /// Name of the phase in `/counters`.
+    pub fn name(self) -> &'static str {
+        match self {
+            ConnectionPhase::New => "new",
+            ConnectionPhase::Reading => "reading",
+            ConnectionPhase::Answering => "answering",
+            ConnectionPhase::Idle => "idle",
+            ConnectionPhase::Lingering => "lingering",
+        }
+    }
+}
+
 /// One client connection.
 pub struct ClientConnection {
     accepted: Instant,
--- a/crates/pipitcrank-server/src/clients/connection_server.rs
+++ b/crates/pipitcrank-server/src/clients/connection_server.rs
@@ -65,6 +65,7 @@
             let end = serve(adopted, router, &connection, mode, idle).await;
             counters.add(group::CLIENTS, end.name());
             let phase = connection.phase();
+            counters.add(group::CLIENTS_ENDED, phase.name());
             tracing::debug!(target: REQUEST_LOG_TARGET, why = end.name(), at = ?phase, "client connection ended");
             if end.is_local() && phase == ConnectionPhase::Answering {
                 violated(&counters, Rule::NoCloseUnanswered, "unknown, on a client connection", end.name());
--- a/crates/pipitcrank-server/src/clients/http.rs
+++ b/crates/pipitcrank-server/src/clients/http.rs
@@ -25,6 +25,7 @@
 use crate::runtime::clock::{Clock, duration};
 use crate::runtime::counter_names::{group, query};
 use crate::runtime::counters::Counters;
+use crate::runtime::memory_usage::MemoryUsage;
 use crate::runtime::shutdown::ShutdownRequest;
 use crate::runtime::stall_detector::StallDetector;
 
@@ -104,6 +105,7 @@
 }
 
 async fn counters(State(state): State<HttpState>) -> Response {
+    MemoryUsage::read().into_iter().for_each(|usage| usage.count(&state.counters));
     last_on_connection(state.counters.render().into_response())
 }
 
--- a/crates/pipitcrank-server/src/node_config.rs
+++ b/crates/pipitcrank-server/src/node_config.rs
@@ -21,6 +21,9 @@
 
 /// File descriptors besides those of clients and replicas: standard streams, runtime, listener and discovery.
 const OWN_DESCRIPTORS: u32 = 24;
+/// Memory limit of a node configuration that states none: the largest on the days that the pages describe.
+const DEFAULT_MEMORY_MB: f64 = 192.0;
+const BYTES_PER_MB: f64 = 1_048_576.0;
 
 /// The node configuration. `V` looks up environment variables.
 pub struct NodeConfig<V> {
@@ -79,6 +82,7 @@
             self.discovery().err(),
             self.initial_endpoints(clock).err(),
             self.connection_limit().err(),
+            self.memory_limit().err(),
             self.exchange(Counters::default()).err(),
             self.shards().err(),
             self.cells().err(),
@@ -132,6 +136,16 @@
         }
     }
 
+    /// Memory limit of this process, in bytes.
+    pub fn memory_limit(&self) -> Result<u64, ConfigError> {
+        let key = "/limits/memory_mb";
+        let mb = self.reader().number_or(key, DEFAULT_MEMORY_MB)?;
+        if mb > 0.0 {
+            return Ok((mb * BYTES_PER_MB) as u64);
+        }
+        Err(self.reader().error(key, &format!("is {mb}; accepted: megabytes above 0")))
+    }
+
     /// Names of the request classes, by id.
     pub fn classes(&self) -> Result<Vec<String>, ConfigError> {
         self.settings()?.classes()
--- a/crates/pipitcrank-server/src/runtime/counter_names.rs
+++ b/crates/pipitcrank-server/src/runtime/counter_names.rs
@@ -12,6 +12,8 @@
     pub const BAD_REQUESTS: &str = "bad_requests";
     /// Client connections, by start and end.
     pub const CLIENTS: &str = "clients";
+    /// Client connections that ended, by the phase in which they ended.
+    pub const CLIENTS_ENDED: &str = "clients_ended";
     /// Updates of the endpoint list, and calls to the discovery service that ended without one.
     pub const DISCOVERY: &str = "discovery";
     /// Frames between this process and replicas.
@@ -20,6 +22,8 @@
     pub const LOAD_PROBES: &str = "probes";
     /// Attempts that the send guard dropped, by reason.
     pub const NOT_SENT: &str = "not_sent";
+    /// Memory, in kilobytes: the limit, the usage and the reservations.
+    pub const MEMORY: &str = "memory";
     /// Queries, by admission and by response.
     pub const QUERIES: &str = "queries";
     /// Rejected and aborted queries, by reason.
@@ -100,6 +104,16 @@
     pub const UNKNOWN_ZONE: &str = "unknown_zone";
 }
 
+/// Names in the group of memory.
+pub mod memory {
+    /// The limit of the node configuration.
+    pub const LIMIT_KB: &str = "limit_kb";
+    /// Highest resident memory since the start.
+    pub const PEAK_KB: &str = "peak_kb";
+    /// Resident memory at the last sample.
+    pub const RESIDENT_KB: &str = "resident_kb";
+}
+
 /// Names in the group of upgrades.
 pub mod upgrade {
     /// Completed upgrades.
--- a/crates/pipitcrank-server/src/runtime/counters.rs
+++ b/crates/pipitcrank-server/src/runtime/counters.rs
@@ -68,6 +68,13 @@
         out
     }
 
+    /// The counters of one group as text, separated by commas.
+    pub fn render_group(&self, group: &str) -> String {
+        let entries = self.entries();
+        let of_group = entries.iter().filter(|((other, _), _)| other == group);
+        of_group.map(|((_, name), value)| format!("{name}={value}")).collect::<Vec<_>>().join(",")
+    }
+
     fn entries(&self) -> MutexGuard<'_, BTreeMap<Key, u64>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/pipitcrank-server/src/runtime/mod.rs
+++ b/crates/pipitcrank-server/src/runtime/mod.rs
@@ -7,6 +7,7 @@
 pub mod counters;
 pub mod dial;
 pub mod event_loop;
+pub mod memory_usage;
 pub mod shutdown;
 pub mod stall_detector;
 pub mod stream;
--- a/crates/pipitcrank-server/src/serve.rs
+++ b/crates/pipitcrank-server/src/serve.rs
@@ -22,6 +22,7 @@
 use crate::reload;
 use crate::runtime::clock::Clock;
 use crate::runtime::event_loop::EventLoop;
+use crate::runtime::memory_usage::{self, MemoryUsage};
 use crate::runtime::shutdown::ShutdownRequest;
 use crate::runtime::stall_detector::StallDetector;
 use crate::runtime::system_errors::retry_open_for;
@@ -97,6 +98,7 @@
         }
     };
     tokio::task::spawn_local(check_for_stalls(clock, server.stall_detector));
+    tokio::task::spawn_local(memory_usage::watch(counters.clone(), config.memory_limit()?));
     let is_drained = || event_loop.read(Exchange::is_drained) && context.relay.is_empty();
     let accepting = acceptor::run(
         server.acceptor_commands,
@@ -111,6 +113,7 @@
         () = event_loop.run(server.tick, &transport) => {}
         () = accepting => {}
     }
+    MemoryUsage::read().into_iter().for_each(|usage| usage.count(&counters));
     tracing::info!("counters at exit:\n{}", counters.render());
     Ok(())
 }
