--- a/crates/pipitcrank-testkit/src/lib.rs
+++ b/crates/pipitcrank-testkit/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod client;
+pub mod crowd;
 pub mod datagram_network;
 pub mod demo;
 pub mod discovery;
--- a/crates/pipitcrank-testkit/src/process.rs
+++ b/crates/pipitcrank-testkit/src/process.rs
@@ -262,6 +262,13 @@
         sum
     }
 
+    /// Highest resident memory of the process so far, in kilobytes; 0 if it has exited. Workers are not included.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
+
     /// Value of a counter from `/counters`, 0 if it is not listed; `None` without an answer.
     pub async fn counter(&self, name: &str) -> Option<u64> {
         let answer = client::get(self.address, "/counters").await.filter(|a| a.status == 200)?;
