Requests from a crowded accept queue are rejected at once when their time is over

Only the bound of a stall was looked at before admission. Change: the bound of the accept queue counts there as well; the query is answered 503 as unread_too_long and never admitted.

--- a/crates/pipitcrank-server/src/clients/http.rs
+++ b/crates/pipitcrank-server/src/clients/http.rs
@@ -125,13 +125,14 @@
 }
 
 async fn query(State(state): State<HttpState>, request: Request) -> Response {
-    let request = match read_query(&state, request).await {
-        Ok(request) => request,
+    let ReceivedQuery { request, unread } = match read_query(&state, request).await {
+        Ok(received) => received,
         Err(error) => return refuse(&state, error),
     };
-    // After a stall of this process, many queries may be read whose clients have long disconnected.
+    // After a stall of this process, or from a crowded accept queue, many queries may be read whose clients have long
+    // disconnected.
     let now = state.clock.now();
-    if request.deadline <= now && state.stall_detector.unread_for(now) > TimeSpan::ZERO {
+    if request.deadline <= now && unread.max(state.stall_detector.unread_for(now)) > TimeSpan::ZERO {
         state.counters.add(group::QUERIES, query::UNREAD_TOO_LONG);
         return encode(QueryResponse::Rejected { retry_after: TimeSpan::ZERO });
     }
@@ -158,7 +159,14 @@
     response
 }
 
-async fn read_query(state: &HttpState, request: Request) -> Result<QueryRequest, RequestError> {
+/// A query that has been received completely.
+struct ReceivedQuery {
+    request: QueryRequest,
+    /// Upper bound of the time for which it was unread, by which its deadline is already shortened.
+    unread: TimeSpan,
+}
+
+async fn read_query(state: &HttpState, request: Request) -> Result<ReceivedQuery, RequestError> {
     let (parts, body) = request.into_parts();
     let segment = parts.uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
     let class = state.classes.iter().position(|class| class == segment);
@@ -188,7 +196,8 @@
     let own = received + headers.time_left - unread;
     let deadline = deadline(own, *state.shutdown_requested.borrow(), state.last_answer);
     let QueryHeaders { id, idempotency_key, .. } = headers;
-    decode_query(&body, QueryHead { id, class, deadline, idempotency_key }, state.shards)
+    let request = decode_query(&body, QueryHead { id, class, deadline, idempotency_key }, state.shards)?;
+    Ok(ReceivedQuery { request, unread })
 }
 
 /// Upper bound of the time for which a request received now was unread, in its socket or in the accept queue.
