The id of an ended query that may have run is refused for a minute

Cause: an id was forgotten as soon as its query had ended, while its part could still run at a replica; only ids of open queries were refused. Change: exchange/recent_queries.rs remembers keyed hashes of ids whose query passed the send guard, was not rejected as never run, and whose class is not idempotent; they get 409 (queries may_have_run). At most 16,384; when all of them are younger than 6 s, further such queries get 503 (turned_away_over_most_remembered) rather than a second run.

--- a/crates/pipitcrank-core/src/coordinator.rs
+++ b/crates/pipitcrank-core/src/coordinator.rs
@@ -55,7 +55,9 @@
 use state::{State, Timer};
 use zones::{ZoneId, ZoneObservation, ZoneRouting, ZoneTraffic};
 
-use crate::ids::{AttemptDenied, AttemptId, AttemptOutcome, PartId, QueryId, ReplicaId, RequestClassId};
+use crate::ids::{
+    AttemptDenied, AttemptId, AttemptOutcome, Idempotency, PartId, QueryId, ReplicaId, RequestClassId,
+};
 use crate::output::CoordinatorOutput;
 use crate::time::{TimeSpan, Timestamp};
 
@@ -146,6 +148,11 @@
         self.state.cap_deadlines(latest);
     }
 
+    /// Returns the effect of running a part of the class twice.
+    pub fn idempotency(&self, class: RequestClassId) -> Idempotency {
+        self.state.class_config(class).idempotency
+    }
+
     /// Returns the retry-after for a query that was lost together with its process, or `None` if the query
     /// has to be aborted (rule 6).
     pub fn retry_after_if_lost(&self, class: RequestClassId) -> Option<TimeSpan> {
--- a/crates/pipitcrank-server/src/clients/http.rs
+++ b/crates/pipitcrank-server/src/clients/http.rs
@@ -293,9 +293,9 @@
             response
         }
         QueryResponse::Aborted => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
-        QueryResponse::DuplicateId => {
-            last_on_connection((StatusCode::CONFLICT, "a query with this Req-Id is held").into_response())
-        }
+        QueryResponse::DuplicateId => last_on_connection(
+            (StatusCode::CONFLICT, "a query with this Req-Id is held, or may have run").into_response(),
+        ),
     }
 }
 
--- a/crates/pipitcrank-server/src/exchange/admission.rs
+++ b/crates/pipitcrank-server/src/exchange/admission.rs
@@ -1,11 +1,11 @@
-//! Admission of queries: checks for duplicate ids and for the limit of open queries. The `Coordinator` makes all other
+//! Admission of queries: checks for duplicate ids, for ids that may have run, and for the limit of open queries. The `Coordinator` makes all other
 //! checks.
 
 use std::rc::Rc;
 use std::sync::Arc;
 
 use pipitcrank_core::coordinator::{NewPart, NewQuery};
-use pipitcrank_core::ids::{PartId, QueryId};
+use pipitcrank_core::ids::{Idempotency, PartId, QueryId};
 use pipitcrank_core::time::{TimeSpan, Timestamp};
 
 use super::event::Submission;
@@ -21,7 +21,8 @@
         let Submission { ticket, request, response, delegated } = submission;
         let part_ids: Vec<Rc<str>> =
             request.parts.iter().map(|part| format!("{}.{}", request.id, part.shard).into()).collect();
-        if let Some(refusal) = self.refusal(&request.id, &part_ids) {
+        let is_repeatable = self.coordinator.idempotency(request.class) == Idempotency::Idempotent;
+        if let Some(refusal) = self.refusal(now, &request.id, &part_ids, is_repeatable) {
             return response.respond(refusal);
         }
         let QueryRequest { id, class, deadline, parts, idempotency_key, text } = request;
@@ -38,7 +39,16 @@
             audit.admitted(now, AdmittedQuery { ticket, id: &id, class, deadline, forwarded, parts: &parts });
         }
         let response = Some(response);
-        let entry = OpenQuery { ticket, response, parts: indices.clone(), class, idempotency_key, delegated };
+        let entry = OpenQuery {
+            ticket,
+            response,
+            parts: indices.clone(),
+            class,
+            idempotency_key,
+            delegated,
+            may_have_run: false,
+            is_repeatable,
+        };
         table.queries.insert(query.0, entry);
         let works: Option<Vec<f64>> = parts.iter().map(|part| part.work).collect();
         for ((&index, id), part) in indices.iter().zip(part_ids).zip(&parts) {
@@ -64,8 +74,23 @@
     /// Response to a query that is not admitted; `None` if the query is admitted. Queries beyond the limit never reach
     /// the `Coordinator`. To reject no query while there is capacity, answered parts do not count as open and the last
     /// admitted query may exceed the limit.
-    fn refusal(&self, id: &str, part_ids: &[Rc<str>]) -> Option<QueryResponse> {
-        let table = &self.table;
+    fn refusal(
+        &mut self,
+        now: Timestamp,
+        id: &str,
+        part_ids: &[Rc<str>],
+        is_repeatable: bool,
+    ) -> Option<QueryResponse> {
+        let table = &mut self.table;
+        if !is_repeatable && table.recent.contains(id) {
+            table.counters.add(group::QUERIES, query::RECENT_ID);
+            tracing::debug!(target: REQUEST_LOG_TARGET, request = id, "query refused, since its id may have run");
+            return Some(QueryResponse::DuplicateId);
+        }
+        if !is_repeatable && table.recent.is_full(now) {
+            table.counters.add(group::QUERIES, query::REJECTED_TOO_MANY_RECENT);
+            return Some(QueryResponse::Rejected { retry_after: TimeSpan::ZERO });
+        }
         let duplicate = table.query_ids.find(id).is_some()
             || part_ids.iter().any(|part| table.part_ids.find(part).is_some());
         if duplicate {
--- a/crates/pipitcrank-server/src/exchange/coordinator_output.rs
+++ b/crates/pipitcrank-server/src/exchange/coordinator_output.rs
@@ -91,6 +91,7 @@
     }
 
     fn reject(&mut self, query: QueryId, retry_after: TimeSpan, reason: RejectReason) {
+        self.queries.get_mut(&query.0).into_iter().for_each(|entry| entry.may_have_run = false);
         self.refuse(query, QueryResponse::Rejected { retry_after }, query::REJECTED, reason);
     }
 
@@ -115,6 +116,9 @@
     fn release_query(&mut self, query: QueryId) {
         self.query_ids.release(query.0);
         let Some(entry) = self.queries.remove(&query.0) else { return };
+        if entry.may_have_run && !entry.is_repeatable {
+            self.recent.add(self.now, self.query_ids.name(query.0));
+        }
         self.tickets.remove(&entry.ticket);
         if let Some(audit) = &mut self.audit {
             audit.release_query(entry.ticket);
--- a/crates/pipitcrank-server/src/exchange/mod.rs
+++ b/crates/pipitcrank-server/src/exchange/mod.rs
@@ -17,6 +17,7 @@
 mod event;
 mod handover;
 mod query;
+mod recent_queries;
 mod remote_sites;
 mod request_table;
 mod send_guard;
--- a/crates/pipitcrank-server/src/exchange/request_table.rs
+++ b/crates/pipitcrank-server/src/exchange/request_table.rs
@@ -10,6 +10,7 @@
 use pipitcrank_core::time::Timestamp;
 
 use super::query::{DelegatedRequest, ResponseSink};
+use super::recent_queries::RecentQueries;
 use crate::audit::Audit;
 use crate::runtime::counters::Counters;
 
@@ -22,6 +23,10 @@
     pub(super) class: RequestClassId,
     pub(super) idempotency_key: Option<Arc<str>>,
     pub(super) delegated: Option<DelegatedRequest>,
+    /// Whether an attempt passed the send guard and the query was not rejected as never run.
+    pub(super) may_have_run: bool,
+    /// Whether a second run of the query may repeat its effect.
+    pub(super) is_repeatable: bool,
 }
 
 pub(super) struct OpenPart {
@@ -89,6 +94,8 @@
     pub(super) attempt_deadlines: BTreeSet<(Timestamp, AttemptId)>,
     /// The `Coordinator`'s timers with their labels; removed as they fire.
     pub(super) timers: BTreeSet<(Timestamp, u64)>,
+    /// Ended queries whose ids are not admitted again.
+    pub(super) recent: RecentQueries,
     pub(super) commands: Vec<Command>,
     pub(super) counters: Counters,
     /// The run-time audit, if enabled.
--- a/crates/pipitcrank-server/src/exchange/send_guard.rs
+++ b/crates/pipitcrank-server/src/exchange/send_guard.rs
@@ -92,6 +92,9 @@
 
     fn record_sent(&mut self, now: Timestamp, replica: ReplicaId, attempt: AttemptId, time_left: TimeSpan) {
         let part = &self.table.parts[&attempt.part.0];
+        if let Some(query) = part.query.and_then(|query| self.table.queries.get_mut(&query)) {
+            query.may_have_run = true;
+        }
         tracing::debug!(target: REQUEST_LOG_TARGET, part = &*part.id, attempt = attempt.number, replica = replica.0, left_s = time_left.as_secs_f64(), "attempt sent");
         if let Some(audit) = &mut self.table.audit {
             audit.sent(now, SentAttempt { attempt, replica, time_left });
--- a/crates/pipitcrank-server/src/runtime/counter_names.rs
+++ b/crates/pipitcrank-server/src/runtime/counter_names.rs
@@ -54,10 +54,14 @@
     pub const DUPLICATE_ID: &str = "repeated";
     /// Queries answered partially.
     pub const PARTIAL: &str = "merged_in_part";
+    /// Queries with the id of an ended query that may have run.
+    pub const RECENT_ID: &str = "may_have_run";
     /// Rejected queries.
     pub const REJECTED: &str = "rejected";
     /// Queries rejected because the limit of open queries was reached.
     pub const REJECTED_OVER_LIMIT: &str = "turned_away_over_most_open";
+    /// Queries rejected because too many ids of ended queries must still be remembered.
+    pub const REJECTED_TOO_MANY_RECENT: &str = "turned_away_over_most_remembered";
     /// Queries rejected because they were unread until after their deadline.
     pub const UNREAD_TOO_LONG: &str = "unread_too_long";
 }
