Retry budget and audit store admissions by tick; a query's cost no longer grows

Cause: the retry budget scanned all admissions of its window at each admission, and kept 8 bytes for each, twice with the audit. Change: SlidingCount stores a count per point in time and expires from the front; the audit, which had dropped admissions within its slack, uses it too.

--- a/crates/pipitcrank-core/src/coordinator/retry_budget.rs
+++ b/crates/pipitcrank-core/src/coordinator/retry_budget.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 
 use super::delegated_retries::{DelegatedRetries, Delegation};
+use crate::sliding_count::SlidingCount;
 use crate::time::{TimeSpan, Timestamp};
 
 /// Limits on the number of retries in any window.
@@ -28,9 +29,9 @@
 #[derive(Default)]
 pub struct RetryBudget {
     config: RetryBudgetConfig,
-    /// Times of admissions within the window.
-    pub(super) admissions: VecDeque<Timestamp>,
-    /// Times of retries within the window.
+    /// Admissions within the window.
+    pub(super) admissions: SlidingCount,
+    /// Times of retries within the window, oldest first.
     pub(super) retries: VecDeque<Timestamp>,
     /// Delegations. Those that expire unsettled count as made.
     pub(super) delegated: DelegatedRetries,
@@ -64,12 +65,15 @@
     /// they expire. Therefore only those admissions count that will still be in the window at the last
     /// expiry; otherwise local and delegated retries together could exceed the budget of one window.
     pub fn remaining(&mut self, now: Timestamp) -> f64 {
-        for delegation in self.delegated.take_expired(now) {
-            (0..delegation.count).for_each(|_| self.retries.push_back(delegation.expires_at));
+        let expired: Vec<Delegation> = self.delegated.take_expired(now).collect();
+        for delegation in expired {
+            (0..delegation.count).for_each(|_| self.insert_retry(delegation.expires_at));
         }
         // An admission at the edge of the window is outside it, a retry at the edge is inside.
-        self.admissions.retain(|&t| now - t < self.config.window);
-        self.retries.retain(|&t| now - t <= self.config.window);
+        self.admissions.remove_expired(now, self.config.window);
+        while self.retries.front().is_some_and(|&t| now - t > self.config.window) {
+            self.retries.pop_front();
+        }
         if self.is_unlimited() {
             return f64::INFINITY;
         }
@@ -83,7 +87,7 @@
 
     /// Charges one retry.
     pub fn spend(&mut self, now: Timestamp) {
-        self.retries.push_back(now);
+        self.insert_retry(now);
         if let Some(allotment) = &mut self.allotment {
             allotment.remaining -= 1.0;
         }
@@ -102,20 +106,20 @@
         // A retry from an allotment was already charged when it was decided.
         let may_begin = self.allotment.map_or_else(|| self.remaining(now) >= 1.0, |a| now < a.expires_at);
         if may_begin {
-            self.retries.push_back(now);
+            self.insert_retry(now);
         }
         may_begin
     }
 
     /// Records the admission of a query or a part.
     pub fn record_admission(&mut self, now: Timestamp) {
-        self.remaining(now);
-        self.admissions.push_back(now);
+        self.admissions.remove_expired(now, self.config.window);
+        self.admissions.add(now, 1);
     }
 
     /// Removes the newest admission, because the site that forwarded the query counts it.
     pub(super) fn undo_admission(&mut self) {
-        self.admissions.pop_back();
+        self.admissions.remove_newest();
     }
 
     /// Delegates up to `max_count` retries under this id until `expires_at`, which must lie within the
@@ -157,7 +161,7 @@
     /// its retries were counted as made.
     pub fn settle_delegation(&mut self, now: Timestamp, delegation_id: u64, made: u32) {
         if let Some(delegation) = self.delegated.remove(delegation_id) {
-            (0..made.min(delegation.count)).for_each(|_| self.retries.push_back(now));
+            (0..made.min(delegation.count)).for_each(|_| self.insert_retry(now));
         }
     }
 
@@ -179,6 +183,17 @@
         self.closed_until = now + self.config.window;
     }
 
+    /// Number of entries by which the admissions within the window are stored.
+    pub fn admission_entries(&self) -> usize {
+        self.admissions.stored_runs()
+    }
+
+    /// Counts a retry at `at`. Expired delegations are counted late, so it need not be the newest.
+    fn insert_retry(&mut self, at: Timestamp) {
+        let position = self.retries.partition_point(|&t| t <= at);
+        self.retries.insert(position, at);
+    }
+
     fn is_unlimited(&self) -> bool {
         self.config.window == TimeSpan::ZERO
     }
@@ -186,7 +201,7 @@
     /// Returns how many retries remain if only those admissions count that are still in the window at
     /// `until`.
     fn remaining_until(&self, until: Timestamp) -> f64 {
-        let admitted = self.admissions.iter().filter(|&&t| until - t < self.config.window).count();
+        let admitted = self.admissions.count_within(until, self.config.window);
         self.config.free + self.config.fraction * admitted as f64
             - self.retries.len() as f64
             - f64::from(self.delegated.total())
--- a/crates/pipitcrank-core/src/coordinator/state_transfer.rs
+++ b/crates/pipitcrank-core/src/coordinator/state_transfer.rs
@@ -12,6 +12,7 @@
 use super::state::State;
 use super::target_utilization::TargetUtilization;
 use crate::ids::ReplicaId;
+use crate::sliding_count::SlidingCount;
 use crate::time::{TimeSpan, Timestamp};
 
 /// Start times of a replica that differ by less than this belong to the same process. They are derived from
@@ -28,7 +29,7 @@
         LearnedState {
             classes: self.classes.iter().map(learned_class).collect(),
             replicas: self.replicas.iter().map(|(id, r)| (id.0, learned_replica(r, now, window))).collect(),
-            admitted: ages(&self.retry_budget.admissions),
+            admitted: self.retry_budget.admissions.times().map(|t| now - t).collect(),
             retries: ages(&self.retry_budget.retries),
             delegated_retries: (self.retry_budget.delegated.iter())
                 .map(|delegation| (delegation.count, delegation.expires_at - now))
@@ -47,9 +48,11 @@
         let written_at = now - age;
         self.restore_classes(&learned.classes);
         self.restore_replicas(written_at, learned.replicas);
-        let times = |ages: Vec<TimeSpan>| ages.into_iter().map(|age| written_at - age).collect();
-        self.retry_budget.admissions = times(learned.admitted);
-        self.retry_budget.retries = times(learned.retries);
+        let times = |ages: Vec<TimeSpan>| ages.into_iter().map(|age| written_at - age).collect::<Vec<_>>();
+        self.retry_budget.admissions = SlidingCount::from_times(times(learned.admitted));
+        let mut retries = times(learned.retries);
+        retries.sort_unstable();
+        self.retry_budget.retries = retries.into();
         for (index, (count, left)) in learned.delegated_retries.into_iter().enumerate() {
             let delegation_id = Self::PREDECESSOR - 1 - index as u64;
             self.retry_budget.delegate(delegation_id, count, written_at + left);
--- a/crates/pipitcrank-core/src/lib.rs
+++ b/crates/pipitcrank-core/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod interner;
 pub mod output;
 pub mod rng;
+pub mod sliding_count;
 pub mod time;
--- a/crates/pipitcrank-server/src/audit/checker.rs
+++ b/crates/pipitcrank-server/src/audit/checker.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use pipitcrank_core::ids::{AttemptId, AttemptOutcome, Idempotency, PartId, ReplicaId, RequestClassId};
+use pipitcrank_core::sliding_count::SlidingCount;
 use pipitcrank_core::time::{TimeSpan, Timestamp};
 
 use super::rules::{AuditRules, Rule, violated};
@@ -93,8 +94,8 @@
     parts: BTreeMap<PartId, PartRecord>,
     /// Time since which each draining replica has been listed as such.
     draining: BTreeMap<ReplicaId, Timestamp>,
-    /// Admission times of queries and parts within the budget's window.
-    admitted: VecDeque<Timestamp>,
+    /// Admissions of queries and parts within the budget's window and its slack.
+    admitted: SlidingCount,
     /// Times of retries and hedged requests within the budget's window.
     retries: VecDeque<Timestamp>,
 }
@@ -108,7 +109,7 @@
             queries: BTreeMap::new(),
             parts: BTreeMap::new(),
             draining: BTreeMap::new(),
-            admitted: VecDeque::new(),
+            admitted: SlidingCount::default(),
             retries: VecDeque::new(),
         }
     }
@@ -130,10 +131,8 @@
             self.parts.insert(part, PartRecord { ticket, attempts: Vec::new() });
         }
         if let Some(window) = self.rules.budget_window.filter(|_| !forwarded) {
-            self.admitted.extend(std::iter::repeat_n(now, 1 + parts.len()));
-            while self.admitted.front().is_some_and(|&at| now - at > window) {
-                self.admitted.pop_front();
-            }
+            self.admitted.remove_expired(now, window + SOCKET_SLACK);
+            self.admitted.add(now, 1 + parts.len());
         }
     }
 
@@ -198,7 +197,7 @@
         while self.retries.front().is_some_and(|&at| now - at > window) {
             self.retries.pop_front();
         }
-        let admitted = self.admitted.iter().filter(|&&at| now - at < window + SOCKET_SLACK).count();
+        let admitted = self.admitted.count_within(now, window + SOCKET_SLACK);
         let budget = self.rules.budget_free + self.rules.budget_ratio * admitted as f64;
         if self.retries.len() as f64 > budget + WEIGHT_SLACK {
             violated(&self.counters, Rule::RetryBudget, id, "more retries than the budget allows");
