Request heads are tracked byte by byte instead of being stored a second time

Change: clients/head_tracker.rs, split from request_reader.rs, examines each byte once and stores at most 256 bytes of the current line; a framing header longer than that counts as invalid, as any unreadable one. Result: the property test on read boundaries holds unchanged; the test that bounded the copy by the head limit is replaced by a stricter one (one line and many lines, 256 bytes).

--- a/crates/pipitcrank-server/src/clients/connection.rs
+++ b/crates/pipitcrank-server/src/clients/connection.rs
@@ -24,8 +24,9 @@
 
 use super::arrival::Arrival;
 use super::client_connections::{ClientConnection, ConnectionPhase};
+use super::head_tracker::{Framing, HeadTracker};
 use super::linger::{REQUEST_TIMEOUT, linger, send_last};
-use super::request_reader::{DISCARD_CHUNK_BYTES, DISCARD_PAUSE, Framing, HeadTracker, RequestReader};
+use super::request_reader::{DISCARD_CHUNK_BYTES, DISCARD_PAUSE, RequestReader};
 use crate::replicas::connection_end::ConnectionEnd;
 use crate::runtime::stream::{Expects, Stream};
 
--- a/crates/pipitcrank-server/src/clients/request_reader/tests.rs
+++ b/crates/pipitcrank-server/src/clients/head_tracker/tests.rs
@@ -41,10 +41,21 @@
 }
 
 #[test]
-fn an_endless_head_is_buffered_only_up_to_the_limit() {
-    let mut heads = HeadTracker::new(MAX_HEAD_BYTES);
-    for _ in 0..1000 {
-        heads.push(&[b'x'; 100]);
+fn an_endless_head_is_stored_neither_in_one_line_nor_in_many() {
+    for piece in [&[b'x'; 100][..], b"a:b\r\n"] {
+        let mut heads = HeadTracker::new(MAX_HEAD_BYTES);
+        for _ in 0..1000 {
+            heads.push(piece);
+        }
+        assert_eq!((heads.head_bytes(), heads.framing()), (MAX_HEAD_BYTES, None));
+        assert!(heads.line.text.len() <= MAX_LINE_BYTES && heads.line.text.capacity() <= 2 * MAX_LINE_BYTES);
     }
-    assert_eq!((heads.head.len(), heads.framing()), (MAX_HEAD_BYTES, None));
+}
+
+#[test]
+fn a_length_that_is_not_stored_whole_is_invalid() {
+    let zeros = "0".repeat(MAX_LINE_BYTES);
+    let mut heads = HeadTracker::new(MAX_HEAD_BYTES);
+    heads.push(format!("POST /v HTTP/1.1\r\nContent-Length: {zeros}5\r\n\r\n").as_bytes());
+    assert_eq!(heads.framing(), Some(Framing::Length(u64::MAX)));
 }
--- a/crates/pipitcrank-server/src/clients/mod.rs
+++ b/crates/pipitcrank-server/src/clients/mod.rs
@@ -6,6 +6,7 @@
 pub mod client_connections;
 pub mod connection;
 mod connection_server;
+pub mod head_tracker;
 pub mod http;
 mod linger;
 pub mod query_body;
--- a/crates/pipitcrank-server/src/clients/request_reader.rs
+++ b/crates/pipitcrank-server/src/clients/request_reader.rs
@@ -1,5 +1,4 @@
-//! The stream from which the HTTP library reads a client's requests. It detects where a request begins and how its head frames
-//! the body, which the library does not expose.
+//! The stream from which the HTTP library reads a client's requests. It withholds the bytes after the current request.
 
 use std::cell::RefCell;
 use std::io;
@@ -13,6 +12,7 @@
 use tokio::time::{Instant, Sleep, sleep};
 
 use super::client_connections::{ClientConnection, ConnectionPhase};
+use super::head_tracker::HeadTracker;
 use crate::runtime::stream::{Expects, Stream};
 
 /// Bytes after a request that are discarded without a pause. A client that sends endlessly must not starve others of CPU
@@ -21,123 +21,6 @@
 /// Pause after each discarded chunk.
 pub const DISCARD_PAUSE: Duration = Duration::from_millis(1);
 
-/// How the end of a request's body is determined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Framing {
-    /// `Content-Length`, in bytes; 0 for a request without a body.
-    Length(u64),
-    /// `Transfer-Encoding`.
-    Chunked,
-    /// Both headers are present, so two parsers may disagree about the end of the request.
-    Ambiguous,
-}
-
-/// Parses the framing of request heads independently of the HTTP library.
-pub struct HeadTracker {
-    max_head_bytes: usize,
-    /// The part of the head received so far; emptied once the head is complete.
-    head: Vec<u8>,
-    /// Framing of the current request, once its head is complete.
-    framing: Option<Framing>,
-    /// Bytes of the body not yet received, if its length is known.
-    body_left: u64,
-    /// Whether bytes arrived after the request: a pipelined request, or a body longer than its `Content-Length`.
-    has_trailing_bytes: bool,
-}
-
-impl HeadTracker {
-    /// Creates a tracker for heads of up to `max_head_bytes`; the HTTP library rejects longer ones.
-    pub fn new(max_head_bytes: usize) -> HeadTracker {
-        HeadTracker {
-            max_head_bytes,
-            head: Vec::new(),
-            framing: None,
-            body_left: 0,
-            has_trailing_bytes: false,
-        }
-    }
-
-    /// Consumes received bytes; returns how many of them belong to the current request. Bytes after the request are never used.
-    pub fn push(&mut self, bytes: &[u8]) -> usize {
-        let mut own = 0;
-        if self.framing.is_none() {
-            let before = self.head.len();
-            let room = (self.max_head_bytes - before).min(bytes.len());
-            self.head.extend_from_slice(&bytes[..room]);
-            let Some(end) = end_of_head(&self.head) else { return bytes.len() };
-            own = end - before;
-            let framing = framing(&self.head[..end]);
-            self.body_left = if let Framing::Length(length) = framing { length } else { 0 };
-            self.framing = Some(framing);
-            self.head = Vec::new();
-        }
-        let Some(Framing::Length(_)) = self.framing else { return bytes.len() };
-        let of_body = self.body_left.min((bytes.len() - own) as u64);
-        self.body_left -= of_body;
-        own += of_body as usize;
-        self.has_trailing_bytes |= bytes.len() > own;
-        own
-    }
-
-    /// Whether the whole request has been received; false for a chunked body, whose end is not tracked here.
-    fn is_complete(&self) -> bool {
-        matches!(self.framing, Some(Framing::Length(_))) && self.body_left == 0
-    }
-
-    /// Whether a request has begun and may be incomplete.
-    pub fn may_be_incomplete(&self) -> bool {
-        !self.head.is_empty() || self.framing.is_some() && !self.is_complete()
-    }
-
-    /// Framing of the current request, once its head is complete.
-    pub fn framing(&self) -> Option<Framing> {
-        self.framing
-    }
-
-    /// Whether the connection may carry another request. The current request must be known to be complete, with no bytes after
-    /// it, so that the next head is tracked from its first byte.
-    pub fn allows_next_request(&self) -> bool {
-        self.is_complete() && !self.has_trailing_bytes
-    }
-
-    /// Starts tracking the next request, after the current one was answered.
-    pub fn reset(&mut self) {
-        *self = HeadTracker::new(self.max_head_bytes);
-    }
-}
-
-/// Position after the empty line that ends a head. Empty lines before the request line are skipped.
-fn end_of_head(bytes: &[u8]) -> Option<usize> {
-    let start = bytes.iter().position(|b| !b"\r\n".contains(b))?;
-    let mut line = start;
-    while let Some(n) = bytes[line..].iter().position(|&b| b == b'\n') {
-        let end = line + n;
-        if bytes[line..end].trim_ascii().is_empty() {
-            return Some(end + 1);
-        }
-        line = end + 1;
-    }
-    None
-}
-
-fn framing(head: &[u8]) -> Framing {
-    let (mut length, mut chunked) = (None, false);
-    for line in head.split(|&b| b == b'\n') {
-        let Some(colon) = line.iter().position(|&b| b == b':') else { continue };
-        let (name, value) = (line[..colon].trim_ascii(), line[colon + 1..].trim_ascii());
-        if name.eq_ignore_ascii_case(b"content-length") {
-            let value = std::str::from_utf8(value).ok().and_then(|v| v.parse().ok());
-            length = Some(value.unwrap_or(u64::MAX));
-        }
-        chunked |= name.eq_ignore_ascii_case(b"transfer-encoding");
-    }
-    match (length, chunked) {
-        (Some(_), true) => Framing::Ambiguous,
-        (None, true) => Framing::Chunked,
-        (length, false) => Framing::Length(length.unwrap_or(0)),
-    }
-}
-
 /// The stream that the HTTP library reads and writes.
 pub struct RequestReader {
     stream: Rc<Stream>,
@@ -251,6 +134,3 @@
         Poll::Ready(self.stream.shut_down())
     }
 }
-
-#[cfg(test)]
-mod tests;
