--- a/crates/pipitcrank-core/src/coordinator.rs
+++ b/crates/pipitcrank-core/src/coordinator.rs
@@ -148,6 +148,11 @@
         self.state.cap_deadlines(latest);
     }
 
+    /// Returns the retry-after for a query of the class that is rejected before its admission.
+    pub fn retry_after(&self, class: RequestClassId) -> TimeSpan {
+        self.state.retry_after(class)
+    }
+
     /// Returns the effect of running a part of the class twice.
     pub fn idempotency(&self, class: RequestClassId) -> Idempotency {
         self.state.class_config(class).idempotency
--- a/crates/pipitcrank-core/src/coordinator/final_answers.rs
+++ b/crates/pipitcrank-core/src/coordinator/final_answers.rs
@@ -124,7 +124,7 @@
 
     /// Returns the retry-after for a query of the class: the time that such a query may wait for its first
     /// attempts, capped at the configured maximum.
-    fn retry_after(&self, class: RequestClassId) -> TimeSpan {
+    pub(super) fn retry_after(&self, class: RequestClassId) -> TimeSpan {
         let longest = self.retry_policy.max_retry_after.unwrap_or(TimeSpan::ZERO);
         let objective = self.class_config(class).latency_objective;
         (objective * Self::FIRST_ATTEMPT_FRACTION).min(longest)
--- a/crates/pipitcrank-server/src/clients/acceptor.rs
+++ b/crates/pipitcrank-server/src/clients/acceptor.rs
@@ -13,11 +13,13 @@
 
 use super::accept_queue::{AcceptQueue, Accepted, ClosingQueue};
 use super::client_connections::ClientConnections;
-use super::connection::{AdoptedConnection, ConnectionMode};
+use super::connection::{AdoptedConnection, ConnectionLimits, ConnectionMode};
 use super::connection_server::ConnectionServer;
 use crate::runtime::clock::duration;
 use crate::runtime::connection_limits::{ConnectionLimiter, ConnectionPermit};
+use crate::runtime::counter_names::{group, shed};
 use crate::runtime::counters::Counters;
+use crate::runtime::memory_budget::{MemoryAccount, MemoryBudget};
 use crate::runtime::shutdown::{ShutdownRequest, ShutdownSchedule};
 
 /// Interval of the checks for overdue connections: a tenth of the half second of slack that connection deadlines have.
@@ -25,6 +27,17 @@
 /// One in this many client permits is kept free for new connections.
 const SPARE_ONE_IN: usize = 8;
 
+/// What client connections may use.
+#[derive(Clone)]
+pub struct ClientResources {
+    /// Limits the open connections.
+    pub permits: ConnectionLimiter,
+    /// Limits the memory kept for clients.
+    pub memory: MemoryBudget,
+    /// Retry-after of requests that are shed before they become queries, if the settings allow one.
+    pub shed_retry_after: Option<TimeSpan>,
+}
+
 /// A command to the acceptor.
 pub enum AcceptorCommand {
     /// Accepts connections from this listener.
@@ -53,13 +66,13 @@
 pub async fn run(
     mut commands: UnboundedReceiver<AcceptorCommand>,
     router: Router,
-    permits: ConnectionLimiter,
+    resources: ClientResources,
     counters: Counters,
     schedule: ShutdownSchedule,
     mut shutdown_requested: ShutdownRequest,
     is_drained: impl Fn() -> bool,
 ) {
-    let mut acceptor = Acceptor::new(router, permits, counters, schedule, is_drained);
+    let mut acceptor = Acceptor::new(router, resources, counters, schedule, is_drained);
     let mut checks = tokio::time::interval(CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -122,16 +135,17 @@
 impl<F: Fn() -> bool> Acceptor<F> {
     fn new(
         router: Router,
-        permits: ConnectionLimiter,
+        resources: ClientResources,
         counters: Counters,
         schedule: ShutdownSchedule,
         is_drained: F,
     ) -> Acceptor<F> {
         let (mode, receiver) = watch::channel(ConnectionMode::Serve);
         let connections = Rc::new(ClientConnections::default());
-        let idle = duration(schedule.idle);
+        let ClientResources { permits, memory, shed_retry_after } = resources;
+        let limits = ConnectionLimits { idle: duration(schedule.idle), memory, shed_retry_after };
         Acceptor {
-            server: ConnectionServer { router, counters, connections, mode: receiver, idle },
+            server: ConnectionServer { router, counters, connections, mode: receiver, limits },
             permits,
             mode,
             schedule,
@@ -196,6 +210,10 @@
         let shortage =
             if self.draining { usize::MAX } else { spare.saturating_sub(self.permits.available()) };
         connections.close_overdue(Instant::now(), shortage);
+        if self.server.limits.memory.is_short(MemoryAccount::Requests) {
+            let slow = connections.close_slow_requests(Instant::now());
+            self.server.counters.add_many(group::SHED, shed::SLOW_REQUEST, slow as u64);
+        }
         if !self.has_passed(self.schedule.admit_until) {
             return Flow::Continue;
         }
--- a/crates/pipitcrank-server/src/clients/acceptor/tests.rs
+++ b/crates/pipitcrank-server/src/clients/acceptor/tests.rs
@@ -10,6 +10,11 @@
 use super::*;
 use crate::clients::connection_server::MAX_REJECTING;
 
+/// Resources with these permits and unlimited memory.
+fn resources(permits: ConnectionLimiter) -> ClientResources {
+    ClientResources { permits, memory: MemoryBudget::unlimited(), shed_retry_after: None }
+}
+
 /// Larger than the socket buffers of both sides.
 const LONG_ANSWER_BYTES: usize = 32 << 20;
 
@@ -46,8 +51,16 @@
             accept_queue_until: admit_until + idle,
         };
         tokio::task::spawn_local(async move {
-            run(receiver, router, ConnectionLimiter::new(9), counters, schedule, shutdown_requested, || true)
-                .await;
+            run(
+                receiver,
+                router,
+                resources(ConnectionLimiter::new(9)),
+                counters,
+                schedule,
+                shutdown_requested,
+                || true,
+            )
+            .await;
             acceptor_ended.set(true);
         });
         assert!(!request(&mut stream).await.contains("connection: close"));
@@ -131,7 +144,11 @@
             counters: Counters::default(),
             connections: connections.clone(),
             mode: watch::channel(ConnectionMode::Serve).1,
-            idle: Duration::from_secs(9),
+            limits: ConnectionLimits {
+                idle: Duration::from_secs(9),
+                memory: MemoryBudget::unlimited(),
+                shed_retry_after: None,
+            },
         };
         server.serve_accepted(None, Accepted { stream: accepted, wait: Duration::ZERO });
         request(&mut stream).await;
@@ -193,8 +210,15 @@
             accept_queue_until: end,
         };
         let (router, permits) = (Router::new().route("/", get(slow)), ConnectionLimiter::new(2));
-        let serving =
-            run(receiver, router, permits.clone(), Counters::default(), schedule, requested, || true);
+        let serving = run(
+            receiver,
+            router,
+            resources(permits.clone()),
+            Counters::default(),
+            schedule,
+            requested,
+            || true,
+        );
         let serving = tokio::task::spawn_local(serving);
         let connect = async || {
             let mut stream = TcpStream::connect(address).await.unwrap();
--- a/crates/pipitcrank-server/src/clients/arrival.rs
+++ b/crates/pipitcrank-server/src/clients/arrival.rs
@@ -21,9 +21,14 @@
         self.completed.notify_one();
     }
 
+    /// Whether the body has been read completely.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete.load(Ordering::Relaxed)
+    }
+
     /// Completes once the body has been read completely.
     pub async fn wait(&self) {
-        while !self.is_complete.load(Ordering::Relaxed) {
+        while !self.is_complete() {
             self.completed.notified().await;
         }
     }
--- a/crates/pipitcrank-server/src/clients/client_connections.rs
+++ b/crates/pipitcrank-server/src/clients/client_connections.rs
@@ -1,5 +1,5 @@
 //! Tracks the phase of each client connection and its time limits, and selects the connections to close when permits run
-//! short. A connection whose query is being answered is never closed.
+//! short. A connection whose request has been received completely is never closed before its response.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -10,6 +10,8 @@
 use tokio::time::Instant;
 
 use super::arrival::BodyCompletion;
+use super::http::ResponseMemory;
+use crate::runtime::memory_budget::{MemoryAccount, MemoryBudget, Reservation};
 
 /// Time to receive a whole request, from its first byte, or from the accept for the first request on a connection. An
 /// incomplete request must get an error or a close within 3 s, of which half a second may pass waiting for the CPU.
@@ -30,6 +32,9 @@
 /// Time for a client to read its last response before the connection may be closed to free its permit.
 const LINGERING_GRACE: Duration = Duration::from_millis(250);
 
+/// Memory of a head that is longer than what a connection includes: the HTTP library's buffer doubles up to it.
+const LONG_HEAD_BYTES: usize = 16 * 1024;
+
 /// The phase of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionPhase {
@@ -73,6 +78,14 @@
     /// Whether the current response carries `Connection: close`.
     last_answer: Cell<bool>,
     phase_changed: Notify,
+    /// Completion of the current request's body.
+    body: RefCell<Option<Arc<BodyCompletion>>>,
+    /// Memory of a long head, until the request is answered.
+    head_memory: RefCell<Option<Reservation>>,
+    /// Memory of a long response, until it is written.
+    response_memory: RefCell<Option<ResponseMemory>>,
+    /// Whether the connection is closed for lack of memory for its request.
+    is_shed: Cell<bool>,
     /// Completion of the current request's body, if that is chunked.
     chunked_body: RefCell<Option<Arc<BodyCompletion>>>,
     chunked_body_begun: Notify,
@@ -93,6 +106,10 @@
             flushed: Cell::new(true),
             last_answer: Cell::default(),
             phase_changed: Notify::new(),
+            body: RefCell::default(),
+            head_memory: RefCell::default(),
+            response_memory: RefCell::default(),
+            is_shed: Cell::default(),
             chunked_body: RefCell::default(),
             chunked_body_begun: Notify::new(),
             accept_wait: Cell::default(),
@@ -120,14 +137,48 @@
         self.accept_wait.take()
     }
 
-    /// Registers a request with a chunked body; the reader of the body sets the returned completion.
-    pub fn expect_chunked_body(&self) -> Arc<BodyCompletion> {
+    /// Registers a request whose body may be incomplete; the reader of the body sets the returned completion.
+    pub fn expect_body(&self, is_chunked: bool) -> Arc<BodyCompletion> {
         let body = Arc::<BodyCompletion>::default();
-        *self.chunked_body.borrow_mut() = Some(body.clone());
-        self.chunked_body_begun.notify_one();
+        *self.body.borrow_mut() = Some(body.clone());
+        if is_chunked {
+            *self.chunked_body.borrow_mut() = Some(body.clone());
+            self.chunked_body_begun.notify_one();
+        }
         body
     }
 
+    /// Whether the body of a request is being received. No work has begun for such a request.
+    pub fn is_receiving_body(&self) -> bool {
+        let is_incomplete = self.body.borrow().as_ref().is_some_and(|body| !body.is_complete());
+        self.phase() == ConnectionPhase::Answering && is_incomplete
+    }
+
+    /// Reserves memory for a long head, once for each request. Returns false if there is none.
+    pub fn hold_head_memory(&self, budget: &MemoryBudget) -> bool {
+        let mut held = self.head_memory.borrow_mut();
+        if held.is_none() {
+            *held = budget.reserve(MemoryAccount::Requests, LONG_HEAD_BYTES);
+        }
+        held.is_some()
+    }
+
+    /// Holds the memory of the current response until it is written.
+    pub fn hold_response_memory(&self, memory: ResponseMemory) {
+        *self.response_memory.borrow_mut() = Some(memory);
+    }
+
+    /// Requests the close of the connection for lack of memory for its request.
+    pub fn shed(&self) {
+        self.is_shed.set(true);
+        self.request_close();
+    }
+
+    /// Whether the connection is closed for lack of memory for its request.
+    pub fn is_shed(&self) -> bool {
+        self.is_shed.get()
+    }
+
     /// Completes once the chunked body of a request has been read completely.
     pub async fn chunked_body_complete(&self) {
         loop {
@@ -153,6 +204,7 @@
     /// Marks the last response as written to the socket completely.
     pub fn set_flushed(&self) {
         if self.phase() == ConnectionPhase::Idle && !self.flushed.replace(true) {
+            *self.response_memory.borrow_mut() = None;
             self.phase_changed.notify_one();
         }
     }
@@ -204,6 +256,8 @@
         }
         if self.phase() == ConnectionPhase::Answering {
             self.flushed.set(false);
+            *self.body.borrow_mut() = None;
+            *self.head_memory.borrow_mut() = None;
         }
         self.phase.set((phase, now));
         self.phase_changed.notify_one();
@@ -219,7 +273,8 @@
     pub async fn close_requested(&self) {
         loop {
             self.close.notified().await;
-            if self.phase.get() == self.phase_at_close.get() {
+            let is_begun = self.phase() == ConnectionPhase::Answering && !self.is_receiving_body();
+            if self.phase.get() == self.phase_at_close.get() && !is_begun {
                 return;
             }
             self.closing.set(false);
@@ -241,6 +296,7 @@
         let wait = match phase {
             ConnectionPhase::New => NEW_GRACE,
             ConnectionPhase::Reading => READING_GRACE,
+            ConnectionPhase::Answering if self.is_receiving_body() => READING_GRACE,
             // A slow client is still reading its response.
             ConnectionPhase::Idle if !self.flushed.get() => return None,
             ConnectionPhase::Idle => IDLE_GRACE,
@@ -292,6 +348,18 @@
         inactive.for_each(|connection| connection.request_close());
     }
 
+    /// Closes connections whose request has been incomplete for longer than clients need to send one; returns their number.
+    pub fn close_slow_requests(&self, now: Instant) -> usize {
+        let connections = self.0.borrow();
+        let is_slow = |connection: &ClientConnection| {
+            let is_incomplete =
+                connection.phase() == ConnectionPhase::Reading || connection.is_receiving_body();
+            is_incomplete && connection.evictable_at().is_some_and(|at| at <= now)
+        };
+        let slow = connections.iter().filter(|other| !other.closing.get() && is_slow(other));
+        slow.map(|connection| connection.request_close()).count()
+    }
+
     /// Closes connections that exceed the time limit of their phase, then evictable ones, earliest evictable first, until
     /// `shortage` permits are about to be released.
     pub fn close_overdue(&self, now: Instant, shortage: usize) {
--- a/crates/pipitcrank-server/src/clients/connection.rs
+++ b/crates/pipitcrank-server/src/clients/connection.rs
@@ -3,7 +3,6 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use axum::Router;
@@ -16,6 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use pipitcrank_core::time::TimeSpan;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
@@ -25,15 +25,15 @@
 use super::arrival::Arrival;
 use super::client_connections::{ClientConnection, ConnectionPhase};
 use super::head_tracker::{Framing, HeadTracker};
-use super::linger::{REQUEST_TIMEOUT, linger, send_last};
+use super::http::ResponseMemory;
+use super::linger::{REQUEST_TIMEOUT, linger, send_last, service_unavailable};
 use super::request_reader::{DISCARD_CHUNK_BYTES, DISCARD_PAUSE, RequestReader};
 use crate::replicas::connection_end::ConnectionEnd;
-use crate::runtime::stream::{Expects, Stream};
+use crate::runtime::memory_budget::MemoryBudget;
+use crate::runtime::stream::Stream;
 
 /// Longest accepted request head. With all permits in use, heads and bodies stay under a quarter of the memory limit.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// Bytes after a chunked body that are read at a time.
-const READ_CHUNK_BYTES: usize = 64 * 1024;
 
 /// A connection to be served, either newly accepted or transferred between processes.
 pub struct AdoptedConnection {
@@ -56,17 +56,30 @@
     Transfer(UnboundedSender<AdoptedConnection>),
 }
 
-/// Serves one connection until its end; returns how it ended. `idle` is the connection's idle timeout while draining.
+/// Limits of one connection.
+#[derive(Clone)]
+pub struct ConnectionLimits {
+    /// Idle timeout while draining.
+    pub idle: Duration,
+    /// Limits the memory kept for clients.
+    pub memory: MemoryBudget,
+    /// Retry-after of a request that is shed, if the settings allow one.
+    pub shed_retry_after: Option<TimeSpan>,
+}
+
+/// Serves one connection until its end; returns how it ended.
 pub async fn serve(
     adopted: AdoptedConnection,
     router: Router,
     connection: &Rc<ClientConnection>,
     mut modes: watch::Receiver<ConnectionMode>,
-    idle: Duration,
+    limits: ConnectionLimits,
 ) -> ConnectionEnd {
+    let ConnectionLimits { idle, memory, shed_retry_after } = limits;
     let stream = Rc::new(Stream::new(adopted.stream));
     let heads = Rc::new(RefCell::new(HeadTracker::new(MAX_HEAD_BYTES)));
-    let reader = RequestReader::new(stream.clone(), connection.clone(), heads.clone(), adopted.buffered);
+    let reader =
+        RequestReader::new(stream.clone(), connection.clone(), heads.clone(), adopted.buffered, memory);
     let answer_modes = modes.clone();
     let service = service_fn(|request| {
         let (router, connection) = (router.clone(), connection.clone());
@@ -85,21 +98,21 @@
             // The HTTP library is polled first, since a request may be unread when a close for inactivity is requested.
             biased;
             served = std::future::poll_fn(|cx| serving.poll_without_shutdown(cx)) => break end_of(served, &mode),
-            () = connection.close_requested() => return close(&stream, connection).await,
+            () = connection.close_requested() => {
+                // Releases the request's memory before its client is answered.
+                drop(serving);
+                return close(&stream, connection, shed_retry_after).await;
+            }
             // The HTTP library does not read past bytes that it can't process yet, and would miss a close after them.
             () = closed_behind_body(&stream, connection) => return ConnectionEnd::Closed,
             Ok(()) = modes.changed() => mode = modes.borrow_and_update().clone(),
             () = connection.wait_closable(is_transfer, idle), if !matches!(mode, ConnectionMode::Serve) => {
                 let ConnectionMode::Transfer(successor) = mode else { break ConnectionEnd::NotNeeded };
                 let request_timeout = connection.request_time_left(Instant::now());
-                let parts = serving.into_parts();
+                let http1::Parts { io, read_buf, .. } = serving.into_parts();
                 // Bytes that the HTTP library has not processed, then bytes of an earlier transfer that it has not read.
-                let buffered =
-                    [&parts.read_buf[..], &parts.io.into_inner().into_unread()[..]].concat().into();
-                let Some(stream) = Rc::into_inner(stream) else { return ConnectionEnd::Reset };
-                let _ = successor
-                    .send(AdoptedConnection { stream: stream.into_tcp(), buffered, request_timeout });
-                return ConnectionEnd::HandedOver;
+                let buffered = [&read_buf[..], &io.into_inner().into_unread()[..]].concat().into();
+                return transfer(stream, buffered, request_timeout, &successor);
             }
         }
     };
@@ -114,6 +127,18 @@
     end
 }
 
+/// Transfers the connection to another process.
+fn transfer(
+    stream: Rc<Stream>,
+    buffered: Bytes,
+    request_timeout: Option<Duration>,
+    successor: &UnboundedSender<AdoptedConnection>,
+) -> ConnectionEnd {
+    let Some(stream) = Rc::into_inner(stream) else { return ConnectionEnd::Reset };
+    let _ = successor.send(AdoptedConnection { stream: stream.into_tcp(), buffered, request_timeout });
+    ConnectionEnd::HandedOver
+}
+
 /// How the connection ends, by the HTTP library's result.
 fn end_of(served: hyper::Result<()>, mode: &ConnectionMode) -> ConnectionEnd {
     match served {
@@ -124,11 +149,20 @@
     }
 }
 
-/// Closes a connection after `close_requested`; sends a 408 response if a request was received only in part.
-async fn close(stream: &Stream, connection: &ClientConnection) -> ConnectionEnd {
+/// Closes a connection after `close_requested`. If a request was received only in part, sends a 408 response, or a 503
+/// response if there is no memory for the rest of it.
+async fn close(
+    stream: &Stream,
+    connection: &ClientConnection,
+    shed_retry_after: Option<TimeSpan>,
+) -> ConnectionEnd {
     match connection.phase() {
         ConnectionPhase::Idle => ConnectionEnd::Idle,
-        ConnectionPhase::Reading if connection.is_flushed() => {
+        ConnectionPhase::Reading if connection.is_shed() => {
+            send_last(stream, &service_unavailable(shed_retry_after)).await;
+            ConnectionEnd::OutOfMemory
+        }
+        ConnectionPhase::Reading | ConnectionPhase::Answering if connection.is_flushed() => {
             send_last(stream, REQUEST_TIMEOUT).await;
             ConnectionEnd::Silent
         }
@@ -140,10 +174,9 @@
 /// and it stops reading while it holds later bytes that it can't process yet. Those bytes are read and discarded here.
 async fn closed_behind_body(stream: &Stream, connection: &ClientConnection) {
     connection.chunked_body_complete().await;
-    let (mut chunk, mut read) = (Vec::with_capacity(READ_CHUNK_BYTES), 0);
+    let mut read = 0;
     loop {
-        chunk.clear();
-        match stream.read_some(&mut chunk, Expects::More).await {
+        match stream.discard_some().await {
             Ok(n) if n > 0 => read += n,
             _ => return,
         }
@@ -165,10 +198,10 @@
     connection.set_phase(ConnectionPhase::Answering, Instant::now());
     // Taken from the reader, since the HTTP library exposes only one header of an ambiguous framing.
     let framing = heads.borrow().framing();
-    let body = match framing {
-        Some(Framing::Chunked) => connection.expect_chunked_body(),
-        _ => Arc::default(),
-    };
+    let body = connection.expect_body(framing == Some(Framing::Chunked));
+    if heads.borrow().is_complete() {
+        body.set();
+    }
     let ambiguous_framing = framing == Some(Framing::Ambiguous);
     let (deadline, accept_wait) = (connection.request_deadline(), connection.take_accept_wait());
     request.extensions_mut().insert(Arrival { deadline, ambiguous_framing, body, accept_wait });
@@ -181,6 +214,9 @@
         if !allows_next_request {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        if let Some(memory) = response.extensions_mut().remove::<ResponseMemory>() {
+            connection.hold_response_memory(memory);
+        }
         if response.headers().get(CONNECTION).is_some_and(|value| value == "close") {
             connection.set_last_answer();
         }
--- a/crates/pipitcrank-server/src/clients/connection_server.rs
+++ b/crates/pipitcrank-server/src/clients/connection_server.rs
@@ -10,12 +10,12 @@
 
 use super::accept_queue::{Accepted, ClosingQueue, NextClient};
 use super::client_connections::{ClientConnections, ConnectionPhase};
-use super::connection::{AdoptedConnection, ConnectionMode, serve};
+use super::connection::{AdoptedConnection, ConnectionLimits, ConnectionMode, serve};
 use super::linger::reject;
 use crate::audit::{Rule, violated};
 use crate::exchange::REQUEST_LOG_TARGET;
 use crate::runtime::connection_limits::{ConnectionLimiter, ConnectionPermit};
-use crate::runtime::counter_names::{client, group};
+use crate::runtime::counter_names::{client, group, shed};
 use crate::runtime::counters::Counters;
 
 /// Limit of clients without a permit that are rejected concurrently. Each uses a file descriptor outside the limits of the
@@ -28,8 +28,8 @@
     pub(super) counters: Counters,
     pub(super) connections: Rc<ClientConnections>,
     pub(super) mode: watch::Receiver<ConnectionMode>,
-    /// Idle timeout of connections while draining.
-    pub(super) idle: Duration,
+    /// Limits of each connection.
+    pub(super) limits: ConnectionLimits,
 }
 
 impl ConnectionServer {
@@ -55,19 +55,22 @@
         let kind = if accept_wait.is_some() { client::ACCEPTED } else { client::ADOPTED };
         self.counters.add(group::CLIENTS, kind);
         let (router, counters, mode) = (self.router.clone(), self.counters.clone(), self.mode.clone());
-        let (connections, idle) = (self.connections.clone(), self.idle);
+        let (connections, limits) = (self.connections.clone(), self.limits.clone());
         let connection = connections.add(Instant::now());
         match accept_wait {
             Some(wait) => connection.set_accept_wait(wait),
             None => connection.resume(Instant::now(), adopted.request_timeout),
         }
         tokio::task::spawn_local(async move {
-            let end = serve(adopted, router, &connection, mode, idle).await;
+            let end = serve(adopted, router, &connection, mode, limits).await;
             counters.add(group::CLIENTS, end.name());
             let phase = connection.phase();
             counters.add(group::CLIENTS_ENDED, phase.name());
             tracing::debug!(target: REQUEST_LOG_TARGET, why = end.name(), at = ?phase, "client connection ended");
-            if end.is_local() && phase == ConnectionPhase::Answering {
+            if connection.is_shed() {
+                counters.add(group::SHED, shed::HEAD);
+            }
+            if end.is_local() && phase == ConnectionPhase::Answering && !connection.is_receiving_body() {
                 violated(&counters, Rule::NoCloseUnanswered, "unknown, on a client connection", end.name());
             }
             connections.remove(&connection);
@@ -93,9 +96,9 @@
                 NextClient::Accepted(accepted) if permit.is_some() => self.serve_accepted(permit, accepted),
                 NextClient::Accepted(accepted) => {
                     self.counters.add(group::CLIENTS, client::REJECTED_AT_SHUTDOWN);
-                    let counted = rejecting.clone();
+                    let (counted, retry_after) = (rejecting.clone(), self.limits.shed_retry_after);
                     tokio::task::spawn_local(async move {
-                        reject(accepted.stream).await;
+                        reject(accepted.stream, retry_after).await;
                         drop(counted);
                     });
                 }
--- a/crates/pipitcrank-server/src/clients/http.rs
+++ b/crates/pipitcrank-server/src/clients/http.rs
@@ -5,9 +5,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use axum::Router;
-use axum::body::to_bytes;
 use axum::extract::{Request, State};
-use axum::http::header::{ALLOW, CONNECTION, RETRY_AFTER};
+use axum::http::header::{ALLOW, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
@@ -18,21 +17,23 @@
 use tokio::time::Instant;
 
 use super::arrival::Arrival;
+use super::body_reader::{ReceivedBody, read_body};
 pub use super::query_body::is_valid_idempotency_key;
 use super::query_body::{AnswerBody, HitBody, MAX_ID_BYTES, QueryHead, decode_query, is_hex_key};
 use super::request_error::RequestError;
 use crate::exchange::{QueryRequest, QueryResponse};
 use crate::runtime::clock::{Clock, duration};
-use crate::runtime::counter_names::{group, query};
+use crate::runtime::counter_names::{group, query, shed};
 use crate::runtime::counters::Counters;
-use crate::runtime::memory_usage::MemoryUsage;
+use crate::runtime::memory_budget::{MemoryAccount, MemoryBudget, Reservation};
+use crate::runtime::memory_usage;
 use crate::runtime::shutdown::ShutdownRequest;
 use crate::runtime::stall_detector::StallDetector;
 
-/// Largest accepted body, as specified by the protocol.
-const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Largest accepted `Req-Deadline-Ms`: one day.
 const MAX_DEADLINE_MS: i64 = 24 * 3600 * 1000;
+/// Part of a response that the memory of a connection includes.
+const INCLUDED_RESPONSE_BYTES: usize = 4 * 1024;
 /// Longest wait in the accept queue that counts as zero: a third of the slack of the deadlines sent to replicas.
 const NEGLIGIBLE_ACCEPT_WAIT: TimeSpan = TimeSpan::from_millis(50);
 
@@ -66,6 +67,10 @@
     pub clock: Clock,
     /// The counters served at `/counters`.
     pub counters: Counters,
+    /// Limits the memory kept for clients.
+    pub memory: MemoryBudget,
+    /// Retry-after of requests that are shed before they become queries, if the settings allow one.
+    pub shed_retry_after: Option<TimeSpan>,
     /// Names of the request classes, by id. A query's path begins with the name of its class.
     pub classes: Arc<[String]>,
     /// Whether each request class is idempotent by key, by id.
@@ -105,7 +110,7 @@
 }
 
 async fn counters(State(state): State<HttpState>) -> Response {
-    MemoryUsage::read().into_iter().for_each(|usage| usage.count(&state.counters));
+    memory_usage::count(&state.counters, &state.memory);
     last_on_connection(state.counters.render().into_response())
 }
 
@@ -125,7 +130,7 @@
 }
 
 async fn query(State(state): State<HttpState>, request: Request) -> Response {
-    let ReceivedQuery { request, unread } = match read_query(&state, request).await {
+    let ReceivedQuery { request, unread, body_memory } = match read_query(&state, request).await {
         Ok(received) => received,
         Err(error) => return refuse(&state, error),
     };
@@ -134,7 +139,8 @@
     let now = state.clock.now();
     if request.deadline <= now && unread.max(state.stall_detector.unread_for(now)) > TimeSpan::ZERO {
         state.counters.add(group::QUERIES, query::UNREAD_TOO_LONG);
-        return encode(QueryResponse::Rejected { retry_after: TimeSpan::ZERO });
+        let retry_after = state.shed_retry_after.unwrap_or(TimeSpan::ZERO);
+        return encode(&state, QueryResponse::Rejected { retry_after });
     }
     let ticket = state.tickets.fetch_add(1, Ordering::Relaxed);
     let (response, responded) = oneshot::channel();
@@ -144,8 +150,9 @@
     let mut guard = DisconnectGuard { ticket, events: state.events.clone(), answered: false };
     let response = responded.await;
     guard.answered = true;
+    drop(body_memory);
     match response {
-        Ok(response) => encode(response),
+        Ok(response) => encode(&state, response),
         Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
     }
 }
@@ -156,6 +163,10 @@
     if error == RequestError::Method {
         response.headers_mut().insert(ALLOW, HeaderValue::from_static("POST"));
     }
+    if error == RequestError::BodyMemory {
+        state.counters.add(group::SHED, shed::BODY);
+        insert_retry_after(&mut response, state.shed_retry_after.unwrap_or(TimeSpan::ZERO));
+    }
     response
 }
 
@@ -164,6 +175,8 @@
     request: QueryRequest,
     /// Upper bound of the time for which it was unread, by which its deadline is already shortened.
     unread: TimeSpan,
+    /// Memory reserved for the query's body, which stands for its text while the query is open.
+    body_memory: Reservation,
 }
 
 async fn read_query(state: &HttpState, request: Request) -> Result<ReceivedQuery, RequestError> {
@@ -182,22 +195,27 @@
         return Err(RequestError::AmbiguousFraming);
     }
     let headers = QueryHeaders::read(state, class, &parts.headers)?;
+    let (arrival, id, idempotency_key) =
+        (arrival.cloned(), headers.id.to_string(), headers.idempotency_key.map(str::to_string));
+    let time_left = headers.time_left;
+    // The head is not needed while the body is received, and its fields keep the whole buffer that it was read into.
+    drop(parts);
     // The connection's deadline applies as well: a body may never arrive, and the client's deadline may be a day away.
-    let own = Instant::now() + duration(headers.time_left);
-    let body_deadline = arrival.map_or(own, |arrival| arrival.deadline.min(own));
-    let body = tokio::select! {
+    let own = Instant::now() + duration(time_left);
+    let body_deadline = arrival.as_ref().map_or(own, |arrival| arrival.deadline.min(own));
+    let ReceivedBody { bytes, reservation } = tokio::select! {
         biased;
-        body = to_bytes(body, MAX_BODY_BYTES) => body.map_err(|error| body_error(&error))?,
+        body = read_body(body, &state.memory) => body?,
         () = body_overdue(state, body_deadline) => return Err(RequestError::BodyTimeout),
     };
     if let Some(arrival) = arrival {
         arrival.body.set();
     }
-    let own = received + headers.time_left - unread;
+    let own = received + time_left - unread;
     let deadline = deadline(own, *state.shutdown_requested.borrow(), state.last_answer);
-    let QueryHeaders { id, idempotency_key, .. } = headers;
-    let request = decode_query(&body, QueryHead { id, class, deadline, idempotency_key }, state.shards)?;
-    Ok(ReceivedQuery { request, unread })
+    let head = QueryHead { id: &id, class, deadline, idempotency_key: idempotency_key.as_deref() };
+    let request = decode_query(&bytes, head, state.shards)?;
+    Ok(ReceivedQuery { request, unread, body_memory: reservation })
 }
 
 /// Upper bound of the time for which a request received now was unread, in its socket or in the accept queue.
@@ -266,30 +284,46 @@
     }
 }
 
-fn body_error(error: &axum::Error) -> RequestError {
-    let mut cause: Option<&dyn std::error::Error> = Some(error);
-    while let Some(error) = cause {
-        if error.is::<http_body_util::LengthLimitError>() {
-            return RequestError::BodyTooLarge;
-        }
-        cause = error.source();
+fn insert_retry_after(response: &mut Response, retry_after: TimeSpan) {
+    if retry_after > TimeSpan::ZERO
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry_after.as_secs_f64()))
+    {
+        response.headers_mut().insert(RETRY_AFTER, value);
     }
-    RequestError::BodyIncomplete
 }
 
-fn encode(response: QueryResponse) -> Response {
+/// Memory of a response, attached to it; the connection holds it until the client has read the response.
+#[derive(Clone)]
+pub struct ResponseMemory(#[expect(dead_code, reason = "held until dropped")] Arc<Reservation>);
+
+/// Encodes an answer. One too long for the memory left is not sent: its query is aborted, since its parts have run.
+fn encode_answer(state: &HttpState, answer: &AnswerBody<'_>) -> Response {
+    let Ok(body) = serde_json::to_vec(answer) else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
+    let memory = if body.len() > INCLUDED_RESPONSE_BYTES {
+        let Some(memory) = state.memory.reserve(MemoryAccount::Answers, body.len()) else {
+            state.counters.add(group::SHED, shed::RESPONSE);
+            return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+        };
+        Some(ResponseMemory(Arc::new(memory)))
+    } else {
+        None
+    };
+    let mut response = ([(CONTENT_TYPE, HeaderValue::from_static("application/json"))], body).into_response();
+    memory.into_iter().for_each(|memory| drop(response.extensions_mut().insert(memory)));
+    response
+}
+
+fn encode(state: &HttpState, response: QueryResponse) -> Response {
     match response {
         QueryResponse::Answered { complete, hits } => {
             let hits = hits.iter().map(|(shard, value)| HitBody { shard: *shard, value }).collect();
-            axum::Json(AnswerBody { complete, hits }).into_response()
+            encode_answer(state, &AnswerBody { complete, hits })
         }
         QueryResponse::Rejected { retry_after } => {
             let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
-            if retry_after > TimeSpan::ZERO
-                && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry_after.as_secs_f64()))
-            {
-                response.headers_mut().insert(RETRY_AFTER, value);
-            }
+            insert_retry_after(&mut response, retry_after);
             response
         }
         QueryResponse::Aborted => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
--- a/crates/pipitcrank-server/src/clients/linger.rs
+++ b/crates/pipitcrank-server/src/clients/linger.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use pipitcrank_core::time::TimeSpan;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
@@ -14,8 +15,6 @@
 const MAX_BYTES: usize = 64 << 20;
 /// Longest gap between two reads before the close.
 const MAX_SILENCE: Duration = Duration::from_millis(500);
-/// Bytes read at a time.
-const READ_CHUNK_BYTES: usize = 64 * 1024;
 /// Pause between two reads, which leaves CPU time to other clients.
 const READ_PAUSE: Duration = Duration::from_millis(2);
 /// Time for a client to read its last response while other clients wait for its permit.
@@ -28,15 +27,19 @@
 /// Response to a request that was not received completely in time.
 pub(super) const REQUEST_TIMEOUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-/// Response to a client in the accept queue at shutdown for which no permit is free.
-const NO_CAPACITY: &[u8] =
-    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// Response to a client for which there is no permit or no memory.
+pub(super) fn service_unavailable(retry_after: Option<TimeSpan>) -> Vec<u8> {
+    let retry_after =
+        retry_after.map_or(String::new(), |span| format!("retry-after: {:.3}\r\n", span.as_secs_f64()));
+    let head = "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n";
+    format!("{head}{retry_after}\r\n").into_bytes()
+}
 
-/// Sends a 503 response to a client without a permit, so that its connection is not reset.
-pub(super) async fn reject(stream: TcpStream) {
+/// Sends a 503 response to a client in the accept queue at shutdown without a permit, so that its connection is not reset.
+pub(super) async fn reject(stream: TcpStream, retry_after: Option<TimeSpan>) {
     let (stream, mut request) = (Stream::new(stream), Vec::with_capacity(REJECTED_REQUEST_BYTES));
     let _ = timeout(REJECTED_REQUEST_WAIT, stream.read_some(&mut request, Expects::More)).await;
-    send_last(&stream, NO_CAPACITY).await;
+    send_last(&stream, &service_unavailable(retry_after)).await;
 }
 
 /// Sends the last response of a connection, and lingers for up to `LAST_ANSWER_TIMEOUT` in all.
@@ -55,10 +58,9 @@
         return;
     }
     let until = Instant::now() + MAX_TIME;
-    let (mut chunk, mut left) = (Vec::with_capacity(READ_CHUNK_BYTES), MAX_BYTES);
+    let mut left = MAX_BYTES;
     while left > 0 && Instant::now() < until {
-        chunk.clear();
-        match timeout(MAX_SILENCE, stream.read_some(&mut chunk, Expects::More)).await {
+        match timeout(MAX_SILENCE, stream.discard_some()).await {
             Ok(Ok(n)) if n > 0 => left = left.saturating_sub(n),
             _ => return,
         }
--- a/crates/pipitcrank-server/src/clients/mod.rs
+++ b/crates/pipitcrank-server/src/clients/mod.rs
@@ -3,6 +3,7 @@
 pub mod accept_queue;
 pub mod acceptor;
 pub mod arrival;
+pub mod body_reader;
 pub mod client_connections;
 pub mod connection;
 mod connection_server;
--- a/crates/pipitcrank-server/src/clients/request_error.rs
+++ b/crates/pipitcrank-server/src/clients/request_error.rs
@@ -38,6 +38,9 @@
     /// The body is too large.
     #[error("the body is too large")]
     BodyTooLarge,
+    /// There is no memory for the rest of the body.
+    #[error("there is no memory for the body now")]
+    BodyMemory,
     /// The body ended before it was complete.
     #[error("the body did not come whole")]
     BodyIncomplete,
@@ -69,6 +72,7 @@
             RequestError::Method => StatusCode::METHOD_NOT_ALLOWED,
             RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RequestError::BodyMemory => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
         }
     }
@@ -79,6 +83,7 @@
             RequestError::UnknownPath => "unknown_path",
             RequestError::Method => "method",
             RequestError::BodyTooLarge => "too_large",
+            RequestError::BodyMemory => "no_memory",
             _ => "malformed",
         }
     }
--- a/crates/pipitcrank-server/src/clients/request_reader.rs
+++ b/crates/pipitcrank-server/src/clients/request_reader.rs
@@ -7,17 +7,22 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::{Buf, Bytes};
+use bytes::{Buf, BufMut, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, Sleep, sleep};
 
 use super::client_connections::{ClientConnection, ConnectionPhase};
 use super::head_tracker::HeadTracker;
+use crate::runtime::memory_budget::MemoryBudget;
 use crate::runtime::stream::{Expects, Stream};
 
 /// Bytes after a request that are discarded without a pause. A client that sends endlessly must not starve others of CPU
 /// time, and its close, which comes after all of these bytes, has to be detected soon.
 pub const DISCARD_CHUNK_BYTES: usize = 1 << 20;
+/// Bytes that the HTTP library is given at a time: half of its initial buffer, which grows when it is filled.
+const MAX_READ_BYTES: usize = 4 * 1024;
+/// Part of a head that the memory of a connection includes.
+const INCLUDED_HEAD_BYTES: usize = 8 * 1024;
 /// Pause after each discarded chunk.
 pub const DISCARD_PAUSE: Duration = Duration::from_millis(1);
 
@@ -34,6 +39,8 @@
     discarded: usize,
     /// The running pause, if any.
     pause: Option<Pin<Box<Sleep>>>,
+    /// Limits the memory of long heads.
+    memory: MemoryBudget,
 }
 
 impl RequestReader {
@@ -43,8 +50,9 @@
         connection: Rc<ClientConnection>,
         heads: Rc<RefCell<HeadTracker>>,
         unread: Bytes,
+        memory: MemoryBudget,
     ) -> RequestReader {
-        RequestReader { stream, connection, heads, unread, closed: false, discarded: 0, pause: None }
+        RequestReader { stream, connection, heads, unread, closed: false, discarded: 0, pause: None, memory }
     }
 
     /// Whether the client has closed its sending side.
@@ -61,9 +69,9 @@
         if self.unread.is_empty() {
             let may_be_incomplete = self.heads.borrow().may_be_incomplete();
             let expects = if may_be_incomplete { Expects::More } else { Expects::Nothing };
-            return self.stream.poll_read_some(cx, buf, expects).map_ok(drop);
+            return self.stream.poll_read_some(cx, &mut buf.limit(MAX_READ_BYTES), expects).map_ok(drop);
         }
-        let n = buf.remaining().min(self.unread.len());
+        let n = buf.remaining().min(self.unread.len()).min(MAX_READ_BYTES);
         buf.put_slice(&self.unread[..n]);
         self.unread.advance(n);
         Poll::Ready(Ok(()))
@@ -89,6 +97,12 @@
             }
             let (all, own) = (received.len(), self.heads.borrow_mut().push(received));
             buf.set_filled(before + own);
+            let is_long = self.heads.borrow().head_bytes() > INCLUDED_HEAD_BYTES;
+            if is_long && !self.connection.hold_head_memory(&self.memory) {
+                buf.set_filled(before);
+                self.connection.shed();
+                return Poll::Pending;
+            }
             if own > 0 {
                 self.discarded = all - own;
                 return Poll::Ready(Ok(()));
--- a/crates/pipitcrank-server/src/discovery/http.rs
+++ b/crates/pipitcrank-server/src/discovery/http.rs
@@ -1,7 +1,7 @@
 //! Calls to the discovery service over HTTP.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy::Client;
@@ -11,10 +11,7 @@
 use super::json_objects::JsonStreamError;
 use crate::replicas::connection_end::ConnectionEnd;
 use crate::runtime::dial::Connector;
-
-/// Maximum length of a list. It has room for about ten thousand replicas in indented JSON and takes a tenth of the
-/// smallest memory size of the supported platforms.
-pub const MAX_LIST_BYTES: usize = 4 << 20;
+use crate::runtime::memory_budget::{MemoryAccount, MemoryBudget, Reservation};
 
 /// Client type of the HTTP library, as used for discovery calls.
 pub type HttpClient = Client<Connector, Empty<Bytes>>;
@@ -47,18 +44,50 @@
     client: &HttpClient,
     address: &str,
     deadline: Instant,
-) -> Result<Bytes, ConnectionEnd> {
-    let body = Limited::new(request(client, address, "", deadline).await?, MAX_LIST_BYTES).collect();
-    match timeout_at(deadline, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(malformed(JsonStreamError::TooLong)),
-        Ok(Err(_)) => Err(ConnectionEnd::Reset),
-        Err(_) => Err(ConnectionEnd::Silent),
+    memory: ListMemory,
+) -> Result<Vec<u8>, ConnectionEnd> {
+    let body = request(client, address, "", deadline).await?;
+    timeout_at(deadline, read_list(body, memory)).await.unwrap_or(Err(ConnectionEnd::Silent))
+}
+
+/// Copies the pieces of a list as they arrive, since a piece would keep the buffer that it was read into.
+async fn read_list(mut body: Incoming, mut memory: ListMemory) -> Result<Vec<u8>, ConnectionEnd> {
+    let mut list = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| ConnectionEnd::Reset)?.into_data() else { continue };
+        memory.hold(list.len() + data.len())?;
+        list.extend_from_slice(&data);
+    }
+    Ok(list)
+}
+
+/// The memory of one list that is being received.
+pub struct ListMemory {
+    max_bytes: usize,
+    reservation: Option<Reservation>,
+}
+
+impl ListMemory {
+    /// Prepares to receive a list of at most `max_bytes`.
+    pub fn new(budget: &MemoryBudget, max_bytes: usize) -> ListMemory {
+        ListMemory { max_bytes, reservation: budget.reserve(MemoryAccount::Lists, 0) }
+    }
+
+    /// Reserves memory for the `bytes` received so far, in place of what was reserved before.
+    pub fn hold(&mut self, bytes: usize) -> Result<(), ConnectionEnd> {
+        if bytes > self.max_bytes {
+            return Err(malformed(JsonStreamError::TooLong, self.max_bytes));
+        }
+        if self.reservation.as_mut().is_some_and(|reservation| reservation.resize(bytes)) {
+            return Ok(());
+        }
+        tracing::warn!("no memory for a list of {bytes} bytes while others are received; ending the call");
+        Err(ConnectionEnd::OutOfMemory)
     }
 }
 
 /// Logs a malformed stream and returns the resulting reason for the end of the connection.
-pub fn malformed(error: JsonStreamError) -> ConnectionEnd {
-    tracing::warn!("discovery sent a malformed list: {error} (limit: {MAX_LIST_BYTES} bytes); ignoring it");
+pub fn malformed(error: JsonStreamError, max_bytes: usize) -> ConnectionEnd {
+    tracing::warn!("discovery sent a malformed list: {error} (limit: {max_bytes} bytes); ignoring it");
     ConnectionEnd::ProtocolError
 }
--- a/crates/pipitcrank-server/src/discovery/json_objects.rs
+++ b/crates/pipitcrank-server/src/discovery/json_objects.rs
@@ -43,6 +43,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Number of bytes that are buffered.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether part of an object is buffered. Valid after `take` has returned `None`.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/pipitcrank-server/src/discovery/source.rs
+++ b/crates/pipitcrank-server/src/discovery/source.rs
@@ -6,14 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::endpoint_update::{EndpointUpdate, Endpoints};
-use super::http::{HttpClient, MAX_LIST_BYTES, complete_list, malformed, request};
+use super::http::{HttpClient, ListMemory, complete_list, malformed, request};
 use super::json_objects::JsonObjectStream;
 use super::poll_pacing::PollPacing;
 use crate::exchange::Endpoint;
@@ -124,7 +123,7 @@
             }
             let before = self.revision.get();
             let deadline = Instant::now() + COSTLY_CALL_TIMEOUT;
-            let received = complete_list(self.client, self.address, deadline).await;
+            let received = complete_list(self.client, self.address, deadline, self.list_memory()).await;
             match received.and_then(|body| self.apply_poll(before, &body)) {
                 Ok(PollResult::Done) => failures = 0,
                 Ok(PollResult::PollAgain) => self.poll_requested.notify_one(),
@@ -151,9 +150,9 @@
                 abort_handles.pop_front().inspect(AbortHandle::abort);
             }
             let (client, address) = (self.client.clone(), self.address.to_string());
-            let before = self.revision.get();
+            let (before, memory) = (self.revision.get(), self.list_memory());
             abort_handles.push_back(calls.spawn_local(async move {
-                (before, complete_list(&client, &address, started + CALL_TIMEOUT).await)
+                (before, complete_list(&client, &address, started + CALL_TIMEOUT, memory).await)
             }));
             loop {
                 tokio::select! {
@@ -248,22 +247,31 @@
         }
     }
 
+    fn list_memory(&self) -> ListMemory {
+        ListMemory::new(&self.event_loop.memory, self.event_loop.max_list_bytes)
+    }
+
     /// Runs one watch from the revision `current` until the watch ends.
     async fn run_watch(&self, current: u64) -> Result<Infallible, ConnectionEnd> {
         let query = format!("?stream=1&index={current}");
         let head_timeout = if self.pacing.is_some() { COSTLY_CALL_TIMEOUT } else { WATCH_HEAD_TIMEOUT };
         let mut body = request(self.client, self.address, &query, Instant::now() + head_timeout).await?;
         // The service may indent its JSON, so objects cannot be split at line ends.
-        let mut objects = JsonObjectStream::new(MAX_LIST_BYTES);
+        let max_bytes = self.event_loop.max_list_bytes;
+        let (mut objects, mut memory) = (JsonObjectStream::new(max_bytes), self.list_memory());
         let (mut position, mut last_complete) = (current, Instant::now());
         loop {
             match timeout_at(last_complete + WATCH_SILENCE_TIMEOUT, body.frame()).await {
                 Err(_) => return Err(ConnectionEnd::Silent),
                 Ok(None) => return Err(ConnectionEnd::Closed),
                 Ok(Some(Err(_))) => return Err(ConnectionEnd::Reset),
-                Ok(Some(Ok(frame))) => objects.push(frame.data_ref().unwrap_or(&Bytes::new())),
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.data_ref().map_or(&[][..], |data| data);
+                    memory.hold(objects.buffered() + data.len())?;
+                    objects.push(data);
+                }
             }
-            while let Some(object) = objects.take().map_err(malformed)? {
+            while let Some(object) = objects.take().map_err(|error| malformed(error, max_bytes))? {
                 position = self.apply_watch_event(position, &object)?;
                 last_complete = Instant::now();
             }
--- a/crates/pipitcrank-server/src/exchange/admission.rs
+++ b/crates/pipitcrank-server/src/exchange/admission.rs
@@ -13,7 +13,15 @@
 use super::request_table::{OpenPart, OpenQuery};
 use super::state::Exchange;
 use crate::audit::AdmittedQuery;
-use crate::runtime::counter_names::{group, query};
+use crate::runtime::counter_names::{group, query, shed};
+use crate::runtime::memory_budget::MemoryAccount;
+
+/// Memory of the records of an open query, in all tables, without its parts.
+const QUERY_BYTES: usize = 1024;
+/// Memory of the records of a part and of a short value, in all tables.
+const PART_BYTES: usize = 768;
+/// Copies of a part's id that are kept.
+const ID_COPIES: usize = 4;
 
 impl Exchange {
     /// Opens a query, or rejects it at once.
@@ -25,6 +33,12 @@
         if let Some(refusal) = self.refusal(now, &request.id, &part_ids, is_repeatable) {
             return response.respond(refusal);
         }
+        let Some(memory) = self.memory.reserve(MemoryAccount::Queries, query_bytes(&request)) else {
+            self.table.counters.add(group::SHED, shed::QUERY);
+            tracing::debug!(target: REQUEST_LOG_TARGET, request = request.id, "query refused for lack of memory");
+            let retry_after = self.coordinator.retry_after(request.class);
+            return response.respond(QueryResponse::Rejected { retry_after });
+        };
         let QueryRequest { id, class, deadline, parts, idempotency_key, text } = request;
         let delegated_retries = delegated.as_ref().map(|delegated| delegated.retries);
         let table = &mut self.table;
@@ -46,6 +60,7 @@
             class,
             idempotency_key,
             delegated,
+            _memory: memory,
             may_have_run: false,
             is_repeatable,
         };
@@ -105,6 +120,13 @@
     }
 }
 
+/// Upper bound of the memory of an open query: its records, and its text in a call for each part.
+fn query_bytes(request: &QueryRequest) -> usize {
+    let key_bytes = request.idempotency_key.as_ref().map_or(0, |key| key.len());
+    let of_part = PART_BYTES + ID_COPIES * request.id.len() + request.text.len();
+    QUERY_BYTES + key_bytes + request.text.len() + request.parts.len() * of_part
+}
+
 impl OpenPart {
     fn new(id: Rc<str>, query: QueryId, part: &QueryPart, text: Arc<str>) -> OpenPart {
         OpenPart {
@@ -115,6 +137,7 @@
             work: part.work,
             text,
             value: None,
+            value_memory: None,
             attempts: 0,
             last_outcome: None,
         }
--- a/crates/pipitcrank-server/src/exchange/batch.rs
+++ b/crates/pipitcrank-server/src/exchange/batch.rs
@@ -13,7 +13,11 @@
 use super::transport::ReplicaTransport;
 use crate::replicas::connection_end::outcome_name;
 use crate::replicas::frames::LoadReport;
-use crate::runtime::counter_names::{group, query};
+use crate::runtime::counter_names::{group, query, shed};
+use crate::runtime::memory_budget::{MemoryAccount, Reservation};
+
+/// Length of a value that the memory of a part includes.
+const INCLUDED_VALUE_BYTES: usize = 256;
 
 impl Exchange {
     /// Processes the queued events, due timers and expired attempts, then executes the `Coordinator`'s commands.
@@ -98,6 +102,7 @@
         outcome: AttemptOutcome,
         value: Option<String>,
     ) {
+        let (outcome, value_memory) = self.hold_value(outcome, value.as_deref());
         self.table.counters.add(group::ATTEMPTS, outcome_name(outcome));
         let Some(part) = self.table.parts.get_mut(&attempt.part.0) else { return };
         tracing::debug!(target: REQUEST_LOG_TARGET, part = &*part.id, attempt = attempt.number, outcome = outcome_name(outcome), "attempt ended");
@@ -109,10 +114,30 @@
                 delegated.on_part.part_answered(part.shard, value);
             }
             part.value = value;
+            part.value_memory = value_memory;
         }
         self.coordinator.attempt_ended(&mut self.table, now, attempt, outcome);
     }
 
+    /// Reserves memory for a long value. Without memory the value is dropped, and the attempt counts as failed.
+    fn hold_value(
+        &self,
+        outcome: AttemptOutcome,
+        value: Option<&str>,
+    ) -> (AttemptOutcome, Option<Reservation>) {
+        let bytes = value.map_or(0, str::len);
+        if outcome != AttemptOutcome::Success || bytes <= INCLUDED_VALUE_BYTES {
+            return (outcome, None);
+        }
+        match self.memory.reserve(MemoryAccount::Answers, bytes) {
+            Some(memory) => (outcome, Some(memory)),
+            None => {
+                self.table.counters.add(group::SHED, shed::ANSWER);
+                (AttemptOutcome::Fault, None)
+            }
+        }
+    }
+
     fn apply_load_report(&mut self, now: Timestamp, replica: ReplicaId, report: Option<LoadReport>) {
         if let Some(LoadReport { queued, in_flight }) = report {
             self.coordinator.load_report(now, replica, queued, in_flight);
--- a/crates/pipitcrank-server/src/exchange/coordinator_output.rs
+++ b/crates/pipitcrank-server/src/exchange/coordinator_output.rs
@@ -83,6 +83,7 @@
         let parts = self.queries.get(&query.0).map(|entry| &entry.parts[..]).unwrap_or_default();
         let hits = parts.iter().filter_map(|part| {
             let part = self.parts.get_mut(part)?;
+            part.value_memory = None;
             Some((part.shard, part.value.take()?))
         });
         let hits = hits.collect();
--- a/crates/pipitcrank-server/src/exchange/request_table.rs
+++ b/crates/pipitcrank-server/src/exchange/request_table.rs
@@ -13,6 +13,7 @@
 use super::recent_queries::RecentQueries;
 use crate::audit::Audit;
 use crate::runtime::counters::Counters;
+use crate::runtime::memory_budget::Reservation;
 
 pub(super) struct OpenQuery {
     pub(super) ticket: u64,
@@ -23,6 +24,8 @@
     pub(super) class: RequestClassId,
     pub(super) idempotency_key: Option<Arc<str>>,
     pub(super) delegated: Option<DelegatedRequest>,
+    /// Memory reserved for the query; held until its release.
+    pub(super) _memory: Reservation,
     /// Whether an attempt passed the send guard and the query was not rejected as never run.
     pub(super) may_have_run: bool,
     /// Whether a second run of the query may repeat its effect.
@@ -39,6 +42,8 @@
     pub(super) work: Option<f64>,
     pub(super) text: Arc<str>,
     pub(super) value: Option<String>,
+    /// Memory reserved for a long value.
+    pub(super) value_memory: Option<Reservation>,
     /// Number of attempts started.
     pub(super) attempts: u32,
     /// Outcome of the attempt that ended last.
--- a/crates/pipitcrank-server/src/exchange/state.rs
+++ b/crates/pipitcrank-server/src/exchange/state.rs
@@ -15,6 +15,7 @@
 use crate::replicas::frames::LoadReport;
 use crate::runtime::counter_names::{discovery, group};
 use crate::runtime::counters::Counters;
+use crate::runtime::memory_budget::MemoryBudget;
 
 /// Retries delegated with forwarded parts. An entry is removed when the delegation is returned or expires.
 pub(super) struct DelegatedRetries {
@@ -36,6 +37,7 @@
     /// Number of queries and parts open in the other process of this co-ordinator during an upgrade.
     pub(super) open_in_peer: usize,
     pub(super) parts_per_call: usize,
+    pub(super) memory: MemoryBudget,
     /// Zone names by id; empty if queries are not routed by zone.
     pub(super) zones: Vec<String>,
     /// Zone that represents a remote site's region, by the site's name.
@@ -61,6 +63,7 @@
             max_open,
             open_in_peer: 0,
             parts_per_call: parts_per_call.max(1),
+            memory: MemoryBudget::unlimited(),
             zones: Vec::new(),
             site_zones: BTreeMap::new(),
             delegations: BTreeMap::new(),
@@ -73,6 +76,11 @@
         self.table.audit = Some(Audit::new(rules, self.table.counters.clone()));
     }
 
+    /// Limits the memory of open queries and of the answers to their parts.
+    pub fn set_memory_budget(&mut self, budget: MemoryBudget) {
+        self.memory = budget;
+    }
+
     /// Sets the time of the inputs that follow.
     pub fn set_now(&mut self, now: Timestamp) {
         self.table.now = now;
--- a/crates/pipitcrank-server/src/node_config.rs
+++ b/crates/pipitcrank-server/src/node_config.rs
@@ -23,6 +23,9 @@
 const OWN_DESCRIPTORS: u32 = 24;
 /// Memory limit of a node configuration that states none: the largest on the days that the pages describe.
 const DEFAULT_MEMORY_MB: f64 = 192.0;
+/// Time after which a client that was shed may try again, if the settings allow so long: most incomplete requests have
+/// ended by then.
+const SHED_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(1000);
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
 /// The node configuration. `V` looks up environment variables.
@@ -146,6 +149,15 @@
         Err(self.reader().error(key, &format!("is {mb}; accepted: megabytes above 0")))
     }
 
+    /// Retry-after of requests that are shed before they become queries; `None` if the settings allow none.
+    pub fn shed_retry_after(&self) -> Result<Option<TimeSpan>, ConfigError> {
+        let settings = self.settings()?;
+        if !settings.flag("/allowed/retry_after")? {
+            return Ok(None);
+        }
+        Ok(Some(settings.span("/allowed/max_retry_after_s")?.min(SHED_RETRY_AFTER)))
+    }
+
     /// Names of the request classes, by id.
     pub fn classes(&self) -> Result<Vec<String>, ConfigError> {
         self.settings()?.classes()
--- a/crates/pipitcrank-server/src/replicas/connection.rs
+++ b/crates/pipitcrank-server/src/replicas/connection.rs
@@ -13,13 +13,16 @@
 use super::connection_end::ConnectionEnd;
 use super::connection_state::{ConnectionCommand, ConnectionState};
 use super::frames::{self, LoadReport, ReplicaFrame};
-use crate::runtime::counter_names::{frame, group, replica_connection};
+use crate::runtime::counter_names::{frame, group, replica_connection, shed};
 use crate::runtime::dial::dial;
 use crate::runtime::event_loop::EventLoop;
+use crate::runtime::memory_budget::{MemoryAccount, Reservation};
 use crate::runtime::stream::{Expects, Stream};
 
 /// Initial size of the read buffer.
 const READ_BUFFER_BYTES: usize = 4096;
+/// Memory reserved for a partial frame beyond the initial read buffer: the buffer doubles up to the longest frame.
+const LONG_FRAME_BYTES: usize = 2 * frames::MAX_FRAME_BYTES;
 
 /// Time limits of a connection.
 #[derive(Clone, Copy)]
@@ -102,6 +105,8 @@
     stream: &'a Stream,
     timeouts: ConnectionTimeouts,
     received: BytesMut,
+    /// Memory of a partial frame beyond the initial read buffer.
+    frame_memory: Option<Reservation>,
     write_state: WriteState,
     /// Time of the last read or write.
     last_used: Instant,
@@ -125,6 +130,7 @@
             stream,
             timeouts,
             received: BytesMut::with_capacity(READ_BUFFER_BYTES),
+            frame_memory: None,
             write_state: WriteState::Idle,
             last_used: now,
             frame_started: now,
@@ -215,7 +221,30 @@
             }
         }
         self.state.partial_frame.set(!self.received.is_empty());
-        Ok(())
+        self.hold_memory()
+    }
+
+    /// Reserves memory for a long partial frame, and releases a buffer that has grown for an earlier one.
+    fn hold_memory(&mut self) -> Result<(), ConnectionEnd> {
+        if self.received.is_empty() && self.received.capacity() > READ_BUFFER_BYTES {
+            self.received = BytesMut::with_capacity(READ_BUFFER_BYTES);
+        }
+        if self.received.len() <= READ_BUFFER_BYTES {
+            self.frame_memory = None;
+            return Ok(());
+        }
+        if self.frame_memory.is_none() {
+            self.frame_memory = self.event_loop.memory.reserve(MemoryAccount::Frames, LONG_FRAME_BYTES);
+        }
+        if self.frame_memory.is_some() {
+            return Ok(());
+        }
+        self.event_loop.counters.add(group::SHED, shed::FRAME);
+        tracing::warn!(
+            "no memory for a frame of replica {}; closing the connection, its attempts may have run",
+            self.state.replica.0
+        );
+        Err(ConnectionEnd::OutOfMemory)
     }
 
     async fn handle_writable(&mut self, ready: io::Result<()>) -> Result<(), ConnectionEnd> {
--- a/crates/pipitcrank-server/src/replicas/connection_end.rs
+++ b/crates/pipitcrank-server/src/replicas/connection_end.rs
@@ -11,6 +11,8 @@
     ConnectTimeout,
     /// The connection was not opened because this process has reached its connection limit.
     LimitReached,
+    /// This side closed the connection for lack of memory for what it received.
+    OutOfMemory,
     /// The peer closed the connection.
     Closed,
     /// The connection was reset, or a read or write on it failed.
@@ -36,6 +38,7 @@
             ConnectionEnd::Refused => "refused",
             ConnectionEnd::ConnectTimeout => "never_up",
             ConnectionEnd::LimitReached => "no_socket",
+            ConnectionEnd::OutOfMemory => "no_memory",
             ConnectionEnd::Closed => "closed",
             ConnectionEnd::Reset => "reset",
             ConnectionEnd::ProtocolError => "bad_bytes",
@@ -52,6 +55,7 @@
         matches!(
             self,
             ConnectionEnd::ProtocolError
+                | ConnectionEnd::OutOfMemory
                 | ConnectionEnd::Silent
                 | ConnectionEnd::Idle
                 | ConnectionEnd::NotNeeded
--- a/crates/pipitcrank-server/src/replicas/frames.rs
+++ b/crates/pipitcrank-server/src/replicas/frames.rs
@@ -11,7 +11,7 @@
 use super::connection_end::outcome_from_wire;
 
 /// Maximum length of a frame from a replica, which is the protocol's limit for any message body.
-const MAX_FRAME_BYTES: usize = 64 * 1024;
+pub(super) const MAX_FRAME_BYTES: usize = 64 * 1024;
 /// Size of a frame's length and type byte.
 const HEADER_BYTES: usize = 5;
 
--- a/crates/pipitcrank-server/src/runtime/counter_names.rs
+++ b/crates/pipitcrank-server/src/runtime/counter_names.rs
@@ -34,6 +34,8 @@
     pub const REPLICA_CONNECTIONS: &str = "leaf_connections";
     /// Parts sent more than once, by reason.
     pub const RESENDS: &str = "again";
+    /// Work shed to stay within the memory limit, by what was shed.
+    pub const SHED: &str = "shed";
     /// Upgrades of the process.
     pub const UPGRADES: &str = "upgrades";
     /// Violations of rules, by rule.
@@ -110,14 +112,52 @@
 
 /// Names in the group of memory.
 pub mod memory {
+    /// Memory reserved for answers and for responses that clients have not read.
+    pub const ANSWERS_KB: &str = "answers_kb";
+    /// Highest memory reserved for answers and responses.
+    pub const ANSWERS_PEAK_KB: &str = "answers_peak_kb";
+    /// Memory reserved for partial frames of replicas.
+    pub const FRAMES_KB: &str = "frames_kb";
+    /// Highest memory reserved for partial frames of replicas.
+    pub const FRAMES_PEAK_KB: &str = "frames_peak_kb";
     /// The limit of the node configuration.
     pub const LIMIT_KB: &str = "limit_kb";
     /// Highest resident memory since the start.
     pub const PEAK_KB: &str = "peak_kb";
+    /// Memory reserved for endpoint lists that are being received.
+    pub const LISTS_KB: &str = "lists_kb";
+    /// Highest memory reserved for endpoint lists.
+    pub const LISTS_PEAK_KB: &str = "lists_peak_kb";
+    /// Memory reserved for open queries.
+    pub const QUERIES_KB: &str = "queries_kb";
+    /// Highest memory reserved for open queries.
+    pub const QUERIES_PEAK_KB: &str = "queries_peak_kb";
+    /// Memory reserved for requests that are being received.
+    pub const REQUESTS_KB: &str = "requests_kb";
+    /// Highest memory reserved for requests that are being received.
+    pub const REQUESTS_PEAK_KB: &str = "requests_peak_kb";
     /// Resident memory at the last sample.
     pub const RESIDENT_KB: &str = "resident_kb";
 }
 
+/// Names in the group of work shed to stay within the memory limit.
+pub mod shed {
+    /// Answers of replicas that were dropped; the attempt counts as failed.
+    pub const ANSWER: &str = "answer";
+    /// Requests rejected while their body was received.
+    pub const BODY: &str = "body";
+    /// Connections to replicas closed with a partial frame.
+    pub const FRAME: &str = "frame";
+    /// Requests rejected while their head was received.
+    pub const HEAD: &str = "head";
+    /// Queries rejected at admission.
+    pub const QUERY: &str = "query";
+    /// Responses that were not sent.
+    pub const RESPONSE: &str = "response";
+    /// Incomplete requests ended early, since they took longest.
+    pub const SLOW_REQUEST: &str = "slow_request";
+}
+
 /// Names in the group of upgrades.
 pub mod upgrade {
     /// Completed upgrades.
--- a/crates/pipitcrank-server/src/runtime/counters.rs
+++ b/crates/pipitcrank-server/src/runtime/counters.rs
@@ -20,17 +20,25 @@
 impl Counters {
     /// Increments a counter by 1.
     pub fn add(&self, group: &'static str, name: &'static str) {
-        self.add_many(group.into(), name.into(), 1);
+        self.add_to(group.into(), name.into(), 1);
     }
 
-    fn add_many(&self, group: Cow<'static, str>, name: Cow<'static, str>, count: u64) {
+    /// Increases a counter; the value 0 is ignored.
+    pub fn add_many(&self, group: &'static str, name: &'static str, count: u64) {
+        if count > 0 {
+            self.add_to(group.into(), name.into(), count);
+        }
+    }
+
+    fn add_to(&self, group: Cow<'static, str>, name: Cow<'static, str>, count: u64) {
         *self.entries().entry((group, name)).or_default() += count;
     }
 
-    /// Sets a counter; the value 0 is ignored.
+    /// Sets a counter; it appears with its first value other than 0.
     pub fn set(&self, group: &'static str, name: &'static str, value: u64) {
-        if value > 0 {
-            self.entries().insert((group.into(), name.into()), value);
+        let (mut entries, key) = (self.entries(), (group.into(), name.into()));
+        if value > 0 || entries.contains_key(&key) {
+            entries.insert(key, value);
         }
     }
 
@@ -50,7 +58,7 @@
         for CounterValue { group, name, value } in
             values.into_iter().take(MAX_MERGED).filter(|counter| counter.group != group::UPGRADES)
         {
-            self.add_many(group.into(), name.into(), value);
+            self.add_to(group.into(), name.into(), value);
         }
     }
 
--- a/crates/pipitcrank-server/src/runtime/event_loop.rs
+++ b/crates/pipitcrank-server/src/runtime/event_loop.rs
@@ -9,6 +9,8 @@
 use crate::runtime::clock::Clock;
 use crate::runtime::connection_limits::ConnectionLimiter;
 use crate::runtime::counters::Counters;
+use crate::runtime::memory_budget::MemoryBudget;
+use crate::runtime::memory_plan::MemoryPlan;
 
 /// Longest gap between two updates that does not count as a stall; after a stall, sockets may hold unread events. The value
 /// is half of the 0.1 s after a client's close within which an attempt may still begin.
@@ -24,6 +26,10 @@
     pub counters: Counters,
     /// Limits the connections to replicas.
     pub replica_connections: ConnectionLimiter,
+    /// Limits the memory kept for clients and replicas.
+    pub memory: MemoryBudget,
+    /// Maximum length of an endpoint list, in bytes.
+    pub max_list_bytes: usize,
     exchange: RefCell<Exchange>,
     wakeup: Notify,
     last_update: Cell<Timestamp>,
@@ -44,6 +50,8 @@
             clock,
             counters,
             replica_connections,
+            memory: MemoryBudget::unlimited(),
+            max_list_bytes: usize::MAX,
             exchange: RefCell::new(exchange),
             wakeup: Notify::new(),
             last_update,
@@ -51,6 +59,14 @@
         }
     }
 
+    /// Applies the memory limits of the plan.
+    pub fn with_memory_plan(mut self, plan: &MemoryPlan) -> EventLoop {
+        self.memory = MemoryBudget::new(plan);
+        self.max_list_bytes = plan.list_bytes;
+        self.exchange.get_mut().set_memory_budget(self.memory.clone());
+        self
+    }
+
     /// Accesses the exchange at the current time, and wakes up `run` if there are events to process.
     pub fn update<R>(&self, access: impl FnOnce(&mut Exchange) -> R) -> R {
         let now = self.clock.now();
--- a/crates/pipitcrank-server/src/runtime/memory_usage.rs
+++ b/crates/pipitcrank-server/src/runtime/memory_usage.rs
@@ -4,6 +4,7 @@
 
 use crate::runtime::counter_names::{group, memory};
 use crate::runtime::counters::Counters;
+use crate::runtime::memory_budget::MemoryBudget;
 
 /// Interval of the samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
@@ -33,23 +34,25 @@
         };
         Some(MemoryUsage { resident_kb: value("VmRSS:")?, peak_kb: value("VmHWM:")? })
     }
+}
 
-    /// Sets the counters of the usage.
-    pub fn count(self, counters: &Counters) {
-        counters.set(group::MEMORY, memory::RESIDENT_KB, self.resident_kb);
-        counters.set(group::MEMORY, memory::PEAK_KB, self.peak_kb);
-    }
+/// Sets the counters of the usage and of the reservations; returns the usage.
+pub fn count(counters: &Counters, budget: &MemoryBudget) -> Option<MemoryUsage> {
+    budget.count(counters);
+    let usage = MemoryUsage::read()?;
+    counters.set(group::MEMORY, memory::RESIDENT_KB, usage.resident_kb);
+    counters.set(group::MEMORY, memory::PEAK_KB, usage.peak_kb);
+    Some(usage)
 }
 
 /// Samples the usage forever, and logs it with all memory counters when it rises above `WARNING_FRACTION` of the limit.
-pub async fn watch(counters: Counters, limit_bytes: u64) {
+pub async fn watch(counters: Counters, budget: MemoryBudget, limit_bytes: u64) {
     let limit_kb = limit_bytes / BYTES_PER_KB;
     counters.set(group::MEMORY, memory::LIMIT_KB, limit_kb);
     let mut was_high = false;
     loop {
         tokio::time::sleep(SAMPLE_INTERVAL).await;
-        let Some(usage) = MemoryUsage::read() else { return };
-        usage.count(&counters);
+        let Some(usage) = count(&counters, &budget) else { return };
         let is_high = usage.resident_kb as f64 > limit_kb as f64 * WARNING_FRACTION;
         if is_high && !was_high {
             let MemoryUsage { resident_kb, peak_kb } = usage;
--- a/crates/pipitcrank-server/src/runtime/stream.rs
+++ b/crates/pipitcrank-server/src/runtime/stream.rs
@@ -36,6 +36,14 @@
 /// Limit of a read without a readiness event.
 const MAX_RECHECK_READ_BYTES: usize = 16 * 1024;
 
+/// Bytes that are read and discarded at a time.
+const DISCARD_BUFFER_BYTES: usize = 64 * 1024;
+
+thread_local! {
+    /// Buffer of discarded bytes, shared by all connections: hundreds of them may discard at the same time.
+    static DISCARDED: RefCell<Vec<u8>> = RefCell::new(Vec::with_capacity(DISCARD_BUFFER_BYTES));
+}
+
 /// Whether the reader waits for more data.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Expects {
@@ -100,6 +108,17 @@
         std::future::poll_fn(|cx| self.poll_read_some(cx, buf, expects)).await
     }
 
+    /// Reads some bytes and discards them; returns 0 when the peer has closed. More bytes are expected.
+    pub async fn discard_some(&self) -> io::Result<usize> {
+        std::future::poll_fn(|cx| {
+            DISCARDED.with_borrow_mut(|buffer| {
+                buffer.clear();
+                self.poll_read_some(cx, buffer, Expects::More)
+            })
+        })
+        .await
+    }
+
     /// Ready when a read without a readiness event is due.
     fn poll_recheck(&self, cx: &mut Context<'_>, expects: Expects) -> Poll<()> {
         if !self.may_have_more.get() || expects == Expects::Nothing {
--- a/crates/pipitcrank-server/src/serve.rs
+++ b/crates/pipitcrank-server/src/serve.rs
@@ -22,7 +22,7 @@
 use crate::reload;
 use crate::runtime::clock::Clock;
 use crate::runtime::event_loop::EventLoop;
-use crate::runtime::memory_usage::{self, MemoryUsage};
+use crate::runtime::memory_usage;
 use crate::runtime::shutdown::ShutdownRequest;
 use crate::runtime::stall_detector::StallDetector;
 use crate::runtime::system_errors::retry_open_for;
@@ -38,6 +38,8 @@
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Exit code of a worker whose link to the supervisor failed.
 const EXIT_LINK_BROKEN: i32 = 3;
+/// Processes of this program that exist during an upgrade: the supervisor and two workers.
+const SUPERVISED_PROCESSES: usize = 3;
 
 struct Signals {
     hangup: Signal,
@@ -69,7 +71,8 @@
     let Signals { hangup, terminate, interrupt } = Signals::install().map_err(ServeError::Signals)?;
     let file = node_config_file()?;
     let config = NodeConfig::parse(&file.text, env_variable as EnvVariable)?;
-    let server = Server::new(&clock, &config)?;
+    let processes = if supervisor.is_some() { SUPERVISED_PROCESSES } else { 1 };
+    let server = Server::new(&clock, &config, processes)?;
     let (context, shutdown_requested) = (&server.context, &server.shutdown_requested);
     let (event_loop, counters) = (context.event_loop.clone(), context.event_loop.counters.clone());
     let reload =
@@ -98,12 +101,13 @@
         }
     };
     tokio::task::spawn_local(check_for_stalls(clock, server.stall_detector));
-    tokio::task::spawn_local(memory_usage::watch(counters.clone(), config.memory_limit()?));
+    let memory = event_loop.memory.clone();
+    tokio::task::spawn_local(memory_usage::watch(counters.clone(), memory, config.memory_limit()?));
     let is_drained = || event_loop.read(Exchange::is_drained) && context.relay.is_empty();
     let accepting = acceptor::run(
         server.acceptor_commands,
         server.router,
-        context.client_connections.clone(),
+        server.client_resources,
         counters.clone(),
         server.schedule,
         shutdown_requested.clone(),
@@ -113,7 +117,7 @@
         () = event_loop.run(server.tick, &transport) => {}
         () = accepting => {}
     }
-    MemoryUsage::read().into_iter().for_each(|usage| usage.count(&counters));
+    memory_usage::count(&counters, &event_loop.memory);
     tracing::info!("counters at exit:\n{}", counters.render());
     Ok(())
 }
--- a/crates/pipitcrank-server/src/server_parts.rs
+++ b/crates/pipitcrank-server/src/server_parts.rs
@@ -9,10 +9,10 @@
 use axum::Router;
 use pipitcrank_core::config::ConfigError;
 use pipitcrank_core::time::TimeSpan;
-use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
 
-use crate::clients::acceptor::AcceptorCommand;
+use crate::clients::acceptor::{AcceptorCommand, ClientResources};
 use crate::clients::http::{self, HttpEvent, HttpState};
 use crate::discovery::client::{self, SharedRevision};
 use crate::discovery::endpoint_update::EndpointList;
@@ -23,6 +23,7 @@
 use crate::runtime::connection_limits::ConnectionLimiter;
 use crate::runtime::counters::Counters;
 use crate::runtime::event_loop::EventLoop;
+use crate::runtime::memory_plan::MemoryPlan;
 use crate::runtime::shutdown::{ShutdownRequest, ShutdownSchedule};
 use crate::runtime::stall_detector::StallDetector;
 use crate::server_context::ServerContext;
@@ -41,6 +42,7 @@
     pub(crate) context: Rc<UpgradeContext>,
     pub(crate) replicas: Rc<RefCell<ReplicaPool>>,
     pub(crate) router: Router,
+    pub(crate) client_resources: ClientResources,
     pub(crate) schedule: ShutdownSchedule,
     pub(crate) stall_detector: Arc<StallDetector>,
     pub(crate) shutdown_requested: ShutdownRequest,
@@ -54,31 +56,27 @@
 }
 
 impl Server {
-    pub(crate) fn new(clock: &Clock, config: &NodeConfig<EnvVariable>) -> Result<Server, ConfigError> {
-        let EventLoopParts { event_loop, client_connections, initial_list } =
-            EventLoopParts::new(clock, config)?;
-        let replicas = create_replica_pool(config, &event_loop)?;
+    /// `processes`: number of processes of this program that share the memory limit.
+    pub(crate) fn new(
+        clock: &Clock,
+        config: &NodeConfig<EnvVariable>,
+        processes: usize,
+    ) -> Result<Server, ConfigError> {
+        let plan = MemoryPlan::of(config.memory_limit()?, processes);
+        let parts = EventLoopParts::new(clock, config, &plan)?;
         let ((http_sender, http_events), (acceptor, acceptor_commands)) =
             (unbounded_channel(), unbounded_channel());
         let ((shutdown, shutdown_requested), (draining, is_draining)) =
             (watch::channel(None), watch::channel(false));
-        let tickets = Arc::new(AtomicU64::new(0));
-        let classes: Arc<[String]> = config.classes()?.into();
         let max_deadline = config.max_deadline()?;
         let schedule = ShutdownSchedule::of(max_deadline);
-        let stall_detector = Arc::new(StallDetector::new(clock.now()));
-        let router = http::router(HttpState {
-            clock: clock.clone(),
-            counters: event_loop.counters.clone(),
-            classes: classes.clone(),
-            keyed_idempotency: config.keyed_idempotency()?.into(),
-            shards: config.shards()?,
-            events: http_sender,
-            shutdown_requested: shutdown_requested.clone(),
-            last_answer: schedule.last_answer,
-            tickets: tickets.clone(),
-            stall_detector: stall_detector.clone(),
-        });
+        let http_state = parts.http_state(
+            clock,
+            config,
+            http_sender,
+            (shutdown_requested.clone(), schedule.last_answer),
+        )?;
+        let EventLoopParts { event_loop, replicas, client_resources, initial_list } = parts;
         let (discovery_address, addresses) = watch::channel(config.discovery()?);
         let (tick, name, listen) = (config.tick_interval()?, config.name()?, config.listen()?);
         let held_revision = SharedRevision::default();
@@ -87,11 +85,11 @@
             start_discovery: discovery_starter(config, &event_loop, addresses, &held_revision)?,
             event_loop,
             acceptor,
-            client_connections,
+            client_connections: client_resources.permits.clone(),
             revision: held_revision,
             initial_list: Cell::new(Some(initial_list)),
-            tickets,
-            class_count: classes.len(),
+            tickets: http_state.tickets.clone(),
+            class_count: http_state.classes.len(),
             shards: config.shards()?,
             max_deadline,
             shutdown,
@@ -100,9 +98,10 @@
         Ok(Server {
             context,
             replicas,
-            router,
+            stall_detector: http_state.stall_detector.clone(),
+            router: http::router(http_state),
+            client_resources,
             schedule,
-            stall_detector,
             shutdown_requested,
             is_draining,
             http_events,
@@ -115,21 +114,58 @@
     }
 }
 
-/// The event loop with its exchange, the limiter of client connections and the initial endpoint list.
+/// The event loop with its exchange, the connections to replicas, what clients may use, and the initial endpoint list.
 struct EventLoopParts {
     event_loop: Rc<EventLoop>,
-    client_connections: ConnectionLimiter,
+    replicas: Rc<RefCell<ReplicaPool>>,
+    client_resources: ClientResources,
     initial_list: EndpointList,
 }
 
 impl EventLoopParts {
-    fn new(clock: &Clock, config: &NodeConfig<EnvVariable>) -> Result<EventLoopParts, ConfigError> {
+    fn new(
+        clock: &Clock,
+        config: &NodeConfig<EnvVariable>,
+        plan: &MemoryPlan,
+    ) -> Result<EventLoopParts, ConfigError> {
         let counters = Counters::default();
         let exchange = config.exchange(counters.clone())?;
         let initial_list = config.initial_endpoints(clock)?;
-        let (for_replicas, client_connections) = ConnectionLimiter::shared(config.connection_limit()?);
-        let event_loop = Rc::new(EventLoop::new(clock.clone(), counters, for_replicas, exchange));
-        Ok(EventLoopParts { event_loop, client_connections, initial_list })
+        let connections = config.connection_limit()?.min(plan.connections);
+        let (for_replicas, permits) = ConnectionLimiter::shared(connections);
+        let event_loop = EventLoop::new(clock.clone(), counters, for_replicas, exchange);
+        let event_loop = Rc::new(event_loop.with_memory_plan(plan));
+        let replicas = create_replica_pool(config, &event_loop)?;
+        let (memory, shed_retry_after) = (event_loop.memory.clone(), config.shed_retry_after()?);
+        let client_resources = ClientResources { permits, memory, shed_retry_after };
+        Ok(EventLoopParts { event_loop, replicas, client_resources, initial_list })
+    }
+}
+
+impl EventLoopParts {
+    /// The state of the HTTP service. `shutdown`: receives the shutdown request, and the schedule's last answer.
+    fn http_state(
+        &self,
+        clock: &Clock,
+        config: &NodeConfig<EnvVariable>,
+        events: UnboundedSender<HttpEvent>,
+        shutdown: (ShutdownRequest, TimeSpan),
+    ) -> Result<HttpState, ConfigError> {
+        let (shutdown_requested, last_answer) = shutdown;
+        Ok(HttpState {
+            clock: clock.clone(),
+            counters: self.event_loop.counters.clone(),
+            memory: self.event_loop.memory.clone(),
+            shed_retry_after: self.client_resources.shed_retry_after,
+            classes: config.classes()?.into(),
+            keyed_idempotency: config.keyed_idempotency()?.into(),
+            shards: config.shards()?,
+            events,
+            shutdown_requested,
+            last_answer,
+            tickets: Arc::new(AtomicU64::new(0)),
+            stall_detector: Arc::new(StallDetector::new(clock.now())),
+        })
     }
 }
 
