A query with bytes behind it begins once those are read, so that a close is noticed

Callers saw: a client closed with much still unread, and its requests were sent on afterwards. Cause: a close waits behind the client's own unread bytes; the query began as soon as it was whole, while megabytes behind it were still being discarded, some of them not yet out of the client's system, where no event can tell of the close.

--- a/crates/pipitcrank-cli/tests/hostile_clients.rs
+++ b/crates/pipitcrank-cli/tests/hostile_clients.rs
@@ -14,8 +14,10 @@
 use pipitcrank_testkit::query_log::{QueryLog, QueryOutcome};
 use pipitcrank_testkit::replica::Work;
 use pipitcrank_testkit::trial::on_one_thread;
+use rustix::process::Signal;
 use stand_ins::{ScriptedDiscovery, StandInReplica, node_config, one_part_query, program};
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 const LIMIT: Duration = Duration::from_secs(120);
 const WORK: Work = Work { mean_time: Duration::from_millis(5), concurrency: 16 };
@@ -143,3 +145,51 @@
     })
     .unwrap();
 }
+
+/// Writes as many of the bytes as the connection takes while the process is stopped.
+fn write_without_waiting(stream: &TcpStream, mut bytes: &[u8]) {
+    while let Ok(written) = stream.try_write(bytes) {
+        bytes = &bytes[written..];
+        if bytes.is_empty() {
+            return;
+        }
+    }
+}
+
+/// The clients' requests, the bytes behind them and the closes are all unread when the process continues.
+#[test]
+fn a_close_behind_a_long_tail_is_noticed_at_once() {
+    const CLIENTS: usize = 12;
+    on_one_thread(LIMIT, async {
+        let mut replica = StandInReplica::start().await?;
+        let source = ScriptedDiscovery::start(1, vec![row("a", replica.address, 0, "active", 0)]).await?;
+        let mut config = node_config(&source, 1, 256)?;
+        config["settings"]["allowed"]["probing"] = false.into();
+        let process = Process::start(program(), config, None).await?;
+        for tail_bytes in [0, 1, 500, 4096, 70_000, 1 << 20, 8 << 20] {
+            let mut clients = Vec::new();
+            for _ in 0..CLIENTS {
+                clients.push(connect(process.address).await?);
+            }
+            // Their connections are accepted before the process stops, and are not old enough to be closed as silent.
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            process.signal(Signal::STOP)?;
+            for (n, client) in clients.into_iter().enumerate() {
+                client.writable().await?;
+                let mut bytes = sale_query(&format!("sale-{tail_bytes}-{n}")).request().into_bytes();
+                bytes.extend(vec![b'x'; tail_bytes]);
+                write_without_waiting(&client, &bytes);
+            }
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            process.signal(Signal::CONT)?;
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            let sent = std::iter::from_fn(|| replica.try_next_part()).count();
+            assert_eq!(
+                sent, 0,
+                "parts sent for clients that had left, {tail_bytes} bytes behind the request"
+            );
+        }
+        Ok(())
+    })
+    .unwrap();
+}
--- a/crates/pipitcrank-server/src/clients/client_connections.rs
+++ b/crates/pipitcrank-server/src/clients/client_connections.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::arrival::BodyCompletion;
+use super::arrival::ReceiveProgress;
 use super::http::ResponseMemory;
 use crate::runtime::memory_budget::{MemoryAccount, MemoryBudget, Reservation};
 
@@ -78,16 +78,19 @@
     /// Whether the current response carries `Connection: close`.
     last_answer: Cell<bool>,
     phase_changed: Notify,
-    /// Completion of the current request's body.
-    body: RefCell<Option<Arc<BodyCompletion>>>,
+    /// How far the current request has been received, once its head is complete.
+    progress: RefCell<Option<Arc<ReceiveProgress>>>,
+    /// When bytes behind the current request were read before its head was passed on.
+    early_tail: Cell<Option<Instant>>,
     /// Memory of a long head, until the request is answered.
     head_memory: RefCell<Option<Reservation>>,
     /// Memory of a long response, until it is written.
     response_memory: RefCell<Option<ResponseMemory>>,
     /// Whether the connection is closed for lack of memory for its request.
     is_shed: Cell<bool>,
-    /// Completion of the current request's body, if that is chunked.
-    chunked_body: RefCell<Option<Arc<BodyCompletion>>>,
+    client_left: Notify,
+    /// The same, if its body is chunked.
+    chunked_body: RefCell<Option<Arc<ReceiveProgress>>>,
     chunked_body_begun: Notify,
     /// Upper bound of the first request's time in the accept queue.
     accept_wait: Cell<Duration>,
@@ -106,10 +109,12 @@
             flushed: Cell::new(true),
             last_answer: Cell::default(),
             phase_changed: Notify::new(),
-            body: RefCell::default(),
+            progress: RefCell::default(),
+            early_tail: Cell::default(),
             head_memory: RefCell::default(),
             response_memory: RefCell::default(),
             is_shed: Cell::default(),
+            client_left: Notify::new(),
             chunked_body: RefCell::default(),
             chunked_body_begun: Notify::new(),
             accept_wait: Cell::default(),
@@ -137,20 +142,29 @@
         self.accept_wait.take()
     }
 
-    /// Registers a request whose body may be incomplete; the reader of the body sets the returned completion.
-    pub fn expect_body(&self, is_chunked: bool) -> Arc<BodyCompletion> {
-        let body = Arc::<BodyCompletion>::default();
-        *self.body.borrow_mut() = Some(body.clone());
+    /// Registers a request whose body may be incomplete; the reader of the body marks the returned progress.
+    pub fn expect_body(&self, is_chunked: bool) -> Arc<ReceiveProgress> {
+        let progress = Arc::new(ReceiveProgress::new(is_chunked));
+        self.early_tail.take().into_iter().for_each(|at| progress.record_tail(at));
+        *self.progress.borrow_mut() = Some(progress.clone());
         if is_chunked {
-            *self.chunked_body.borrow_mut() = Some(body.clone());
+            *self.chunked_body.borrow_mut() = Some(progress.clone());
             self.chunked_body_begun.notify_one();
         }
-        body
+        progress
+    }
+
+    /// Records that bytes behind the current request were read, or that there may be unread ones.
+    pub fn record_tail(&self, now: Instant) {
+        match &*self.progress.borrow() {
+            Some(progress) => progress.record_tail(now),
+            None => self.early_tail.set(Some(now)),
+        }
     }
 
     /// Whether the body of a request is being received. No work has begun for such a request.
     pub fn is_receiving_body(&self) -> bool {
-        let is_incomplete = self.body.borrow().as_ref().is_some_and(|body| !body.is_complete());
+        let is_incomplete = self.progress.borrow().as_ref().is_some_and(|progress| !progress.is_complete());
         self.phase() == ConnectionPhase::Answering && is_incomplete
     }
 
@@ -168,6 +182,16 @@
         *self.response_memory.borrow_mut() = Some(memory);
     }
 
+    /// Records that the client has closed the connection while a response was pending.
+    pub fn set_client_left(&self) {
+        self.client_left.notify_one();
+    }
+
+    /// Completes once the client has closed the connection while a response was pending.
+    pub async fn client_left(&self) {
+        self.client_left.notified().await;
+    }
+
     /// Requests the close of the connection for lack of memory for its request.
     pub fn shed(&self) {
         self.is_shed.set(true);
@@ -184,7 +208,7 @@
         loop {
             let body = self.chunked_body.borrow().clone();
             match body {
-                Some(body) => return body.wait().await,
+                Some(body) => return body.wait_until_complete().await,
                 None => self.chunked_body_begun.notified().await,
             }
         }
@@ -256,7 +280,8 @@
         }
         if self.phase() == ConnectionPhase::Answering {
             self.flushed.set(false);
-            *self.body.borrow_mut() = None;
+            *self.progress.borrow_mut() = None;
+            self.early_tail.set(None);
             *self.head_memory.borrow_mut() = None;
         }
         self.phase.set((phase, now));
--- a/crates/pipitcrank-server/src/clients/connection.rs
+++ b/crates/pipitcrank-server/src/clients/connection.rs
@@ -80,10 +80,11 @@
     let heads = Rc::new(RefCell::new(HeadTracker::new(MAX_HEAD_BYTES)));
     let reader =
         RequestReader::new(stream.clone(), connection.clone(), heads.clone(), adopted.buffered, memory);
-    let answer_modes = modes.clone();
+    let (answer_modes, answer_stream) = (modes.clone(), stream.clone());
     let service = service_fn(|request| {
         let (router, connection) = (router.clone(), connection.clone());
-        Box::pin(answer(router, connection, heads.clone(), answer_modes.clone(), request))
+        let answered = answer(router, connection.clone(), heads.clone(), answer_modes.clone(), request);
+        Box::pin(unless_client_leaves(answer_stream.clone(), connection, answered))
     });
     let mut serving = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -98,6 +99,7 @@
             // The HTTP library is polled first, since a request may be unread when a close for inactivity is requested.
             biased;
             served = std::future::poll_fn(|cx| serving.poll_without_shutdown(cx)) => break end_of(served, &mode),
+            () = connection.client_left() => return ConnectionEnd::Closed,
             () = connection.close_requested() => {
                 // Releases the request's memory before its client is answered.
                 drop(serving);
@@ -177,7 +179,10 @@
     let mut read = 0;
     loop {
         match stream.discard_some().await {
-            Ok(n) if n > 0 => read += n,
+            Ok(n) if n > 0 => {
+                read += n;
+                connection.record_tail(Instant::now());
+            }
             _ => return,
         }
         if read > DISCARD_CHUNK_BYTES {
@@ -187,6 +192,23 @@
     }
 }
 
+/// Abandons an answer when its client closes. The HTTP library notices a close only once it has read all bytes before it,
+/// which may be many.
+async fn unless_client_leaves<T>(
+    stream: Rc<Stream>,
+    connection: Rc<ClientConnection>,
+    answered: impl Future<Output = T>,
+) -> T {
+    tokio::select! {
+        // The close is looked at first, so that no work begins for a client that has left.
+        biased;
+        () = stream.closed_by_peer() => {}
+        answered = answered => return answered,
+    }
+    connection.set_client_left();
+    std::future::pending().await
+}
+
 /// Answers one request of a connection.
 async fn answer(
     router: Router,
@@ -198,13 +220,13 @@
     connection.set_phase(ConnectionPhase::Answering, Instant::now());
     // Taken from the reader, since the HTTP library exposes only one header of an ambiguous framing.
     let framing = heads.borrow().framing();
-    let body = connection.expect_body(framing == Some(Framing::Chunked));
+    let progress = connection.expect_body(framing == Some(Framing::Chunked));
     if heads.borrow().is_complete() {
-        body.set();
+        progress.set_complete();
     }
     let ambiguous_framing = framing == Some(Framing::Ambiguous);
     let (deadline, accept_wait) = (connection.request_deadline(), connection.take_accept_wait());
-    request.extensions_mut().insert(Arrival { deadline, ambiguous_framing, body, accept_wait });
+    request.extensions_mut().insert(Arrival { deadline, ambiguous_framing, progress, accept_wait });
     let answered = { router }.call(request.map(Body::new)).await;
     let mut heads = heads.borrow_mut();
     let allows_next_request = heads.allows_next_request() && !matches!(*mode.borrow(), ConnectionMode::Drain);
--- a/crates/pipitcrank-server/src/clients/http.rs
+++ b/crates/pipitcrank-server/src/clients/http.rs
@@ -209,7 +209,12 @@
         () = body_overdue(state, body_deadline) => return Err(RequestError::BodyTimeout),
     };
     if let Some(arrival) = arrival {
-        arrival.body.set();
+        arrival.progress.set_complete();
+        tokio::select! {
+            biased;
+            () = arrival.progress.wait_until_tail_is_read() => {}
+            () = body_overdue(state, body_deadline) => return Err(RequestError::EndlessTail),
+        }
     }
     let own = received + time_left - unread;
     let deadline = deadline(own, *state.shutdown_requested.borrow(), state.last_answer);
--- a/crates/pipitcrank-server/src/clients/request_error.rs
+++ b/crates/pipitcrank-server/src/clients/request_error.rs
@@ -44,6 +44,9 @@
     /// The body ended before it was complete.
     #[error("the body did not come whole")]
     BodyIncomplete,
+    /// Bytes behind the request keep arriving.
+    #[error("the bytes behind the request do not end")]
+    EndlessTail,
     /// The body is not JSON of the expected form.
     #[error("the body is not the JSON expected")]
     Json,
--- a/crates/pipitcrank-server/src/clients/request_reader.rs
+++ b/crates/pipitcrank-server/src/clients/request_reader.rs
@@ -86,6 +86,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         loop {
+            let room = buf.remaining().min(MAX_READ_BYTES);
             ready!(self.poll_some(cx, buf))?;
             let received = &buf.filled()[before..];
             self.closed |= received.is_empty();
@@ -96,6 +97,10 @@
                 self.connection.set_phase(ConnectionPhase::Reading, Instant::now());
             }
             let (all, own) = (received.len(), self.heads.borrow_mut().push(received));
+            // A read that was cut off may have left bytes of the tail unread.
+            if self.heads.borrow().is_complete() && (own < all || all == room) {
+                self.connection.record_tail(Instant::now());
+            }
             buf.set_filled(before + own);
             let is_long = self.heads.borrow().head_bytes() > INCLUDED_HEAD_BYTES;
             if is_long && !self.connection.hold_head_memory(&self.memory) {
--- a/crates/pipitcrank-server/src/runtime/stream.rs
+++ b/crates/pipitcrank-server/src/runtime/stream.rs
@@ -203,6 +203,16 @@
         self.tcp.writable().await
     }
 
+    /// Completes once the peer has shut down its sending side or closed, however many bytes before that are unread.
+    pub async fn closed_by_peer(&self) {
+        // Readiness for urgent data is never reported, so this waits for the close alone.
+        while let Ok(ready) = self.tcp.ready(Interest::PRIORITY).await {
+            if ready.is_read_closed() {
+                return;
+            }
+        }
+    }
+
     /// Shuts down the sending side.
     pub fn shut_down(&self) -> io::Result<()> {
         socket2::SockRef::from(&self.tcp).shutdown(Shutdown::Write)
