Soak: persistent clients until the kill, restarts in series, crowds, memory limits

Change: two clients of each process keep one connection in use throughout; the seed draws the longest deadline from 0.5 to 2 s, and SIGKILL comes that plus 0.7 s after SIGTERM; faults restart-series (three restarts, with SIGHUP between) and crowd (150 to 400 hostile clients); each process has 32 MB, its highest memory is sampled and verified.

--- a/crates/pipitcrank-testkit/src/process.rs
+++ b/crates/pipitcrank-testkit/src/process.rs
@@ -264,9 +264,7 @@
 
     /// Highest resident memory of the process so far, in kilobytes; 0 if it has exited. Workers are not included.
     pub fn peak_memory_kb(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-        line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+        peak_memory_kb(self.pid())
     }
 
     /// Value of a counter from `/counters`, 0 if it is not listed; `None` without an answer.
@@ -310,6 +308,13 @@
     }
 }
 
+/// Highest resident memory of a process so far, in kilobytes; 0 if it has exited.
+pub fn peak_memory_kb(pid: i32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
 /// Sends a signal to a worker; errors, such as that it has exited, are ignored.
 pub fn signal_worker(pid: i32, signal: Signal) {
     if let Some(pid) = Pid::from_raw(pid) {
--- a/crates/pipitcrank-testkit/src/soak/clients.rs
+++ b/crates/pipitcrank-testkit/src/soak/clients.rs
@@ -26,6 +26,11 @@
     task: tokio::task::JoinHandle<()>,
 }
 
+/// Pauses of a persistent client between an answer and its next request, in milliseconds.
+const PERSISTENT_PAUSE_MS: std::ops::Range<u64> = 5..60;
+/// Persistent clients of each process.
+const PERSISTENT_CLIENTS: usize = 2;
+
 /// Clients of one process.
 struct Clients {
     cluster: Rc<SoakCluster>,
@@ -42,6 +47,12 @@
         let task = tokio::task::spawn_local(async move {
             let mut rng = Pcg64::seed_from_u64(seed ^ (node as u64 + 1) << 40);
             let address = cluster.nodes[node].address;
+            let mut persistent = tokio::task::JoinSet::new();
+            for client in 0..PERSISTENT_CLIENTS {
+                let clients = Clients { cluster: cluster.clone(), node, address, idle: RefCell::default() };
+                let seed = rng.random();
+                persistent.spawn_local(run_persistent_client(clients, client, seed, still_running.clone()));
+            }
             let clients = Rc::new(Clients { cluster, node, address, idle: RefCell::default() });
             let (start, mut due, mut n) = (Instant::now(), 0.0, 0);
             let mut tasks = tokio::task::JoinSet::new();
@@ -54,6 +65,7 @@
                 while tasks.try_join_next().is_some() {}
             }
             while tasks.join_next().await.is_some() {}
+            while persistent.join_next().await.is_some() {}
         });
         Load { running, task }
     }
@@ -72,7 +84,7 @@
     behavior: ClientBehavior,
 }
 
-fn random_query(node: usize, n: u64, rng: &mut Pcg64) -> QueryRequest {
+fn random_query(node: usize, name: &str, longest: Duration, rng: &mut Pcg64) -> QueryRequest {
     let class_draw: f64 = rng.random();
     let (class, count) = match class_draw {
         x if x < 0.45 => ("view", rng.random_range(2..=5)),
@@ -94,9 +106,9 @@
     };
     let wait = match behavior {
         ClientBehavior::ShortDeadline => Duration::from_millis(rng.random_range(0..40)),
-        _ => Duration::from_millis(rng.random_range(600..2000)),
+        _ => longest.mul_f64(rng.random_range(0.3..1.0)),
     };
-    QueryRequest { id: format!("{class}-{node}-{n}"), wait, shards, behavior }
+    QueryRequest { id: format!("{class}-{node}-{name}"), wait, shards, behavior }
 }
 
 impl QueryRequest {
@@ -144,9 +156,32 @@
     }
 }
 
+/// Sends one plain request after another on a connection that it keeps for as long as the process does, also during a
+/// shutdown.
+async fn run_persistent_client(clients: Clients, client: usize, seed: u64, running: Rc<Cell<bool>>) {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    for n in 0.. {
+        if !running.get() {
+            return;
+        }
+        let longest = clients.cluster.longest_deadline;
+        let name = format!("kept{client}-{n}");
+        let query = random_query(clients.node, &name, longest, &mut rng);
+        let query = QueryRequest { behavior: ClientBehavior::Plain, wait: longest, ..query };
+        let index = clients.record(&query, Instant::now());
+        let (end, corrupted) = clients.send(&query, index).await;
+        {
+            let mut requests = clients.cluster.requests.borrow_mut();
+            (requests[index].end, requests[index].corrupted) = (end, corrupted);
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(PERSISTENT_PAUSE_MS))).await;
+    }
+}
+
 async fn run_request(clients: Rc<Clients>, n: u64, seed: u64) {
     let mut rng = Pcg64::seed_from_u64(seed);
-    let query = random_query(clients.node, n, &mut rng);
+    let longest = clients.cluster.longest_deadline;
+    let query = random_query(clients.node, &n.to_string(), longest, &mut rng);
     let index = clients.record(&query, Instant::now());
     let (end, corrupted) = match query.behavior {
         ClientBehavior::Plain | ClientBehavior::ShortDeadline => clients.send(&query, index).await,
--- a/crates/pipitcrank-testkit/src/soak/cluster.rs
+++ b/crates/pipitcrank-testkit/src/soak/cluster.rs
@@ -9,6 +9,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use tokio::sync::Mutex;
 
@@ -18,7 +20,7 @@
 use crate::discovery::{Discovery, row};
 use crate::fleet::node_config_of;
 use crate::link::{Link, LinkConditions};
-use crate::process::Process;
+use crate::process::{Process, peak_memory_kb};
 use crate::query_log::QueryLog;
 use crate::replica::{StandInReplica, Work};
 use crate::syscall_faults::{FaultLibrary, ProcessFaults};
@@ -39,9 +41,16 @@
 pub const INITIAL_FRACTION: f64 = 0.05;
 pub const OVERLOAD_FACTOR: f64 = 1.0;
 pub const LOAD_WINDOW: Duration = Duration::from_millis(1000);
-/// Time from SIGTERM to SIGKILL: the longest deadline in the node configuration plus 0.7 s.
-pub const SHUTDOWN_GRACE: Duration = Duration::from_millis(2700);
-pub const LONGEST_DEADLINE_S: f64 = 2.0;
+/// Range of the longest deadline in the node configuration, in milliseconds; the seed selects one for the run.
+const LONGEST_DEADLINE_MS: std::ops::RangeInclusive<u64> = 500..=2000;
+/// Shortest time from SIGTERM to SIGKILL beyond the longest deadline.
+const GRACE_BEYOND_DEADLINE: Duration = Duration::from_millis(700);
+/// Latency objective as a fraction of the longest deadline.
+const OBJECTIVE_FRACTION: f64 = 0.4;
+/// Memory limit of each process: the least that the pages name.
+pub const MEMORY_MB: u64 = 32;
+/// Interval of the samples of each process's memory.
+const MEMORY_SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 /// Time before and after a lag of this program within which observations may be affected by it.
 const LAG_EFFECT_TIME: Duration = Duration::from_millis(600);
 
@@ -78,11 +87,17 @@
     pub pauses: Periods,
     /// Times from each start until the process served.
     pub ready: RefCell<Vec<Duration>>,
+    /// Id of the current process.
+    pub pid: Cell<i32>,
+    /// Highest resident memory of any of its processes, in kilobytes.
+    pub peak_memory_kb: Cell<u64>,
 }
 
 /// Environment of a soak test and its records.
 pub struct SoakCluster {
     pub start: Instant,
+    /// Longest deadline in the node configuration.
+    pub longest_deadline: Duration,
     pub nodes: Vec<Node>,
     pub replicas: RefCell<Vec<Replica>>,
     /// Replicas that were killed and replaced.
@@ -116,6 +131,7 @@
 impl SoakCluster {
     pub async fn start(program: &Path, seed: u64, size: Size) -> Result<Rc<SoakCluster>> {
         let query_log = QueryLog::with_arrivals();
+        let longest_deadline = longest_deadline(seed);
         let mut replicas = Vec::new();
         for n in 0..REPLICAS {
             replicas.push(start_replica(n, n as u32 % CELLS, seed, &query_log, None).await?);
@@ -126,24 +142,24 @@
         let fault_library = FaultLibrary::build()?;
         let mut nodes = Vec::new();
         for n in 0..size.processes {
-            let node_config = node_config(&discovery, discovery_links[0].address, seed, n, size.processes)?;
+            let node_config = node_config(
+                &discovery,
+                discovery_links[0].address,
+                seed,
+                n,
+                size.processes,
+                longest_deadline,
+            )?;
             let faults = fault_library.for_process(&n.to_string(), seed ^ (n as u64) << 8)?;
             let process = Process::start_with(program, node_config, faults.variables())?;
-            nodes.push(Node {
-                address: process.address,
-                process: Mutex::new(process),
-                faults,
-                kills: RefCell::default(),
-                downtime: Periods::default(),
-                pauses: Periods::default(),
-                ready: RefCell::default(),
-            });
+            nodes.push(Node::new(process, faults));
         }
         for node in &nodes {
             node.process.lock().await.wait_until_ready().await?;
         }
         let cluster = Rc::new(SoakCluster {
             start: Instant::now(),
+            longest_deadline,
             nodes,
             replicas: RefCell::new(replicas),
             retired: RefCell::default(),
@@ -162,9 +178,15 @@
             _fault_library: fault_library,
         });
         tokio::task::spawn_local(record_own_lag(cluster.clone()));
+        tokio::task::spawn_local(record_memory(cluster.clone()));
         Ok(cluster)
     }
 
+    /// Shortest time from SIGTERM to SIGKILL.
+    pub fn shutdown_grace(&self) -> Duration {
+        self.longest_deadline + GRACE_BEYOND_DEADLINE
+    }
+
     /// Sets the offset of all wall clocks together, as on machines with a common time source: processes read the
     /// clock, and discovery publishes the start times of replicas by it.
     pub fn step_all_wall_clocks(&self, seconds: f64) -> Result<()> {
@@ -245,6 +267,20 @@
 }
 
 impl Node {
+    fn new(process: Process, faults: ProcessFaults) -> Node {
+        Node {
+            address: process.address,
+            pid: Cell::new(process.pid()),
+            process: Mutex::new(process),
+            faults,
+            kills: RefCell::default(),
+            downtime: Periods::default(),
+            pauses: Periods::default(),
+            ready: RefCell::default(),
+            peak_memory_kb: Cell::default(),
+        }
+    }
+
     /// Whether the process was paused at any time from `from` to `to`.
     pub fn was_paused(&self, from: Instant, to: Instant) -> bool {
         self.pauses.overlap(from, to)
@@ -271,7 +307,9 @@
     seed: u64,
     n: usize,
     processes: usize,
+    longest_deadline: Duration,
 ) -> Result<Value> {
+    let longest_deadline_s = longest_deadline.as_secs_f64();
     let initial_list = discovery.initial_list();
     let mut node_config = node_config_of(
         discovery_address,
@@ -283,8 +321,9 @@
         MAX_OPEN,
     )?;
     node_config["name"] = json!(format!("soak-{n}"));
+    node_config["limits"]["memory_mb"] = json!(MEMORY_MB);
     let class = |name: &str, kind: &str| {
-        json!({"name": name, "aim_s": 0.8, "hard_limit_s": LONGEST_DEADLINE_S, "idempotency": kind,
+        json!({"name": name, "aim_s": longest_deadline_s * OBJECTIVE_FRACTION, "hard_limit_s": longest_deadline_s, "idempotency": kind,
             "dedup_window_s": DEDUP_WINDOW.as_secs_f64()})
     };
     let settings = &mut node_config["settings"];
@@ -300,6 +339,21 @@
     Ok(node_config)
 }
 
+/// Longest deadline of the run with this seed.
+fn longest_deadline(seed: u64) -> Duration {
+    Duration::from_millis(Pcg64::seed_from_u64(seed ^ 0x6465_6164).random_range(LONGEST_DEADLINE_MS))
+}
+
+/// Records the highest memory of each process. A process that ends takes its figures with it, so they are sampled.
+async fn record_memory(cluster: Rc<SoakCluster>) {
+    loop {
+        tokio::time::sleep(MEMORY_SAMPLE_INTERVAL).await;
+        for node in &cluster.nodes {
+            node.peak_memory_kb.set(node.peak_memory_kb.get().max(peak_memory_kb(node.pid.get())));
+        }
+    }
+}
+
 /// Records delays of this program's own timers, so that the verifier does not attribute them to a process.
 async fn record_own_lag(cluster: Rc<SoakCluster>) {
     const STEP: Duration = Duration::from_millis(5);
--- a/crates/pipitcrank-testkit/src/soak/fault_kind.rs
+++ b/crates/pipitcrank-testkit/src/soak/fault_kind.rs
@@ -16,6 +16,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FaultKind {
     Restart,
+    RestartSeries,
     Kill,
     Reload,
     Reloads,
@@ -43,6 +44,7 @@
     Holds,
     WallSteps,
     Flood,
+    Crowd,
     RestartWhileAcceptsFail,
     StartWhileBindsFail,
     ReloadWhileOpensFail,
@@ -50,8 +52,9 @@
 }
 
 /// All kinds with their names, which `--only` accepts and the output of a run contains.
-pub const FAULT_KINDS: [(FaultKind, &str); 32] = [
+pub const FAULT_KINDS: [(FaultKind, &str); 34] = [
     (FaultKind::Restart, "restart"),
+    (FaultKind::RestartSeries, "restart-series"),
     (FaultKind::Kill, "kill"),
     (FaultKind::Reload, "reload"),
     (FaultKind::Reloads, "reloads"),
@@ -79,6 +82,7 @@
     (FaultKind::Holds, "holds"),
     (FaultKind::WallSteps, "wall-steps"),
     (FaultKind::Flood, "flood"),
+    (FaultKind::Crowd, "crowd"),
     (FaultKind::RestartWhileAcceptsFail, "restart-accepts"),
     (FaultKind::StartWhileBindsFail, "start-binds"),
     (FaultKind::ReloadWhileOpensFail, "reload-opens"),
--- a/crates/pipitcrank-testkit/src/soak/inject.rs
+++ b/crates/pipitcrank-testkit/src/soak/inject.rs
@@ -5,14 +5,19 @@
 use anyhow::Result;
 use rustix::process::Signal;
 
-use super::cluster::{Node, SHUTDOWN_GRACE, SoakCluster};
+use super::cluster::{Node, SoakCluster};
 use super::fault_kind::FaultKind;
 use crate::client::connect;
+use crate::crowd::{Crowd, CrowdBehavior};
 use crate::link::{Link, LinkConditions};
 use crate::process::Process;
 use crate::replica::ReplicaBehavior;
 use crate::syscall_faults::SyscallFault;
 
+/// Number of restarts in one series.
+const RESTARTS_IN_SERIES: usize = 3;
+/// Smallest number of clients of a crowd, and how many more there may be.
+const CROWD_CLIENTS: (f64, f64) = (150.0, 250.0);
 /// Longest wait for a started process to serve.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
@@ -33,7 +38,8 @@
     let node = &cluster.nodes[planned.node];
     let (on_node, on_replica) = (format!("process {}", planned.node), format!("replica {}", planned.replica));
     match planned.kind {
-        FaultKind::Restart => restart(node).await?,
+        FaultKind::Restart => restart(cluster, node).await?,
+        FaultKind::RestartSeries => restart_in_series(cluster, node, planned).await?,
         FaultKind::Kill => kill(node).await?,
         FaultKind::Reload => reload(cluster, node, planned.fraction < 0.7).await?,
         FaultKind::Reloads => reload_repeatedly(cluster, node, planned).await?,
@@ -63,8 +69,9 @@
         FaultKind::Holds => delay_writes(node, planned).await?,
         FaultKind::WallSteps => step_wall_clock(node, planned).await?,
         FaultKind::Flood => flood(node, planned).await,
-        FaultKind::RestartWhileAcceptsFail => restart_while_accepts_fail(node, planned).await?,
-        FaultKind::StartWhileBindsFail => start_while_binds_fail(node).await?,
+        FaultKind::Crowd => crowd(node, planned).await,
+        FaultKind::RestartWhileAcceptsFail => restart_while_accepts_fail(cluster, node, planned).await?,
+        FaultKind::StartWhileBindsFail => start_while_binds_fail(cluster, node).await?,
         FaultKind::ReloadWhileOpensFail => reload_while_opens_fail(cluster, node, planned).await?,
         FaultKind::StepThenReplace => step_then_replace(cluster, planned).await?,
     }
@@ -119,20 +126,24 @@
 }
 
 /// Restarts the process while most calls of `accept4` fail.
-async fn restart_while_accepts_fail(node: &Node, planned: &PlannedFault) -> Result<()> {
+async fn restart_while_accepts_fail(
+    cluster: &SoakCluster,
+    node: &Node,
+    planned: &PlannedFault,
+) -> Result<()> {
     node.faults.set(SyscallFault::Accept, 0.6)?;
     tokio::time::sleep(planned.duration / 4).await;
-    restart(node).await?;
+    restart(cluster, node).await?;
     node.faults.set(SyscallFault::Accept, 0.0)?;
     Ok(())
 }
 
 /// Restarts the process while calls that bind, open sockets or open its configuration may fail.
-async fn start_while_binds_fail(node: &Node) -> Result<()> {
+async fn start_while_binds_fail(cluster: &SoakCluster, node: &Node) -> Result<()> {
     node.faults.set(SyscallFault::Bind, 0.8)?;
     node.faults.set(SyscallFault::Socket, 0.3)?;
     node.faults.set(SyscallFault::Open, 0.5)?;
-    restart(node).await?;
+    restart(cluster, node).await?;
     for fault in [SyscallFault::Bind, SyscallFault::Socket, SyscallFault::Open] {
         node.faults.set(fault, 0.0)?;
     }
@@ -163,14 +174,35 @@
 
 /// Stops the process with SIGTERM, or with SIGKILL if it still runs after the shortest allowed grace time, and starts
 /// it again.
-async fn restart(node: &Node) -> Result<()> {
+async fn restart(cluster: &SoakCluster, node: &Node) -> Result<()> {
     let mut process = node.process.lock().await;
     node.downtime.begin();
+    stop(cluster, &mut process).await?;
+    start_again(node, &mut process).await
+}
+
+/// Stops the process with SIGTERM, or with SIGKILL if it still runs after the shortest allowed grace time.
+async fn stop(cluster: &SoakCluster, process: &mut Process) -> Result<()> {
     process.signal(Signal::TERM)?;
-    if process.wait_for_exit(SHUTDOWN_GRACE).await.is_none() {
+    if process.wait_for_exit(cluster.shutdown_grace()).await.is_none() {
         process.kill();
     }
-    start_again(node, &mut process).await
+    Ok(())
+}
+
+/// Restarts the process several times in a row. Some of the new processes get further signals while they start or stop.
+async fn restart_in_series(cluster: &SoakCluster, node: &Node, planned: &PlannedFault) -> Result<()> {
+    let mut process = node.process.lock().await;
+    for round in 0..RESTARTS_IN_SERIES {
+        node.downtime.begin();
+        stop(cluster, &mut process).await?;
+        start_again(node, &mut process).await?;
+        tokio::time::sleep(planned.duration.mul_f64(planned.fraction) / 4).await;
+        if (round + (planned.fraction * 10.0) as usize).is_multiple_of(2) {
+            process.signal(Signal::HUP)?;
+        }
+    }
+    Ok(())
 }
 
 /// Kills the process with SIGKILL and starts it again.
@@ -186,6 +218,7 @@
 async fn start_again(node: &Node, process: &mut Process) -> Result<()> {
     let start = Instant::now();
     process.respawn(None)?;
+    node.pid.set(process.pid());
     let result = tokio::time::timeout(START_LIMIT, process.wait_until_ready()).await;
     // For a process that never serves, the limit is recorded; the verifier reports it.
     let ready_time = if matches!(result, Ok(Ok(()))) { start.elapsed() } else { START_LIMIT };
@@ -276,6 +309,15 @@
     node.faults.set(fault, 0.0)
 }
 
+/// Misuses connections by more clients than the process accepts.
+async fn crowd(node: &Node, planned: &PlannedFault) {
+    let (least, more) = CROWD_CLIENTS;
+    let count = (least + more * planned.fraction) as usize;
+    let crowd = Crowd::start(node.address, &CrowdBehavior::ALL, count);
+    tokio::time::sleep(planned.duration * 2).await;
+    drop(crowd);
+}
+
 /// Opens more idle connections than the process accepts.
 async fn flood(node: &Node, planned: &PlannedFault) {
     let mut idle = Vec::new();
--- a/crates/pipitcrank-testkit/src/soak/verifier.rs
+++ b/crates/pipitcrank-testkit/src/soak/verifier.rs
@@ -7,8 +7,8 @@
 use anyhow::Result;
 
 use super::cluster::{
-    DEDUP_WINDOW, DRAIN_GRACE, INITIAL_FRACTION, LOAD_WINDOW, Node, OVERLOAD_FACTOR, Replica, SoakCluster,
-    WARM_UP, WORK,
+    DEDUP_WINDOW, DRAIN_GRACE, INITIAL_FRACTION, LOAD_WINDOW, MEMORY_MB, Node, OVERLOAD_FACTOR, Replica,
+    SoakCluster, WARM_UP, WORK,
 };
 use super::requests::{ClientBehavior, Request, RequestEnd};
 use super::script::InjectedFault;
@@ -246,6 +246,10 @@
             let last = log.lines().last().unwrap_or("").to_string();
             self.record("processes that ended by themselves", format!("process {n}: {status}; {last}"));
         }
+        let peak_kb = node.peak_memory_kb.get();
+        if peak_kb > MEMORY_MB * 1024 {
+            self.record("processes over their memory limit", format!("process {n}: {peak_kb} kB"));
+        }
         for ready in node.ready.borrow().iter().filter(|r| **r > READY_LIMIT) {
             self.record("starts that took too long", format!("process {n}: {ready:?}"));
         }
@@ -267,6 +271,8 @@
         outcome.figure("plain requests refused", ended(503) as f64);
         outcome.figure("plain requests failed", ended(500) as f64);
         let max_lag = self.cluster.lags.borrow().iter().map(|l| l.1).max().unwrap_or_default();
+        let peak_kb = self.cluster.nodes.iter().map(|node| node.peak_memory_kb.get()).max().unwrap_or(0);
+        outcome.figure("highest memory of a process, kB", peak_kb as f64);
         outcome.figure("this program late by, ms", max_lag.as_secs_f64() * 1000.0);
         outcome
             .expect_that(served as f64 >= accepted as f64 * MIN_SERVED_FRACTION, "hardly anybody was served");
