--- a/crates/pipitcrank-cli/src/upgrade_supervisor.rs
+++ b/crates/pipitcrank-cli/src/upgrade_supervisor.rs
@@ -15,8 +15,8 @@
 use pipitcrank_handover::messages::ToWorker;
 use pipitcrank_handover::upgrade_event::{UpgradeAction, UpgradeEvent, UpgradeTimeouts, WorkerId};
 use pipitcrank_handover::upgrade_state::UpgradeStateMachine;
+use pipitcrank_server::runtime::listener;
 use rustix::process::Signal;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
@@ -61,10 +61,8 @@
     let mut hangups = signal(SignalKind::hangup())?;
     let mut terminations = signal(SignalKind::terminate())?;
     let mut interrupts = signal(SignalKind::interrupt())?;
-    let listener = TcpListener::bind(listen)
-        .await
-        .with_context(|| format!("/listen {listen} can't be bound"))?
-        .into_std()?;
+    let listener =
+        listener::listen(listen).with_context(|| format!("/listen {listen} can't be bound"))?.into_std()?;
     let (events, mut worker_events) = unbounded_channel();
     let started = Instant::now();
     let (state, actions) = UpgradeStateMachine::start(elapsed(started), timeouts(upgrade));
--- a/crates/pipitcrank-cli/tests/soak.rs
+++ b/crates/pipitcrank-cli/tests/soak.rs
@@ -31,6 +31,16 @@
     }
 }
 
+#[test]
+fn restarts_in_series_break_no_rule() {
+    assert_eq!(broken(3, Some("restart-series")), Vec::<String>::new());
+}
+
+#[test]
+fn crowds_break_no_rule_and_stay_within_the_memory_limit() {
+    assert_eq!(broken(4, Some("crowd")), Vec::<String>::new());
+}
+
 #[test]
 fn an_unknown_fault_name_is_an_error_that_lists_the_known_ones() {
     let size = Size { processes: 1, ..Size::SHORT };
--- a/crates/pipitcrank-server/src/clients/acceptor.rs
+++ b/crates/pipitcrank-server/src/clients/acceptor.rs
@@ -14,7 +14,8 @@
 use super::accept_queue::{AcceptQueue, Accepted, ClosingQueue};
 use super::client_connections::ClientConnections;
 use super::connection::{AdoptedConnection, ConnectionLimits, ConnectionMode};
-use super::connection_server::ConnectionServer;
+use super::connection_server::{ConnectionServer, MAX_REJECTING};
+use super::linger::Rejection;
 use crate::runtime::clock::duration;
 use crate::runtime::connection_limits::{ConnectionLimiter, ConnectionPermit};
 use crate::runtime::counter_names::{group, shed};
@@ -36,6 +37,8 @@
     pub memory: MemoryBudget,
     /// Retry-after of requests that are shed before they become queries, if the settings allow one.
     pub shed_retry_after: Option<TimeSpan>,
+    /// Time in the accept queue after which clients are rejected while no permit is free.
+    pub queue_wait: Duration,
 }
 
 /// A command to the acceptor.
@@ -76,10 +79,10 @@
     let mut checks = tokio::time::interval(CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        // While no permit is free, clients wait in the accept queue.
+        // While no permit is free, clients wait in the accept queue for a short time, and are rejected after that.
         let permit = if acceptor.listener.is_some() { acceptor.permits.try_acquire() } else { None };
         let flow = tokio::select! {
-            accepted = accept(&acceptor.listener), if permit.is_some() => {
+            accepted = accept(&acceptor.listener), if permit.is_some() || acceptor.may_reject() => {
                 acceptor.handle_accept(permit, accepted);
                 Flow::Continue
             }
@@ -120,6 +123,7 @@
 struct Acceptor<F> {
     server: ConnectionServer,
     permits: ConnectionLimiter,
+    queue_wait: Duration,
     mode: watch::Sender<ConnectionMode>,
     schedule: ShutdownSchedule,
     is_drained: F,
@@ -142,11 +146,12 @@
     ) -> Acceptor<F> {
         let (mode, receiver) = watch::channel(ConnectionMode::Serve);
         let connections = Rc::new(ClientConnections::default());
-        let ClientResources { permits, memory, shed_retry_after } = resources;
+        let ClientResources { permits, memory, shed_retry_after, queue_wait } = resources;
         let limits = ConnectionLimits { idle: duration(schedule.idle), memory, shed_retry_after };
         Acceptor {
             server: ConnectionServer { router, counters, connections, mode: receiver, limits },
             permits,
+            queue_wait,
             mode,
             schedule,
             is_drained,
@@ -158,8 +163,17 @@
         }
     }
 
+    /// Whether clients in the accept queue are rejected while no permit is free, since they have waited for too long.
+    fn may_reject(&self) -> bool {
+        self.listener.as_ref().is_some_and(|listener| listener.wait() >= self.queue_wait)
+            && Rc::strong_count(&self.rejecting) <= MAX_REJECTING
+    }
+
     fn handle_accept(&mut self, permit: Option<ConnectionPermit>, accepted: io::Result<Accepted>) {
         match accepted {
+            Ok(accepted) if permit.is_none() => {
+                self.server.reject(accepted, &self.rejecting, Rejection::Shortage);
+            }
             Ok(accepted) => self.server.serve_accepted(permit, accepted),
             Err(error) => {
                 tracing::error!("listener failed, no more clients are accepted: {error}");
@@ -207,9 +221,13 @@
     fn check(&mut self) -> Flow {
         let connections = self.server.connections.clone();
         let spare = self.permits.limit().div_ceil(SPARE_ONE_IN);
-        let shortage =
-            if self.draining { usize::MAX } else { spare.saturating_sub(self.permits.available()) };
-        connections.close_overdue(Instant::now(), shortage);
+        let shortage = match self.permits.available() {
+            _ if self.draining => usize::MAX,
+            0 => self.permits.limit(),
+            available => spare.saturating_sub(available),
+        };
+        let is_exhausted = self.permits.available() == 0;
+        connections.close_overdue(Instant::now(), shortage, is_exhausted);
         if self.server.limits.memory.is_short(MemoryAccount::Requests) {
             let slow = connections.close_slow_requests(Instant::now());
             self.server.counters.add_many(group::SHED, shed::SLOW_REQUEST, slow as u64);
--- a/crates/pipitcrank-server/src/clients/acceptor/tests.rs
+++ b/crates/pipitcrank-server/src/clients/acceptor/tests.rs
@@ -12,7 +12,8 @@
 
 /// Resources with these permits and unlimited memory.
 fn resources(permits: ConnectionLimiter) -> ClientResources {
-    ClientResources { permits, memory: MemoryBudget::unlimited(), shed_retry_after: None }
+    let queue_wait = Duration::from_secs(9);
+    ClientResources { permits, memory: MemoryBudget::unlimited(), shed_retry_after: None, queue_wait }
 }
 
 /// Larger than the socket buffers of both sides.
--- a/crates/pipitcrank-server/src/clients/client_connections.rs
+++ b/crates/pipitcrank-server/src/clients/client_connections.rs
@@ -29,6 +29,8 @@
 const BACKLOG_READ: Duration = Duration::from_millis(20);
 /// Time after which a connection with an incomplete request may be closed to free its permit; clients send without pauses.
 const READING_GRACE: Duration = Duration::from_millis(1000);
+/// Time without a byte of an incomplete request after which its connection may be closed while no permit is free.
+const STALLED_GRACE: Duration = Duration::from_millis(200);
 /// Time for a client to read its last response before the connection may be closed to free its permit.
 const LINGERING_GRACE: Duration = Duration::from_millis(250);
 
@@ -89,6 +91,8 @@
     /// Whether the connection is closed for lack of memory for its request.
     is_shed: Cell<bool>,
     client_left: Notify,
+    /// When bytes of a request were last read.
+    last_read: Cell<Instant>,
     /// The same, if its body is chunked.
     chunked_body: RefCell<Option<Arc<ReceiveProgress>>>,
     chunked_body_begun: Notify,
@@ -115,6 +119,7 @@
             response_memory: RefCell::default(),
             is_shed: Cell::default(),
             client_left: Notify::new(),
+            last_read: Cell::new(now),
             chunked_body: RefCell::default(),
             chunked_body_begun: Notify::new(),
             accept_wait: Cell::default(),
@@ -137,6 +142,11 @@
         self.request_deadline.set(self.accepted + left);
     }
 
+    /// Upper bound of the current request's time in the accept queue.
+    pub fn accept_wait(&self) -> Duration {
+        self.accept_wait.get()
+    }
+
     /// Returns the upper bound of the current request's time in the accept queue; zero for a request received after the accept.
     pub fn take_accept_wait(&self) -> Duration {
         self.accept_wait.take()
@@ -154,6 +164,11 @@
         progress
     }
 
+    /// Records that bytes of a request were read.
+    pub fn record_read(&self, now: Instant) {
+        self.last_read.set(now);
+    }
+
     /// Records that bytes behind the current request were read, or that there may be unread ones.
     pub fn record_tail(&self, now: Instant) {
         match &*self.progress.borrow() {
@@ -315,13 +330,18 @@
         }
     }
 
-    /// Time from which the connection may be closed to free its permit; `None` if it must stay open.
-    fn evictable_at(&self) -> Option<Instant> {
+    /// Time from which the connection may be closed to free its permit; `None` if it must stay open. `is_exhausted`:
+    /// whether no permit is free.
+    fn evictable_at(&self, is_exhausted: bool) -> Option<Instant> {
         let (phase, since) = self.phase.get();
+        let is_incomplete = phase == ConnectionPhase::Reading || self.is_receiving_body();
         let wait = match phase {
             ConnectionPhase::New => NEW_GRACE,
+            _ if is_incomplete && is_exhausted => {
+                return Some((since + READING_GRACE).min(self.last_read.get() + STALLED_GRACE));
+            }
             ConnectionPhase::Reading => READING_GRACE,
-            ConnectionPhase::Answering if self.is_receiving_body() => READING_GRACE,
+            ConnectionPhase::Answering if is_incomplete => READING_GRACE,
             // A slow client is still reading its response.
             ConnectionPhase::Idle if !self.flushed.get() => return None,
             ConnectionPhase::Idle => IDLE_GRACE,
@@ -379,15 +399,15 @@
         let is_slow = |connection: &ClientConnection| {
             let is_incomplete =
                 connection.phase() == ConnectionPhase::Reading || connection.is_receiving_body();
-            is_incomplete && connection.evictable_at().is_some_and(|at| at <= now)
+            is_incomplete && connection.evictable_at(false).is_some_and(|at| at <= now)
         };
         let slow = connections.iter().filter(|other| !other.closing.get() && is_slow(other));
         slow.map(|connection| connection.request_close()).count()
     }
 
     /// Closes connections that exceed the time limit of their phase, then evictable ones, earliest evictable first, until
-    /// `shortage` permits are about to be released.
-    pub fn close_overdue(&self, now: Instant, shortage: usize) {
+    /// `shortage` permits are about to be released. `is_exhausted`: whether no permit is free.
+    pub fn close_overdue(&self, now: Instant, shortage: usize, is_exhausted: bool) {
         let connections = self.0.borrow();
         let overdue = connections.iter().filter(|other| !other.closing.get() && other.is_overdue(now));
         overdue.for_each(|connection| connection.request_close());
@@ -395,7 +415,10 @@
         let mut evictable: Vec<(Instant, Instant, &Rc<ClientConnection>)> = connections
             .iter()
             .filter(|other| !other.closing.get())
-            .filter_map(|other| Some((other.evictable_at().filter(|&at| at <= now)?, other.accepted, other)))
+            .filter_map(|other| {
+                let at = other.evictable_at(is_exhausted).filter(|&at| at <= now)?;
+                Some((at, other.accepted, other))
+            })
             .collect();
         evictable.sort_by_key(|&(at, accepted, _)| (at, accepted));
         let chosen = evictable.iter().take(shortage.saturating_sub(closing));
--- a/crates/pipitcrank-server/src/clients/client_connections/tests.rs
+++ b/crates/pipitcrank-server/src/clients/client_connections/tests.rs
@@ -11,21 +11,21 @@
     fresh_idle.set_phase(ConnectionPhase::Idle, start + MS * 900);
     begun.set_phase(ConnectionPhase::Reading, start + MS * 500);
     let closing = || [&open, &idle, &fresh_idle, &silent, &begun].map(|v| v.closing.get());
-    connections.close_overdue(start + MS * 50, 5);
+    connections.close_overdue(start + MS * 50, 5, false);
     assert_eq!(closing(), [false; 5], "all are within their grace time");
-    connections.close_overdue(start + MS * 2100, 0);
+    connections.close_overdue(start + MS * 2100, 0, false);
     assert_eq!(closing(), [false; 5], "enough permits are free");
-    connections.close_overdue(start + MS * 2100, 2);
+    connections.close_overdue(start + MS * 2100, 2, false);
     assert_eq!(
         closing(),
         [false, false, false, true, true],
         "two permits are short, the longest evictable go first"
     );
-    connections.close_overdue(start + MS * 2100, 2);
+    connections.close_overdue(start + MS * 2100, 2, false);
     assert_eq!(closing(), [false, false, false, true, true], "two permits are about to be released");
-    connections.close_overdue(start + MS * 2500, 9);
+    connections.close_overdue(start + MS * 2500, 9, false);
     assert_eq!(closing(), [false, true, false, true, true], "idle for 2 s");
-    connections.close_overdue(start + MS * 90_000, 0);
+    connections.close_overdue(start + MS * 90_000, 0, false);
     assert_eq!(closing(), [false, true, true, true, true], "an open request is never closed");
 }
 
@@ -53,9 +53,9 @@
     again.set_phase(ConnectionPhase::Answering, start + MS * 10);
     again.set_phase(ConnectionPhase::Idle, start + MS * 20);
     again.set_phase(ConnectionPhase::Reading, start + MS * 2400);
-    connections.close_overdue(start + REQUEST_TIMEOUT, 0);
+    connections.close_overdue(start + REQUEST_TIMEOUT, 0, false);
     assert!(silent.closing.get() && slow.closing.get() && !again.closing.get());
-    connections.close_overdue(start + MS * 2400 + REQUEST_TIMEOUT, 0);
+    connections.close_overdue(start + MS * 2400 + REQUEST_TIMEOUT, 0, false);
     assert!(again.closing.get(), "the second request has the same timeout");
 }
 
@@ -65,10 +65,10 @@
     let connection = connections.add(start);
     connection.set_phase(ConnectionPhase::Answering, start);
     connection.set_phase(ConnectionPhase::Idle, start);
-    connections.close_overdue(start + MS * 5000, 9);
+    connections.close_overdue(start + MS * 5000, 9, false);
     assert!(!connection.closing.get(), "closing would truncate the response");
     connection.set_flushed();
-    connections.close_overdue(start + MS * 5000, 9);
+    connections.close_overdue(start + MS * 5000, 9, false);
     assert!(connection.closing.get());
 }
 
@@ -80,13 +80,13 @@
     let connection = connections.add(now);
     connection.set_accept_wait(Duration::from_millis(2000));
     connection.set_phase(ConnectionPhase::Reading, now);
-    connections.close_overdue(now + Duration::from_millis(450), 0);
+    connections.close_overdue(now + Duration::from_millis(450), 0, false);
     assert!(!connection.closing.get(), "50 ms of its timeout are left");
-    connections.close_overdue(now + Duration::from_millis(550), 0);
+    connections.close_overdue(now + Duration::from_millis(550), 0, false);
     assert!(connection.closing.get(), "the client has waited for more than 2.5 s");
     // Bytes that are already there are read first, however long the connection waited.
     let connection = connections.add(now);
     connection.set_accept_wait(Duration::from_millis(9000));
-    connections.close_overdue(now + Duration::from_millis(150), 0);
+    connections.close_overdue(now + Duration::from_millis(150), 0, false);
     assert!(!connection.closing.get());
 }
--- a/crates/pipitcrank-server/src/clients/connection.rs
+++ b/crates/pipitcrank-server/src/clients/connection.rs
@@ -35,6 +35,10 @@
 /// Longest accepted request head. With all permits in use, heads and bodies stay under a quarter of the memory limit.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
+/// Longest wait in the accept queue after which a client is not checked for having left: a fifth of the time after its close
+/// within which an attempt may still begin.
+const NEGLIGIBLE_ACCEPT_WAIT: Duration = Duration::from_millis(20);
+
 /// A connection to be served, either newly accepted or transferred between processes.
 pub struct AdoptedConnection {
     /// The connection.
@@ -199,9 +203,11 @@
     connection: Rc<ClientConnection>,
     answered: impl Future<Output = T>,
 ) -> T {
+    let has_left = connection.accept_wait() > NEGLIGIBLE_ACCEPT_WAIT && stream.is_closed_by_peer();
     tokio::select! {
         // The close is looked at first, so that no work begins for a client that has left.
         biased;
+        () = async {}, if has_left => {}
         () = stream.closed_by_peer() => {}
         answered = answered => return answered,
     }
--- a/crates/pipitcrank-server/src/clients/request_reader.rs
+++ b/crates/pipitcrank-server/src/clients/request_reader.rs
@@ -96,6 +96,7 @@
             if matches!(self.connection.phase(), ConnectionPhase::New | ConnectionPhase::Idle) {
                 self.connection.set_phase(ConnectionPhase::Reading, Instant::now());
             }
+            self.connection.record_read(Instant::now());
             let (all, own) = (received.len(), self.heads.borrow_mut().push(received));
             // A read that was cut off may have left bytes of the tail unread.
             if self.heads.borrow().is_complete() && (own < all || all == room) {
--- a/crates/pipitcrank-server/src/exchange/query.rs
+++ b/crates/pipitcrank-server/src/exchange/query.rs
@@ -65,6 +65,11 @@
 pub trait ResponseSink {
     /// Receives the final answer to the query.
     fn respond(self: Box<Self>, response: QueryResponse);
+
+    /// Whether nobody waits for the answer any more. It may be true before the client's disconnect is reported.
+    fn is_abandoned(&self) -> bool {
+        false
+    }
 }
 
 impl<F: FnOnce(QueryResponse)> ResponseSink for F {
@@ -78,6 +83,10 @@
         // The receiver has been dropped if the client has just disconnected.
         let _ = self.send(response);
     }
+
+    fn is_abandoned(&self) -> bool {
+        self.is_closed()
+    }
 }
 
 /// Receives the answers to the parts of one forwarded query as they arrive.
--- a/crates/pipitcrank-server/src/exchange/send_guard.rs
+++ b/crates/pipitcrank-server/src/exchange/send_guard.rs
@@ -70,7 +70,8 @@
         let part = &self.table.parts[&attempt.part.0];
         let query = part.query.and_then(|query| self.table.queries.get(&query));
         let query = query.ok_or(SendDenied::QueryEnded)?;
-        if self.disconnected.contains(&query.ticket) {
+        let is_abandoned = query.response.as_ref().is_some_and(|response| response.is_abandoned());
+        if is_abandoned || self.disconnected.contains(&query.ticket) {
             return Err(SendDenied::ClientClosed);
         }
         if self.is_draining(replica) || !self.table.replicas.contains_key(&replica.0) {
--- a/crates/pipitcrank-server/src/runtime/mod.rs
+++ b/crates/pipitcrank-server/src/runtime/mod.rs
@@ -7,6 +7,7 @@
 pub mod counters;
 pub mod dial;
 pub mod event_loop;
+pub mod listener;
 pub mod memory_budget;
 pub mod memory_plan;
 pub mod memory_usage;
--- a/crates/pipitcrank-server/src/serve.rs
+++ b/crates/pipitcrank-server/src/serve.rs
@@ -10,7 +10,6 @@
 
 use pipitcrank_core::time::TimeSpan;
 use pipitcrank_handover::snapshot::AgedSnapshot;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -22,6 +21,7 @@
 use crate::reload;
 use crate::runtime::clock::Clock;
 use crate::runtime::event_loop::EventLoop;
+use crate::runtime::listener;
 use crate::runtime::memory_usage;
 use crate::runtime::shutdown::ShutdownRequest;
 use crate::runtime::stall_detector::StallDetector;
@@ -131,7 +131,7 @@
 ) -> Result<(), ServeError> {
     load_initial_state(context, stored);
     (context.start_discovery)();
-    let listener = retry_open_for(START_TIMEOUT, || TcpListener::bind(listen)).await;
+    let listener = retry_open_for(START_TIMEOUT, async || listener::listen(listen)).await;
     let listener = listener.map_err(ServeError::Listen)?;
     let _ = context.acceptor.send(AcceptorCommand::Accept(listener));
     tracing::info!("{name} listening on {listen}");
