A first request that waited for its accept yields to the system's state, without a peek

Cause: the check for a close behind such a request read from the socket with MSG_PEEK and took any error but an interruption for a close; a system that does not support the flag would have queries lost or a byte of a body consumed. Change: the request's task yields once, so that the runtime asks the system for the connection's state, and the close is then seen as on any other connection.

--- a/crates/pipitcrank-server/src/clients/connection.rs
+++ b/crates/pipitcrank-server/src/clients/connection.rs
@@ -35,7 +35,7 @@
 /// Longest accepted request head. With all permits in use, heads and bodies stay under a quarter of the memory limit.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
-/// Longest wait in the accept queue after which a client is not checked for having left: a fifth of the time after its close
+/// Longest wait in the accept queue after which a request is answered before its connection's state is known: a fifth of the time after its close
 /// within which an attempt may still begin.
 const NEGLIGIBLE_ACCEPT_WAIT: Duration = Duration::from_millis(20);
 
@@ -203,11 +203,13 @@
     connection: Rc<ClientConnection>,
     answered: impl Future<Output = T>,
 ) -> T {
-    let has_left = connection.accept_wait() > NEGLIGIBLE_ACCEPT_WAIT && stream.is_closed_by_peer();
+    if connection.accept_wait() > NEGLIGIBLE_ACCEPT_WAIT {
+        // The runtime reads from a new connection before the system reports its state.
+        tokio::task::yield_now().await;
+    }
     tokio::select! {
         // The close is looked at first, so that no work begins for a client that has left.
         biased;
-        () = async {}, if has_left => {}
         () = stream.closed_by_peer() => {}
         answered = answered => return answered,
     }
--- a/crates/pipitcrank-server/src/runtime/stream.rs
+++ b/crates/pipitcrank-server/src/runtime/stream.rs
@@ -8,7 +8,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::io::{self, Read};
-use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -204,16 +203,6 @@
         self.tcp.writable().await
     }
 
-    /// Whether the peer has shut down its sending side or closed, and all bytes before that have been read. The runtime
-    /// reads from a new connection before the system reports its state.
-    pub fn is_closed_by_peer(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        match socket2::SockRef::from(&self.tcp).peek(&mut byte) {
-            Ok(read) => read == 0,
-            Err(error) => !is_retryable(&error),
-        }
-    }
-
     /// Completes once the peer has shut down its sending side or closed, however many bytes before that are unread.
     pub async fn closed_by_peer(&self) {
         // Readiness for urgent data is never reported, so this waits for the close alone.
