Queued clients are refused only while most places are held without a whole request

Cause: refusing clients that had waited a tenth of the shortest deadline refused sound ones too that idle connections kept waiting for less than their 2 s (races.rs idle_clients_may_fill_the_descriptors_while_discovery_is_down, 503 in place of 200), and emptied the queue before a shutdown could (queued_clients_beyond_permits_and_descriptors_are_answered_at_shutdown). Change: the refusal needs that half of the places or more are held by clients that have not sent a whole request, and that no shutdown was asked for; during a shutdown a stalled request keeps its second as before.

--- a/crates/pipitcrank-server/src/clients/acceptor.rs
+++ b/crates/pipitcrank-server/src/clients/acceptor.rs
@@ -163,10 +163,14 @@
         }
     }
 
-    /// Whether clients in the accept queue are rejected while no permit is free, since they have waited for too long.
+    /// Whether clients in the accept queue are rejected while no permit is free: they have waited for too long, and most
+    /// permits are held by clients that have not sent a whole request. A shutdown rejects them at its own time.
     fn may_reject(&self) -> bool {
-        self.listener.as_ref().is_some_and(|listener| listener.wait() >= self.queue_wait)
+        let has_waited = self.listener.as_ref().is_some_and(|listener| listener.wait() >= self.queue_wait);
+        has_waited
+            && self.shutdown_since.is_none()
             && Rc::strong_count(&self.rejecting) <= MAX_REJECTING
+            && 2 * self.server.connections.incomplete() >= self.permits.limit()
     }
 
     fn handle_accept(&mut self, permit: Option<ConnectionPermit>, accepted: io::Result<Accepted>) {
@@ -226,7 +230,8 @@
             0 => self.permits.limit(),
             available => spare.saturating_sub(available),
         };
-        let is_exhausted = self.permits.available() == 0;
+        // During a shutdown a slow client keeps its time, since it could not connect again.
+        let is_exhausted = self.permits.available() == 0 && self.shutdown_since.is_none();
         connections.close_overdue(Instant::now(), shortage, is_exhausted);
         if self.server.limits.memory.is_short(MemoryAccount::Requests) {
             let slow = connections.close_slow_requests(Instant::now());
