--- a/crates/pipitcrank-server/src/clients/accept_queue.rs
+++ b/crates/pipitcrank-server/src/clients/accept_queue.rs
@@ -61,11 +61,6 @@
         }
     }
 
-    /// Upper bound of the time for which its first client has waited.
-    pub fn wait(&self) -> Duration {
-        self.empty_at.get().elapsed()
-    }
-
     /// Converts the queue for draining before its listener closes. The runtime's readiness state may be stale, so the closing
     /// queue calls `accept` directly.
     pub fn close(self) -> Option<ClosingQueue> {
--- a/crates/pipitcrank-server/src/clients/acceptor.rs
+++ b/crates/pipitcrank-server/src/clients/acceptor.rs
@@ -14,8 +14,7 @@
 use super::accept_queue::{AcceptQueue, Accepted, ClosingQueue};
 use super::client_connections::ClientConnections;
 use super::connection::{AdoptedConnection, ConnectionLimits, ConnectionMode};
-use super::connection_server::{ConnectionServer, MAX_REJECTING};
-use super::linger::Rejection;
+use super::connection_server::ConnectionServer;
 use crate::runtime::clock::duration;
 use crate::runtime::connection_limits::{ConnectionLimiter, ConnectionPermit};
 use crate::runtime::counter_names::{group, shed};
@@ -37,8 +36,6 @@
     pub memory: MemoryBudget,
     /// Retry-after of requests that are shed before they become queries, if the settings allow one.
     pub shed_retry_after: Option<TimeSpan>,
-    /// Time in the accept queue after which clients are rejected while no permit is free.
-    pub queue_wait: Duration,
 }
 
 /// A command to the acceptor.
@@ -79,10 +76,10 @@
     let mut checks = tokio::time::interval(CHECK_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        // While no permit is free, clients wait in the accept queue for a short time, and are rejected after that.
+        // While no permit is free, clients wait in the accept queue.
         let permit = if acceptor.listener.is_some() { acceptor.permits.try_acquire() } else { None };
         let flow = tokio::select! {
-            accepted = accept(&acceptor.listener), if permit.is_some() || acceptor.may_reject() => {
+            accepted = accept(&acceptor.listener), if permit.is_some() => {
                 acceptor.handle_accept(permit, accepted);
                 Flow::Continue
             }
@@ -123,7 +120,6 @@
 struct Acceptor<F> {
     server: ConnectionServer,
     permits: ConnectionLimiter,
-    queue_wait: Duration,
     mode: watch::Sender<ConnectionMode>,
     schedule: ShutdownSchedule,
     is_drained: F,
@@ -146,12 +142,11 @@
     ) -> Acceptor<F> {
         let (mode, receiver) = watch::channel(ConnectionMode::Serve);
         let connections = Rc::new(ClientConnections::default());
-        let ClientResources { permits, memory, shed_retry_after, queue_wait } = resources;
+        let ClientResources { permits, memory, shed_retry_after } = resources;
         let limits = ConnectionLimits { idle: duration(schedule.idle), memory, shed_retry_after };
         Acceptor {
             server: ConnectionServer { router, counters, connections, mode: receiver, limits },
             permits,
-            queue_wait,
             mode,
             schedule,
             is_drained,
@@ -163,21 +158,8 @@
         }
     }
 
-    /// Whether clients in the accept queue are rejected while no permit is free: they have waited for too long, and most
-    /// permits are held by clients that have not sent a whole request. A shutdown rejects them at its own time.
-    fn may_reject(&self) -> bool {
-        let has_waited = self.listener.as_ref().is_some_and(|listener| listener.wait() >= self.queue_wait);
-        has_waited
-            && self.shutdown_since.is_none()
-            && Rc::strong_count(&self.rejecting) <= MAX_REJECTING
-            && 2 * self.server.connections.incomplete() >= self.permits.limit()
-    }
-
     fn handle_accept(&mut self, permit: Option<ConnectionPermit>, accepted: io::Result<Accepted>) {
         match accepted {
-            Ok(accepted) if permit.is_none() => {
-                self.server.reject(accepted, &self.rejecting, Rejection::Shortage);
-            }
             Ok(accepted) => self.server.serve_accepted(permit, accepted),
             Err(error) => {
                 tracing::error!("listener failed, no more clients are accepted: {error}");
--- a/crates/pipitcrank-server/src/clients/acceptor/tests.rs
+++ b/crates/pipitcrank-server/src/clients/acceptor/tests.rs
@@ -12,8 +12,7 @@
 
 /// Resources with these permits and unlimited memory.
 fn resources(permits: ConnectionLimiter) -> ClientResources {
-    let queue_wait = Duration::from_secs(9);
-    ClientResources { permits, memory: MemoryBudget::unlimited(), shed_retry_after: None, queue_wait }
+    ClientResources { permits, memory: MemoryBudget::unlimited(), shed_retry_after: None }
 }
 
 /// Larger than the socket buffers of both sides.
--- a/crates/pipitcrank-server/src/clients/client_connections.rs
+++ b/crates/pipitcrank-server/src/clients/client_connections.rs
@@ -393,17 +393,6 @@
         inactive.for_each(|connection| connection.request_close());
     }
 
-    /// Number of connections whose client has not sent the whole of a request since it connected or since its last one.
-    pub fn incomplete(&self) -> usize {
-        let connections = self.0.borrow();
-        let is_incomplete = |connection: &&Rc<ClientConnection>| match connection.phase() {
-            ConnectionPhase::New | ConnectionPhase::Reading => true,
-            ConnectionPhase::Answering => connection.is_receiving_body(),
-            ConnectionPhase::Idle | ConnectionPhase::Lingering => false,
-        };
-        connections.iter().filter(is_incomplete).count()
-    }
-
     /// Closes connections whose request has been incomplete for longer than clients need to send one; returns their number.
     pub fn close_slow_requests(&self, now: Instant) -> usize {
         let connections = self.0.borrow();
--- a/crates/pipitcrank-server/src/clients/connection_server.rs
+++ b/crates/pipitcrank-server/src/clients/connection_server.rs
@@ -11,7 +11,7 @@
 use super::accept_queue::{Accepted, ClosingQueue, NextClient};
 use super::client_connections::{ClientConnections, ConnectionPhase};
 use super::connection::{AdoptedConnection, ConnectionLimits, ConnectionMode, serve};
-use super::linger::{Rejection, reject};
+use super::linger::reject;
 use crate::audit::{Rule, violated};
 use crate::exchange::REQUEST_LOG_TARGET;
 use crate::runtime::connection_limits::{ConnectionLimiter, ConnectionPermit};
@@ -79,15 +79,11 @@
     }
 
     /// Rejects a client without a permit. The task holds a clone of `rejecting`.
-    pub(super) fn reject(&self, accepted: Accepted, rejecting: &Rc<()>, rejection: Rejection) {
-        let reason = match rejection {
-            Rejection::Shutdown => client::REJECTED_AT_SHUTDOWN,
-            Rejection::Shortage => client::REJECTED_FOR_SHORTAGE,
-        };
-        self.counters.add(group::CLIENTS, reason);
+    fn reject(&self, accepted: Accepted, rejecting: &Rc<()>) {
+        self.counters.add(group::CLIENTS, client::REJECTED_AT_SHUTDOWN);
         let (counted, retry_after) = (rejecting.clone(), self.limits.shed_retry_after);
         tokio::task::spawn_local(async move {
-            reject(accepted.stream, rejection, retry_after).await;
+            reject(accepted.stream, retry_after).await;
             drop(counted);
         });
     }
@@ -109,7 +105,7 @@
             match queue.next() {
                 NextClient::Accepted(accepted) if permit.is_some() => self.serve_accepted(permit, accepted),
                 NextClient::Accepted(accepted) => {
-                    self.reject(accepted, rejecting, Rejection::Shutdown);
+                    self.reject(accepted, rejecting);
                 }
                 NextClient::Empty | NextClient::Broken => return None,
                 NextClient::Failing => return Some(queue),
--- a/crates/pipitcrank-server/src/clients/linger.rs
+++ b/crates/pipitcrank-server/src/clients/linger.rs
@@ -21,10 +21,6 @@
 const LAST_ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time to wait for the request of a client without a permit.
 const REJECTED_REQUEST_WAIT: Duration = Duration::from_millis(50);
-/// Time to wait for the request of a client that has waited in the accept queue.
-const QUEUED_REQUEST_WAIT: Duration = Duration::from_millis(2);
-/// Time to send such a client its response. Short, so that a crowd in the accept queue does not delay the clients behind it.
-const QUEUED_ANSWER_TIMEOUT: Duration = Duration::from_millis(5);
 /// Most bytes read of the request of a client without a permit.
 const REJECTED_REQUEST_BYTES: usize = 16 * 1024;
 
@@ -39,41 +35,21 @@
     format!("{head}{retry_after}\r\n").into_bytes()
 }
 
-/// Why a client in the accept queue gets no permit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Rejection {
-    /// The listener closes for a shutdown.
-    Shutdown,
-    /// No permit has been free for too long. Many clients may only connect, and those are closed without a response.
-    Shortage,
-}
-
 /// Sends a 503 response to a client without a permit, so that its connection is not reset.
-pub(super) async fn reject(stream: TcpStream, rejection: Rejection, retry_after: Option<TimeSpan>) {
+pub(super) async fn reject(stream: TcpStream, retry_after: Option<TimeSpan>) {
     let (stream, mut request) = (Stream::new(stream), Vec::with_capacity(REJECTED_REQUEST_BYTES));
-    let (request_wait, answer_timeout) = match rejection {
-        Rejection::Shutdown => (REJECTED_REQUEST_WAIT, LAST_ANSWER_TIMEOUT),
-        Rejection::Shortage => (QUEUED_REQUEST_WAIT, QUEUED_ANSWER_TIMEOUT),
-    };
-    let read = timeout(request_wait, stream.read_some(&mut request, Expects::More)).await;
-    let has_request = matches!(read, Ok(Ok(n)) if n > 0);
-    if has_request || rejection == Rejection::Shutdown {
-        send_within(&stream, &service_unavailable(retry_after), answer_timeout).await;
-    }
+    let _ = timeout(REJECTED_REQUEST_WAIT, stream.read_some(&mut request, Expects::More)).await;
+    send_last(&stream, &service_unavailable(retry_after)).await;
 }
 
 /// Sends the last response of a connection, and lingers for up to `LAST_ANSWER_TIMEOUT` in all.
 pub(super) async fn send_last(stream: &Stream, answer: &[u8]) {
-    send_within(stream, answer, LAST_ANSWER_TIMEOUT).await;
-}
-
-async fn send_within(stream: &Stream, answer: &[u8], limit: Duration) {
     let sent = async {
         if stream.write_all(answer).await.is_ok() {
             linger(stream).await;
         }
     };
-    let _ = timeout(limit, sent).await;
+    let _ = timeout(LAST_ANSWER_TIMEOUT, sent).await;
 }
 
 /// Shuts down the sending side, then reads and discards input until the client closes or a limit is reached.
--- a/crates/pipitcrank-server/src/node_config.rs
+++ b/crates/pipitcrank-server/src/node_config.rs
@@ -26,12 +26,6 @@
 /// Time after which a client that was shed may try again, if the settings allow so long: most incomplete requests have
 /// ended by then.
 const SHED_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(1000);
-/// Fraction of the shortest deadline that a client may wait in the accept queue.
-const QUEUE_WAIT_FRACTION: f64 = 0.1;
-/// Least wait in the accept queue; silent connections are closed within this time.
-const MIN_QUEUE_WAIT: TimeSpan = TimeSpan::from_millis(150);
-/// Longest wait in the accept queue; idle connections are closed within this time.
-const MAX_QUEUE_WAIT: TimeSpan = TimeSpan::from_millis(2500);
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
 /// The node configuration. `V` looks up environment variables.
@@ -189,13 +183,6 @@
         Ok(self.deadlines()?.into_iter().max().unwrap_or(TimeSpan::ZERO))
     }
 
-    /// Time in the accept queue after which clients are rejected while no connection is free for them: a part of the shortest
-    /// deadline, so that they have time to ask elsewhere.
-    pub fn queue_wait(&self) -> Result<TimeSpan, ConfigError> {
-        let shortest = self.deadlines()?.into_iter().min().unwrap_or(TimeSpan::ZERO);
-        Ok((shortest * QUEUE_WAIT_FRACTION).max(MIN_QUEUE_WAIT).min(MAX_QUEUE_WAIT))
-    }
-
     /// The deadline of each request class.
     fn deadlines(&self) -> Result<Vec<TimeSpan>, ConfigError> {
         let settings = self.settings()?;
--- a/crates/pipitcrank-server/src/runtime/counter_names.rs
+++ b/crates/pipitcrank-server/src/runtime/counter_names.rs
@@ -74,8 +74,6 @@
     pub const ACCEPTED: &str = "accepted";
     /// Connections received from another process.
     pub const ADOPTED: &str = "adopted";
-    /// Connections rejected because no permit had been free for too long.
-    pub const REJECTED_FOR_SHORTAGE: &str = "turned_away";
     /// Connections rejected at shutdown because no permit was free.
     pub const REJECTED_AT_SHUTDOWN: &str = "turned_away_at_the_end";
 }
--- a/crates/pipitcrank-server/src/server_parts.rs
+++ b/crates/pipitcrank-server/src/server_parts.rs
@@ -19,7 +19,7 @@
 use crate::discovery::poll_pacing::PollPacing;
 use crate::node_config::NodeConfig;
 use crate::replicas::pool::ReplicaPool;
-use crate::runtime::clock::{Clock, duration};
+use crate::runtime::clock::Clock;
 use crate::runtime::connection_limits::ConnectionLimiter;
 use crate::runtime::counters::Counters;
 use crate::runtime::event_loop::EventLoop;
@@ -137,8 +137,7 @@
         let event_loop = Rc::new(event_loop.with_memory_plan(plan));
         let replicas = create_replica_pool(config, &event_loop)?;
         let (memory, shed_retry_after) = (event_loop.memory.clone(), config.shed_retry_after()?);
-        let queue_wait = duration(config.queue_wait()?);
-        let client_resources = ClientResources { permits, memory, shed_retry_after, queue_wait };
+        let client_resources = ClientResources { permits, memory, shed_retry_after };
         Ok(EventLoopParts { event_loop, replicas, client_resources, initial_list })
     }
 }
