A connection is transferred to a new process again: nothing else shares its stream

Callers would have seen: every connection that rests or waits is closed at an upgrade, and queries are lost. Change: the handle is dropped before the transfer.

--- a/crates/pipitcrank-server/src/clients/connection.rs
+++ b/crates/pipitcrank-server/src/clients/connection.rs
@@ -118,6 +118,8 @@
                 let http1::Parts { io, read_buf, .. } = serving.into_parts();
                 // Bytes that the HTTP library has not processed, then bytes of an earlier transfer that it has not read.
                 let buffered = [&read_buf[..], &io.into_inner().into_unread()[..]].concat().into();
+                // The transfer takes the socket, so nothing else may share the stream.
+                drop(answer_stream);
                 return transfer(stream, buffered, request_timeout, &successor);
             }
         }
