--- a/crates/pipitcrank-server/src/clients/connection.rs
+++ b/crates/pipitcrank-server/src/clients/connection.rs
@@ -105,7 +105,6 @@
             served = std::future::poll_fn(|cx| serving.poll_without_shutdown(cx)) => break end_of(served, &mode),
             () = connection.client_left() => return ConnectionEnd::Closed,
             () = connection.close_requested() => {
-                // Releases the request's memory before its client is answered.
                 drop(serving);
                 return close(&stream, connection, shed_retry_after).await;
             }
@@ -118,7 +117,6 @@
                 let http1::Parts { io, read_buf, .. } = serving.into_parts();
                 // Bytes that the HTTP library has not processed, then bytes of an earlier transfer that it has not read.
                 let buffered = [&read_buf[..], &io.into_inner().into_unread()[..]].concat().into();
-                // The transfer takes the socket, so nothing else may share the stream.
                 drop(answer_stream);
                 return transfer(stream, buffered, request_timeout, &successor);
             }
@@ -135,7 +133,7 @@
     end
 }
 
-/// Transfers the connection to another process.
+/// Transfers the connection to another process. It takes the socket, so nothing else may share the stream.
 fn transfer(
     stream: Rc<Stream>,
     buffered: Bytes,
