Log each answer with its part, attempt and connection

The log named the part of the attempt that ended, but not the part that the replica's frame named, nor the connection; so it could not tell a wrong match of a frame from a wrong value kept in the tables or from a response mixed up at the clients' side.

Connections to replicas have numbers. At debug under pipitcrank::requests: "answer received" with the part named on the wire, index and attempt that it was matched to, replica, connection and whether that is retired; "attempt cancelled"; "attempt to cancel is on no open connection".

--- a/crates/pipitcrank-server/src/replicas/connection.rs
+++ b/crates/pipitcrank-server/src/replicas/connection.rs
@@ -13,6 +13,7 @@
 use super::connection_end::ConnectionEnd;
 use super::connection_state::{ConnectionCommand, ConnectionState};
 use super::frames::{self, LoadReport, ReplicaFrame};
+use crate::exchange::REQUEST_LOG_TARGET;
 use crate::runtime::counter_names::{frame, group, replica_connection, shed};
 use crate::runtime::dial::dial;
 use crate::runtime::event_loop::EventLoop;
@@ -397,6 +398,7 @@
             return Err(ConnectionEnd::ProtocolError);
         };
         let attempt = assigned.swap_remove(position).attempt;
+        tracing::debug!(target: REQUEST_LOG_TARGET, part = id, part_index = attempt.part.0, attempt = attempt.number, replica = state.replica.0, connection = state.number, retired = state.retired.get(), "answer received");
         // The id is recorded so that a second answer to the part counts as late.
         state.finished.borrow_mut().add(id);
         event_loop.counters.add(group::FRAMES, frame::ANSWERS);
--- a/crates/pipitcrank-server/src/replicas/connection/tests.rs
+++ b/crates/pipitcrank-server/src/replicas/connection/tests.rs
@@ -46,7 +46,7 @@
         exchange(&counters),
     ));
     let (commands, _queue) = unbounded_channel();
-    let state = ConnectionState::new(ReplicaId(0), commands);
+    let state = ConnectionState::new(1, ReplicaId(0), commands);
     state.pings_pending.set(1);
     let receive_pong =
         || task(&event_loop, &state, &stream).handle_frame(ReplicaFrame::Pong(AttemptOutcome::Fault));
@@ -112,7 +112,7 @@
             let (commands, mut queue) = unbounded_channel();
             let state = Rc::new(ConnectionState {
                 assigned: assigned(attempt),
-                ..ConnectionState::new(ReplicaId(0), commands.clone())
+                ..ConnectionState::new(1, ReplicaId(0), commands.clone())
             });
             let (task_loop, address) = (event_loop.clone(), listener.local_addr().unwrap());
             let task_state = state.clone();
@@ -158,9 +158,9 @@
 async fn a_call_assigned_to_another_connection_is_not_sent_here() {
     let (_replica_end, stream, event_loop, attempt) = one_outstanding_attempt().await;
     let (commands, _) = unbounded_channel();
-    let unassigned = ConnectionState::new(ReplicaId(0), commands.clone());
+    let unassigned = ConnectionState::new(1, ReplicaId(0), commands.clone());
     let owner =
-        ConnectionState { assigned: assigned(attempt), ..ConnectionState::new(ReplicaId(0), commands) };
+        ConnectionState { assigned: assigned(attempt), ..ConnectionState::new(1, ReplicaId(0), commands) };
     let queued = || WriteState::Queued(ConnectionCommand::SendCall(vec![attempt]));
     assert!(matches!(task(&event_loop, &unassigned, &stream).write(queued()).unwrap(), WriteState::Idle));
     assert_eq!(event_loop.counters.get("frames", "calls_sent"), 0, "sent on the wrong connection");
@@ -179,7 +179,7 @@
     while stream.try_write(&[0; 1 << 16]).is_ok() {}
     let (commands, _) = unbounded_channel();
     let state =
-        ConnectionState { assigned: assigned(attempt), ..ConnectionState::new(ReplicaId(0), commands) };
+        ConnectionState { assigned: assigned(attempt), ..ConnectionState::new(1, ReplicaId(0), commands) };
 
     let next = task(&event_loop, &state, &stream)
         .write(WriteState::Queued(ConnectionCommand::SendCall(vec![attempt])))
@@ -200,7 +200,7 @@
     for drains in [false, true] {
         let (replica_end, stream, event_loop, _attempt) = one_outstanding_attempt().await;
         let (commands, _queue) = unbounded_channel();
-        let state = ConnectionState::new(ReplicaId(0), commands);
+        let state = ConnectionState::new(1, ReplicaId(0), commands);
         state.probes_pending.set(1);
         let endpoint =
             Endpoint { uid: "l".into(), address: None, cell: 0, zone: None, up: !drains, started: None };
--- a/crates/pipitcrank-server/src/replicas/connection_state.rs
+++ b/crates/pipitcrank-server/src/replicas/connection_state.rs
@@ -32,6 +32,8 @@
 
 /// One connection to a replica.
 pub struct ConnectionState {
+    /// Number of the connection among all that the pool has opened.
+    pub number: u64,
     /// The replica.
     pub replica: ReplicaId,
     /// Queue of commands to the connection's task.
@@ -58,8 +60,13 @@
 
 impl ConnectionState {
     /// Creates the state of a new connection.
-    pub fn new(replica: ReplicaId, commands: UnboundedSender<ConnectionCommand>) -> ConnectionState {
+    pub fn new(
+        number: u64,
+        replica: ReplicaId,
+        commands: UnboundedSender<ConnectionCommand>,
+    ) -> ConnectionState {
         ConnectionState {
+            number,
             replica,
             commands,
             assigned: RefCell::default(),
--- a/crates/pipitcrank-server/src/replicas/pool.rs
+++ b/crates/pipitcrank-server/src/replicas/pool.rs
@@ -13,7 +13,7 @@
 use super::connection::{self, ClosedConnection, ConnectionTimeouts};
 use super::connection_end::ConnectionEnd;
 use super::connection_state::{AssignedAttempt, ConnectionCommand, ConnectionState};
-use crate::exchange::ReplicaTransport;
+use crate::exchange::{REQUEST_LOG_TARGET, ReplicaTransport};
 use crate::runtime::connection_limits::ConnectionPermit;
 use crate::runtime::counter_names::{group, replica_connection};
 use crate::runtime::event_loop::EventLoop;
@@ -35,6 +35,8 @@
     replicas: BTreeMap<ReplicaId, ReplicaConnections>,
     /// Number of uses of connections, from which `last_use` is set.
     uses: u64,
+    /// Number of connections opened so far, from which each gets its own number.
+    opened: u64,
 }
 
 impl ReplicaPool {
@@ -55,6 +57,7 @@
                 timeouts,
                 replicas: BTreeMap::new(),
                 uses: 0,
+                opened: 0,
             })
         });
         let this = Rc::downgrade(&pool);
@@ -108,7 +111,8 @@
         permit: Option<ConnectionPermit>,
     ) -> Result<Rc<ConnectionState>, ConnectionEnd> {
         let (sender, commands) = unbounded_channel();
-        let connection = Rc::new(ConnectionState::new(replica, sender));
+        self.opened += 1;
+        let connection = Rc::new(ConnectionState::new(self.opened, replica, sender));
         connection.last_use.set(self.uses);
         let connections = self.replicas.get_mut(&replica).ok_or(ConnectionEnd::NotNeeded)?;
         connections.open.push(connection.clone());
@@ -230,11 +234,13 @@
             let mut assigned = connection.assigned.borrow_mut();
             let Some(position) = assigned.iter().position(|a| a.attempt == attempt) else { continue };
             if let Some(id) = assigned.swap_remove(position).part_id {
+                tracing::debug!(target: REQUEST_LOG_TARGET, part = &*id, attempt = attempt.number, replica = replica.0, connection = connection.number, "attempt cancelled");
                 connection.finished.borrow_mut().add(&id);
                 let _ = connection.commands.send(ConnectionCommand::Cancel(id));
             }
             return;
         }
+        tracing::debug!(target: REQUEST_LOG_TARGET, part_index = attempt.part.0, attempt = attempt.number, replica = replica.0, "attempt to cancel is on no open connection");
     }
 
     fn send_load_probe(&mut self, replica: ReplicaId) {
