--- a/crates/pipitcrank-cost/src/decisions.rs
+++ b/crates/pipitcrank-cost/src/decisions.rs
@@ -2,6 +2,7 @@
 
 use crc32fast::Hasher;
 use pipitcrank_core::ids::{AttemptId, AttemptOutcome};
+use pipitcrank_server::exchange::AttemptHandle;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -39,7 +40,7 @@
     rng: Pcg64,
     harness: ExchangeHarness,
     hasher: Hasher,
-    in_flight: Vec<AttemptId>,
+    in_flight: Vec<AttemptHandle>,
     tickets: Vec<u64>,
 }
 
@@ -83,13 +84,13 @@
     fn hash_decisions(&mut self) {
         for (replica, attempts) in &self.harness.transport.calls {
             self.hasher.update(&replica.0.to_le_bytes());
-            for AttemptId { part, number } in attempts {
+            for AttemptId { part, number } in attempts.iter().map(|attempt| attempt.id) {
                 self.hasher.update(&part.0.to_le_bytes());
                 self.hasher.update(&number.to_le_bytes());
             }
         }
         for (replica, attempt) in self.harness.transport.cancelled.drain(..) {
-            let AttemptId { part, number } = attempt;
+            let AttemptId { part, number } = attempt.id;
             let bytes = [&replica.0.to_le_bytes()[..], &part.0.to_le_bytes(), &number.to_le_bytes(), b"x"];
             self.hasher.update(&bytes.concat());
             self.in_flight.retain(|other| *other != attempt);
--- a/crates/pipitcrank-cost/src/harness.rs
+++ b/crates/pipitcrank-cost/src/harness.rs
@@ -10,7 +10,7 @@
 use pipitcrank_core::ids::{AttemptOutcome, ReplicaId, RequestClassId};
 use pipitcrank_core::time::{TimeSpan, Timestamp};
 use pipitcrank_server::exchange::{
-    AttemptId, Endpoint, Exchange, QueryPart, QueryRequest, QueryResponse, ReplicaTransport,
+    AttemptHandle, Endpoint, Exchange, PartIds, QueryPart, QueryRequest, QueryResponse, ReplicaTransport,
 };
 use pipitcrank_server::runtime::counters::Counters;
 use serde_json::json;
@@ -19,9 +19,9 @@
 #[derive(Default)]
 pub struct RecordingTransport {
     /// Calls that `authorize_all` has not processed yet.
-    pub calls: Vec<(ReplicaId, Vec<AttemptId>)>,
+    pub calls: Vec<(ReplicaId, Vec<AttemptHandle>)>,
     /// Cancelled attempts.
-    pub cancelled: Vec<(ReplicaId, AttemptId)>,
+    pub cancelled: Vec<(ReplicaId, AttemptHandle)>,
     /// Replicas that were sent a load probe.
     pub probes: Vec<ReplicaId>,
 }
@@ -29,10 +29,10 @@
 impl ReplicaTransport for RecordingTransport {
     fn set_address(&mut self, _: ReplicaId, _: SocketAddr) {}
     fn remove_replica(&mut self, _: ReplicaId) {}
-    fn send_attempts(&mut self, replica: ReplicaId, attempts: Vec<AttemptId>) {
+    fn send_attempts(&mut self, replica: ReplicaId, attempts: Vec<AttemptHandle>, _: &dyn PartIds) {
         self.calls.push((replica, attempts));
     }
-    fn cancel_attempt(&mut self, replica: ReplicaId, attempt: AttemptId) {
+    fn cancel_attempt(&mut self, replica: ReplicaId, attempt: AttemptHandle) {
         self.cancelled.push((replica, attempt));
     }
     fn send_load_probe(&mut self, replica: ReplicaId) {
@@ -141,7 +141,7 @@
     }
 
     /// Authorizes all recorded calls; returns the attempts that are sent.
-    pub fn authorize_all(&mut self) -> Vec<AttemptId> {
+    pub fn authorize_all(&mut self) -> Vec<AttemptHandle> {
         let mut sent = Vec::new();
         for (replica, mut attempts) in std::mem::take(&mut self.transport.calls) {
             self.exchange.authorize_send(self.now, replica, &mut attempts);
@@ -151,7 +151,7 @@
     }
 
     /// Ends an attempt with the outcome. A successful attempt returns a value.
-    pub fn end_attempt(&mut self, attempt: AttemptId, outcome: AttemptOutcome) {
+    pub fn end_attempt(&mut self, attempt: AttemptHandle, outcome: AttemptOutcome) {
         let value = (outcome == AttemptOutcome::Success).then(|| "value".to_string());
         self.exchange.attempt_ended(attempt, outcome, value, None);
     }
--- a/crates/pipitcrank-gateway/src/link_client.rs
+++ b/crates/pipitcrank-gateway/src/link_client.rs
@@ -10,7 +10,7 @@
 
 use pipitcrank_core::ids::ReplicaId;
 use pipitcrank_core::time::TimeSpan;
-use pipitcrank_server::exchange::{AttemptId, ReplicaTransport};
+use pipitcrank_server::exchange::{AttemptHandle, PartIds, ReplicaTransport};
 use pipitcrank_server::replicas::pool::ReplicaPool;
 use pipitcrank_server::runtime::clock::duration;
 use pipitcrank_server::serve::ServerContext;
@@ -124,9 +124,9 @@
         self.replicas.borrow_mut().remove_replica(replica);
     }
 
-    fn send_attempts(&mut self, replica: ReplicaId, attempts: Vec<AttemptId>) {
+    fn send_attempts(&mut self, replica: ReplicaId, attempts: Vec<AttemptHandle>, part_ids: &dyn PartIds) {
         let Some(site) = self.remote.get(&replica) else {
-            return self.replicas.borrow_mut().send_attempts(replica, attempts);
+            return self.replicas.borrow_mut().send_attempts(replica, attempts, part_ids);
         };
         let connected_streams = site.streams.iter().filter(|stream| stream.is_up.get());
         match connected_streams.min_by_key(|stream| stream.queued.get() + stream.sent.borrow().outstanding())
@@ -139,12 +139,12 @@
             None => {
                 let local = self.local.clone();
                 // Runs in a separate task, because the exchange can't be updated during its own call of this function.
-                tokio::task::spawn_local(async move { local.attempts_never_started(replica, attempts) });
+                tokio::task::spawn_local(async move { local.attempts_never_started(attempts) });
             }
         }
     }
 
-    fn cancel_attempt(&mut self, replica: ReplicaId, attempt: AttemptId) {
+    fn cancel_attempt(&mut self, replica: ReplicaId, attempt: AttemptHandle) {
         let Some(site) = self.remote.get(&replica) else {
             return self.replicas.borrow_mut().cancel_attempt(replica, attempt);
         };
--- a/crates/pipitcrank-gateway/src/link_connection.rs
+++ b/crates/pipitcrank-gateway/src/link_connection.rs
@@ -8,7 +8,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use pipitcrank_core::ids::{AttemptOutcome, ReplicaId};
 use pipitcrank_core::time::{TimeSpan, Timestamp};
-use pipitcrank_server::exchange::{AttemptId, OutgoingForward, OutgoingPart, QueryPart};
+use pipitcrank_server::exchange::{AttemptHandle, OutgoingForward, OutgoingPart, QueryPart};
 use pipitcrank_server::runtime::clock::duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -260,7 +260,7 @@
     }
 
     /// Queues frames for those attempts that the exchange still authorizes.
-    fn queue_forwards(&mut self, replica: ReplicaId, mut attempts: Vec<AttemptId>) {
+    fn queue_forwards(&mut self, replica: ReplicaId, mut attempts: Vec<AttemptHandle>) {
         self.link_stream.queued.set(self.link_stream.queued.get() - 1);
         let now = self.local.event_loop.clock.now();
         let round_trip = self.site.health.borrow().round_trip_bound().unwrap_or(TimeSpan::ZERO);
--- a/crates/pipitcrank-gateway/src/remote_site.rs
+++ b/crates/pipitcrank-gateway/src/remote_site.rs
@@ -7,7 +7,7 @@
 
 use pipitcrank_core::ids::ReplicaId;
 use pipitcrank_core::time::TimeSpan;
-use pipitcrank_server::exchange::AttemptId;
+use pipitcrank_server::exchange::AttemptHandle;
 use pipitcrank_server::runtime::event_loop::EventLoop;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
@@ -31,7 +31,7 @@
 
 /// Command to the task of a stream.
 pub(crate) enum StreamCommand {
-    Forward { replica: ReplicaId, attempts: Vec<AttemptId> },
+    Forward { replica: ReplicaId, attempts: Vec<AttemptHandle> },
     Cancel { number: u64 },
 }
 
@@ -39,7 +39,7 @@
 pub(crate) struct LinkStream {
     pub(crate) number: u16,
     pub(crate) commands: UnboundedSender<StreamCommand>,
-    pub(crate) sent: RefCell<SentForwards<AttemptId>>,
+    pub(crate) sent: RefCell<SentForwards<AttemptHandle>>,
     /// Number of queued forward commands, which count towards the load by which a stream is selected.
     pub(crate) queued: Cell<usize>,
     pub(crate) is_up: Cell<bool>,
@@ -48,9 +48,9 @@
 impl LinkStream {
     /// Rejects a command that can't be executed: the attempts in it are reported as never started.
     pub(crate) fn reject(&self, local: &LocalSite, command: StreamCommand) {
-        if let StreamCommand::Forward { replica, attempts } = command {
+        if let StreamCommand::Forward { attempts, .. } = command {
             self.queued.set(self.queued.get() - 1);
-            local.attempts_never_started(replica, attempts);
+            local.attempts_never_started(attempts);
         }
     }
 
@@ -68,9 +68,9 @@
 
 impl LocalSite {
     /// Reports to the exchange that these attempts were never sent.
-    pub(crate) fn attempts_never_started(&self, replica: ReplicaId, attempts: Vec<AttemptId>) {
+    pub(crate) fn attempts_never_started(&self, attempts: Vec<AttemptHandle>) {
         self.event_loop.update(|exchange| {
-            attempts.into_iter().for_each(|attempt| exchange.attempt_never_started(replica, attempt))
+            attempts.into_iter().for_each(|attempt| exchange.attempt_never_started(attempt))
         });
     }
 }
@@ -106,7 +106,7 @@
     }
 
     /// Reports a closed forward to the site's health, the retry budget and its attempts.
-    pub(crate) fn close_forward(&self, local: &LocalSite, closed: ClosedForward<AttemptId>) {
+    pub(crate) fn close_forward(&self, local: &LocalSite, closed: ClosedForward<AttemptHandle>) {
         let now = local.event_loop.clock.now();
         self.health.borrow_mut().forward_ended(now, closed.health_id, closed.result);
         let counter = match closed.result {
--- a/crates/pipitcrank-gateway/tests/link.rs
+++ b/crates/pipitcrank-gateway/tests/link.rs
@@ -16,7 +16,7 @@
     Forward, ForwardOutcome, ForwardPart, LinkMessage, PROTOCOL_VERSION, encode, take_frame,
 };
 use pipitcrank_gateway::link_server::LinkServer;
-use pipitcrank_server::exchange::{AttemptId, Endpoint, Exchange, ReplicaTransport};
+use pipitcrank_server::exchange::{AttemptHandle, Endpoint, Exchange, PartIds, ReplicaTransport};
 use pipitcrank_server::replicas::pool::ReplicaPool;
 use pipitcrank_server::runtime::clock::Clock;
 use pipitcrank_server::runtime::connection_limits::ConnectionLimiter;
@@ -38,14 +38,14 @@
 /// Transport that records the attempts sent to replicas, and answers each at once if `answers` is set.
 struct CountingReplicas {
     event_loop: Rc<EventLoop>,
-    executed: Rc<RefCell<Vec<AttemptId>>>,
+    executed: Rc<RefCell<Vec<AttemptHandle>>>,
     answers: bool,
 }
 
 impl ReplicaTransport for CountingReplicas {
     fn set_address(&mut self, _: ReplicaId, _: SocketAddr) {}
     fn remove_replica(&mut self, _: ReplicaId) {}
-    fn send_attempts(&mut self, _: ReplicaId, attempts: Vec<AttemptId>) {
+    fn send_attempts(&mut self, _: ReplicaId, attempts: Vec<AttemptHandle>, _: &dyn PartIds) {
         self.executed.borrow_mut().extend(&attempts);
         let (event_loop, answers) = (self.event_loop.clone(), self.answers);
         tokio::task::spawn_local(async move {
@@ -55,14 +55,14 @@
             }
         });
     }
-    fn cancel_attempt(&mut self, _: ReplicaId, _: AttemptId) {}
+    fn cancel_attempt(&mut self, _: ReplicaId, _: AttemptHandle) {}
     fn send_load_probe(&mut self, _: ReplicaId) {}
 }
 
 struct Harness {
     address: SocketAddr,
     event_loop: Rc<EventLoop>,
-    executed: Rc<RefCell<Vec<AttemptId>>>,
+    executed: Rc<RefCell<Vec<AttemptHandle>>>,
     draining: watch::Sender<bool>,
 }
 
--- a/crates/pipitcrank-server/src/exchange/batch.rs
+++ b/crates/pipitcrank-server/src/exchange/batch.rs
@@ -6,6 +6,7 @@
 use pipitcrank_core::ids::{AttemptId, AttemptOutcome, QueryId, ReplicaId};
 use pipitcrank_core::time::Timestamp;
 
+use super::attempt_handle::AttemptHandle;
 use super::event::{EndedAttempt, EndpointChange, Event};
 use super::query::REQUEST_LOG_TARGET;
 use super::request_table::Command;
@@ -87,10 +88,11 @@
 
     fn expire_attempts(&mut self, now: Timestamp) {
         let is_due = |entry: &(Timestamp, AttemptId)| entry.0 <= now;
-        while let Some((_, attempt)) = self.table.attempt_deadlines.first().copied().filter(is_due) {
+        while let Some((_, id)) = self.table.attempt_deadlines.first().copied().filter(is_due) {
+            let attempt = self.table.handle(id).expect("an attempt with a deadline is outstanding");
             if let Some(replica) = self.table.close_attempt(attempt, AttemptOutcome::TimedOut) {
                 self.table.commands.push(Command::CancelAttempt(replica, attempt));
-                self.finish_attempt(now, attempt, AttemptOutcome::TimedOut, None);
+                self.finish_attempt(now, id, AttemptOutcome::TimedOut, None);
             }
         }
     }
@@ -148,7 +150,7 @@
     fn execute_commands(&mut self, transport: &mut dyn ReplicaTransport) {
         let commands = std::mem::take(&mut self.table.commands);
         // A bundle holds the attempts for one replica. Bundles are ordered by their first attempts.
-        let mut bundles: Vec<(ReplicaId, Vec<AttemptId>)> = Vec::new();
+        let mut bundles: Vec<(ReplicaId, Vec<AttemptHandle>)> = Vec::new();
         let mut positions: BTreeMap<ReplicaId, usize> = BTreeMap::new();
         for command in commands {
             match command {
@@ -168,10 +170,12 @@
                 Command::RemoveReplica(replica) => transport.remove_replica(replica),
             }
         }
-        for (replica, bundle) in bundles {
-            for attempts in bundle.chunks(self.parts_per_call) {
-                transport.send_attempts(replica, attempts.to_vec());
+        for (replica, mut bundle) in bundles {
+            while bundle.len() > self.parts_per_call {
+                let rest = bundle.split_off(self.parts_per_call);
+                transport.send_attempts(replica, std::mem::replace(&mut bundle, rest), &self.table);
             }
+            transport.send_attempts(replica, bundle, &self.table);
         }
     }
 }
--- a/crates/pipitcrank-server/src/exchange/coordinator_output.rs
+++ b/crates/pipitcrank-server/src/exchange/coordinator_output.rs
@@ -4,6 +4,7 @@
 use pipitcrank_core::output::CoordinatorOutput;
 use pipitcrank_core::time::{TimeSpan, Timestamp};
 
+use super::attempt_handle::AttemptHandle;
 use super::query::{QueryResponse, REQUEST_LOG_TARGET};
 use super::request_table::{Command, OutstandingAttempt, RequestTable};
 use crate::reasons::ResendReason;
@@ -68,14 +69,17 @@
         if let Some(delegated) = delegated.filter(|_| attempt.number > 0) {
             delegated.retries_used.set(delegated.retries_used.get() + 1);
         }
-        self.outstanding.insert(attempt, OutstandingAttempt { replica, deadline: until, authorized: false });
+        let generation = self.next_generation();
+        let entry = OutstandingAttempt { generation, replica, deadline: until, authorized: false };
+        self.outstanding.insert(attempt, entry);
         self.attempt_deadlines.insert((until, attempt));
-        self.commands.push(Command::SendAttempt(replica, attempt));
+        self.commands.push(Command::SendAttempt(replica, AttemptHandle { id: attempt, generation }));
     }
 
     fn cancel_attempt(&mut self, attempt: AttemptId) {
-        if let Some(replica) = self.outstanding.get(&attempt).map(|entry| entry.replica) {
-            self.commands.push(Command::CancelAttempt(replica, attempt));
+        if let Some(entry) = self.outstanding.get(&attempt) {
+            let handle = AttemptHandle { id: attempt, generation: entry.generation };
+            self.commands.push(Command::CancelAttempt(entry.replica, handle));
         }
     }
 
--- a/crates/pipitcrank-server/src/exchange/mod.rs
+++ b/crates/pipitcrank-server/src/exchange/mod.rs
@@ -5,11 +5,15 @@
 //! and then the due timers to the `Coordinator`, calls its `dispatch` for the waiting parts, and executes its commands.
 //! [`Exchange::authorize_send`] checks each send once more.
 //!
+//! The replica side names attempts by their [`AttemptHandle`]. What it reports of an attempt that is not outstanding any
+//! more is dropped.
+//!
 //! `state` defines the type, its inputs and its read-only view. `batch`, `admission`, `send_guard`, `endpoint_list`,
 //! `remote_sites`, `zones` and `handover` implement one concern each. `request_table` stores queries, parts and
 //! attempts, and `coordinator_output` implements the `Coordinator`'s output interface on it.
 
 mod admission;
+mod attempt_handle;
 mod batch;
 mod coordinator_output;
 mod endpoint;
@@ -25,8 +29,8 @@
 mod transport;
 mod zones;
 
+pub use attempt_handle::{AttemptHandle, PartIds};
 pub use endpoint::Endpoint;
-pub use pipitcrank_core::ids::AttemptId;
 pub use query::{
     DelegatedRequest, PartSink, QueryPart, QueryRequest, QueryResponse, REQUEST_LOG_TARGET, ResponseSink,
 };
--- a/crates/pipitcrank-server/src/exchange/remote_sites.rs
+++ b/crates/pipitcrank-server/src/exchange/remote_sites.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use pipitcrank_core::ids::{AttemptId, PartId, ReplicaId, RequestClassId};
+use pipitcrank_core::ids::{PartId, ReplicaId, RequestClassId};
 use pipitcrank_core::time::{TimeSpan, Timestamp};
 
+use super::attempt_handle::AttemptHandle;
 use super::query::QueryPart;
 use super::request_table::ReplicaEntry;
 use super::state::{DelegatedRetries, Exchange};
@@ -38,7 +39,7 @@
 /// One part of a forward.
 pub struct OutgoingPart {
     /// Attempt that ends when the part's outcome arrives.
-    pub attempt: AttemptId,
+    pub attempt: AttemptHandle,
     /// Shard, weight and estimated work of the part.
     pub part: QueryPart,
 }
@@ -78,13 +79,13 @@
         &mut self,
         now: Timestamp,
         replica: ReplicaId,
-        attempts: &mut Vec<AttemptId>,
+        attempts: &mut Vec<AttemptHandle>,
     ) -> Vec<OutgoingForward> {
         self.authorize_send(now, replica, attempts);
         self.delegations.retain(|_, delegation| delegation.expires > now);
-        let mut by_query: BTreeMap<u32, Vec<AttemptId>> = BTreeMap::new();
+        let mut by_query: BTreeMap<u32, Vec<AttemptHandle>> = BTreeMap::new();
         for &attempt in attempts.iter() {
-            let query = self.table.parts[&attempt.part.0].query;
+            let query = self.table.parts[&attempt.id.part.0].query;
             by_query
                 .entry(query.expect("an authorized part belongs to an open query"))
                 .or_default()
@@ -93,23 +94,23 @@
         by_query.into_iter().map(|(query, attempts)| self.make_forward(now, query, &attempts)).collect()
     }
 
-    fn make_forward(&mut self, now: Timestamp, query: u32, attempts: &[AttemptId]) -> OutgoingForward {
-        let deadlines = attempts.iter().map(|attempt| self.table.outstanding[attempt].deadline);
+    fn make_forward(&mut self, now: Timestamp, query: u32, attempts: &[AttemptHandle]) -> OutgoingForward {
+        let deadlines = attempts.iter().map(|attempt| self.table.outstanding[&attempt.id].deadline);
         let deadline = deadlines.min().unwrap_or(now);
         self.last_delegation += 1;
         let delegation = self.last_delegation;
-        let part_ids: Vec<PartId> = attempts.iter().map(|attempt| attempt.part).collect();
+        let part_ids: Vec<PartId> = attempts.iter().map(|attempt| attempt.id.part).collect();
         let retries = self.coordinator.delegate_retries(now, delegation, &part_ids, deadline);
         let indices_and_ids = part_ids.iter().map(|part| (*part, self.table.parts[&part.0].id.clone()));
         let delegated = DelegatedRetries { parts: indices_and_ids.collect(), retries, expires: deadline };
         self.delegations.insert(delegation, delegated);
         let entry = &self.table.queries[&query];
         let parts = attempts.iter().map(|&attempt| {
-            let part = &self.table.parts[&attempt.part.0];
+            let part = &self.table.parts[&attempt.id.part.0];
             let part = QueryPart { shard: part.shard, weight: part.weight, work: part.work };
             OutgoingPart { attempt, part }
         });
-        let text = attempts.first().map(|attempt| self.table.parts[&attempt.part.0].text.clone());
+        let text = attempts.first().map(|attempt| self.table.parts[&attempt.id.part.0].text.clone());
         OutgoingForward {
             id: self.table.query_ids.name(query).to_string(),
             class: entry.class,
--- a/crates/pipitcrank-server/src/exchange/request_table.rs
+++ b/crates/pipitcrank-server/src/exchange/request_table.rs
@@ -9,6 +9,7 @@
 use pipitcrank_core::interner::Interner;
 use pipitcrank_core::time::Timestamp;
 
+use super::attempt_handle::{AttemptHandle, PartIds};
 use super::query::{DelegatedRequest, ResponseSink};
 use super::recent_queries::RecentQueries;
 use crate::audit::Audit;
@@ -68,6 +69,7 @@
 }
 
 pub(super) struct OutstandingAttempt {
+    pub(super) generation: u64,
     pub(super) replica: ReplicaId,
     pub(super) deadline: Timestamp,
     /// Whether the attempt has passed the send guard. Its frame is then being written or already written.
@@ -76,8 +78,8 @@
 
 /// Commands of the `Coordinator`, executed at the end of the batch.
 pub(super) enum Command {
-    SendAttempt(ReplicaId, AttemptId),
-    CancelAttempt(ReplicaId, AttemptId),
+    SendAttempt(ReplicaId, AttemptHandle),
+    CancelAttempt(ReplicaId, AttemptHandle),
     SendLoadProbe(ReplicaId),
     SetAddress(ReplicaId, SocketAddr),
     RemoveReplica(ReplicaId),
@@ -106,16 +108,49 @@
     /// The run-time audit, if enabled.
     pub(super) audit: Option<Audit>,
     pub(super) now: Timestamp,
+    pub(super) last_generation: u64,
+}
+
+impl PartIds for RequestTable {
+    fn part_id(&self, attempt: AttemptHandle) -> Rc<str> {
+        self.parts[&attempt.id.part.0].id.clone()
+    }
 }
 
 impl RequestTable {
+    /// Returns a number that no other attempt of this process has had.
+    pub(super) fn next_generation(&mut self) -> u64 {
+        self.last_generation += 1;
+        self.last_generation
+    }
+
+    /// Handle of the outstanding attempt that has this id now.
+    pub(super) fn handle(&self, id: AttemptId) -> Option<AttemptHandle> {
+        self.outstanding.get(&id).map(|entry| AttemptHandle { id, generation: entry.generation })
+    }
+
+    /// The entry of the attempt; `None` if it has ended, even if another attempt has its id now.
+    pub(super) fn outstanding(&self, attempt: AttemptHandle) -> Option<&OutstandingAttempt> {
+        self.outstanding.get(&attempt.id).filter(|entry| entry.generation == attempt.generation)
+    }
+
+    /// The entry of the attempt, for changes.
+    pub(super) fn outstanding_mut(&mut self, attempt: AttemptHandle) -> Option<&mut OutstandingAttempt> {
+        self.outstanding.get_mut(&attempt.id).filter(|entry| entry.generation == attempt.generation)
+    }
+
     /// Removes an attempt from the outstanding ones. Returns its replica, or `None` if the attempt has already ended.
-    pub(super) fn close_attempt(&mut self, attempt: AttemptId, outcome: AttemptOutcome) -> Option<ReplicaId> {
-        let OutstandingAttempt { replica, deadline, .. } = self.outstanding.remove(&attempt)?;
+    pub(super) fn close_attempt(
+        &mut self,
+        attempt: AttemptHandle,
+        outcome: AttemptOutcome,
+    ) -> Option<ReplicaId> {
+        let &OutstandingAttempt { replica, deadline, .. } = self.outstanding(attempt)?;
+        self.outstanding.remove(&attempt.id);
         if let Some(audit) = &mut self.audit {
-            audit.attempt_ended(attempt, outcome);
+            audit.attempt_ended(attempt.id, outcome);
         }
-        self.attempt_deadlines.remove(&(deadline, attempt));
+        self.attempt_deadlines.remove(&(deadline, attempt.id));
         Some(replica)
     }
 
--- a/crates/pipitcrank-server/src/exchange/send_guard.rs
+++ b/crates/pipitcrank-server/src/exchange/send_guard.rs
@@ -6,6 +6,7 @@
 use pipitcrank_core::ids::{AttemptId, AttemptOutcome, ReplicaId};
 use pipitcrank_core::time::{TimeSpan, Timestamp};
 
+use super::attempt_handle::AttemptHandle;
 use super::query::REQUEST_LOG_TARGET;
 use super::state::Exchange;
 use crate::audit::SentAttempt;
@@ -20,7 +21,7 @@
         &mut self,
         now: Timestamp,
         replica: ReplicaId,
-        attempts: &mut Vec<AttemptId>,
+        attempts: &mut Vec<AttemptHandle>,
     ) -> Vec<CallPart> {
         let mut allowed = Vec::new();
         attempts.retain(|&attempt| match self.authorize_attempt(now, replica, attempt) {
@@ -37,21 +38,20 @@
         &mut self,
         now: Timestamp,
         replica: ReplicaId,
-        attempt: AttemptId,
+        attempt: AttemptHandle,
     ) -> Option<CallPart> {
-        // A cancelled attempt that is still queued may have the same id as a newer attempt of another part, since part
-        // indices are reused. The newer attempt is sent only to its own replica, and only once.
-        let entry = self.table.outstanding.get_mut(&attempt);
+        // An attempt is sent only to its own replica, and only once. A queued attempt may have ended meanwhile.
+        let entry = self.table.outstanding_mut(attempt);
         let entry = entry.filter(|entry| entry.replica == replica && !entry.authorized)?;
         entry.authorized = true;
         let deadline = entry.deadline;
-        match self.check_send(now, replica, attempt, deadline) {
+        match self.check_send(now, replica, attempt.id, deadline) {
             Ok(part) => {
-                self.record_sent(now, replica, attempt, part.time_left);
+                self.record_sent(now, replica, attempt.id, part.time_left);
                 Some(part)
             }
             Err(reason) => {
-                self.record_denied(attempt, reason);
+                self.record_denied(attempt.id, reason);
                 self.attempt_ended(attempt, AttemptOutcome::NeverSent, None, None);
                 None
             }
@@ -108,21 +108,20 @@
         tracing::debug!(target: REQUEST_LOG_TARGET, part = &*part.id, attempt = attempt.number, reason = reason.name(), "attempt dropped by the send guard");
     }
 
-    /// Ends an attempt that is queued for `replica` and will never be sent. If its id now belongs to an attempt of
-    /// another part that has been sent, that attempt is left unchanged; otherwise it would be sent a second time.
-    pub fn attempt_never_started(&mut self, replica: ReplicaId, attempt: AttemptId) {
-        let entry = self.table.outstanding.get(&attempt);
-        if entry.is_some_and(|entry| entry.replica == replica && !entry.authorized) {
+    /// Ends an attempt that is queued and will never be sent.
+    pub fn attempt_never_started(&mut self, attempt: AttemptHandle) {
+        if self.table.outstanding(attempt).is_some_and(|entry| !entry.authorized) {
             self.attempt_ended(attempt, AttemptOutcome::Unreachable, None, None);
         }
     }
 
     /// Revokes the authorization of attempts of which no byte was written. They pass the send guard again.
-    pub fn return_unwritten(&mut self, attempts: &[AttemptId]) {
+    pub fn return_unwritten(&mut self, attempts: &[AttemptHandle]) {
         for &attempt in attempts {
-            self.table.outstanding.get_mut(&attempt).into_iter().for_each(|entry| entry.authorized = false);
+            let Some(entry) = self.table.outstanding_mut(attempt) else { continue };
+            entry.authorized = false;
             if let Some(audit) = &mut self.table.audit {
-                audit.unsent(attempt);
+                audit.unsent(attempt.id);
             }
         }
     }
--- a/crates/pipitcrank-server/src/exchange/state.rs
+++ b/crates/pipitcrank-server/src/exchange/state.rs
@@ -4,16 +4,17 @@
 use std::rc::Rc;
 
 use pipitcrank_core::coordinator::Coordinator;
-use pipitcrank_core::ids::{AttemptId, AttemptOutcome, PartId, ReplicaId, RequestClassId};
+use pipitcrank_core::ids::{AttemptOutcome, PartId, ReplicaId, RequestClassId};
 use pipitcrank_core::time::Timestamp;
 
+use super::attempt_handle::AttemptHandle;
 use super::endpoint::Endpoint;
 use super::event::{EndedAttempt, EndpointChange, Event, Submission};
-use super::query::{DelegatedRequest, QueryRequest, QueryResponse, ResponseSink};
+use super::query::{DelegatedRequest, QueryRequest, QueryResponse, REQUEST_LOG_TARGET, ResponseSink};
 use super::request_table::{ReplicaEntry, RequestTable};
 use crate::audit::{Audit, AuditRules};
 use crate::replicas::frames::LoadReport;
-use crate::runtime::counter_names::{discovery, group};
+use crate::runtime::counter_names::{discovery, dropped_answer, group};
 use crate::runtime::counters::Counters;
 use crate::runtime::memory_budget::MemoryBudget;
 
@@ -112,20 +113,35 @@
         self.events.push(Event::ClientDisconnected { ticket });
     }
 
-    /// Records the end of an attempt. Only the first end of an attempt counts.
+    /// Records the end of an attempt. Only the first end of an attempt counts; an answer that comes later is dropped.
     pub fn attempt_ended(
         &mut self,
-        attempt: AttemptId,
+        attempt: AttemptHandle,
         outcome: AttemptOutcome,
         value: Option<String>,
         report: Option<LoadReport>,
     ) {
-        if let Some(replica) = self.table.close_attempt(attempt, outcome) {
-            let ended = EndedAttempt { replica, attempt, outcome, value, report };
-            self.events.push(Event::AttemptEnded(ended));
+        match self.table.close_attempt(attempt, outcome) {
+            Some(replica) => {
+                let ended = EndedAttempt { replica, attempt: attempt.id, outcome, value, report };
+                self.events.push(Event::AttemptEnded(ended));
+            }
+            None => self.record_late_end(attempt, outcome),
         }
     }
 
+    /// Counts an answer to an attempt that has ended. Other ends of such an attempt carry nothing that is lost.
+    fn record_late_end(&self, attempt: AttemptHandle, outcome: AttemptOutcome) {
+        let is_answer =
+            matches!(outcome, AttemptOutcome::Success | AttemptOutcome::Fault | AttemptOutcome::NoCapacity);
+        if !is_answer {
+            return;
+        }
+        let AttemptHandle { id, generation } = attempt;
+        self.table.counters.add(group::DROPPED_ANSWERS, dropped_answer::ATTEMPT_ENDED);
+        tracing::warn!(target: REQUEST_LOG_TARGET, part_index = id.part.0, attempt = id.number, generation, "answer dropped: its attempt has ended");
+    }
+
     /// Records the end of a load probe.
     pub fn load_probe_ended(
         &mut self,
@@ -195,8 +211,8 @@
     }
 
     /// Whether the attempt has not ended.
-    pub fn is_outstanding(&self, attempt: AttemptId) -> bool {
-        self.table.outstanding.contains_key(&attempt)
+    pub fn is_outstanding(&self, attempt: AttemptHandle) -> bool {
+        self.table.outstanding(attempt).is_some()
     }
 
     /// Time at which the next batch is due if no event is queued before.
--- a/crates/pipitcrank-server/src/replicas/connection.rs
+++ b/crates/pipitcrank-server/src/replicas/connection.rs
@@ -6,15 +6,15 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use pipitcrank_core::ids::{AttemptId, AttemptOutcome};
+use pipitcrank_core::ids::AttemptOutcome;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep_until};
 
 use super::connection_end::ConnectionEnd;
-use super::connection_state::{ConnectionCommand, ConnectionState};
+use super::connection_state::{ConnectionCommand, ConnectionState, SendProgress};
 use super::frames::{self, LoadReport, ReplicaFrame};
-use crate::exchange::REQUEST_LOG_TARGET;
-use crate::runtime::counter_names::{frame, group, replica_connection, shed};
+use crate::exchange::{AttemptHandle, REQUEST_LOG_TARGET};
+use crate::runtime::counter_names::{dropped_answer, frame, group, replica_connection, shed};
 use crate::runtime::dial::dial;
 use crate::runtime::event_loop::EventLoop;
 use crate::runtime::memory_budget::{MemoryAccount, Reservation};
@@ -41,7 +41,7 @@
     /// Reason for the end.
     pub end: ConnectionEnd,
     /// Calls that were queued on the connection and not started.
-    pub unsent: Vec<Vec<AttemptId>>,
+    pub unsent: Vec<Vec<AttemptHandle>>,
 }
 
 /// Opens the connection and executes its commands until it ends.
@@ -63,7 +63,7 @@
 }
 
 /// Returns the calls among the commands that the connection's task has not received.
-pub fn unsent_calls(mut commands: UnboundedReceiver<ConnectionCommand>) -> Vec<Vec<AttemptId>> {
+pub fn unsent_calls(mut commands: UnboundedReceiver<ConnectionCommand>) -> Vec<Vec<AttemptHandle>> {
     let rest = std::iter::from_fn(|| commands.try_recv().ok());
     let calls = rest.filter_map(|command| match command {
         ConnectionCommand::SendCall(attempts) => Some(attempts),
@@ -88,7 +88,7 @@
 /// The unwritten bytes of a frame, with the attempts in the frame.
 struct OutgoingFrame {
     bytes: Bytes,
-    attempts: Vec<AttemptId>,
+    attempts: Vec<AttemptHandle>,
 }
 
 /// Progress of the write of one command.
@@ -284,9 +284,7 @@
         }
         let kind = if frame.attempts.is_empty() { frame::CONTROL } else { frame::CALLS };
         self.event_loop.counters.add(group::FRAMES, kind);
-        for assigned in self.state.assigned.borrow_mut().iter_mut() {
-            assigned.written |= frame.attempts.contains(&assigned.attempt);
-        }
+        self.set_progress(&frame.attempts, SendProgress::Written);
         Ok(WriteState::Idle)
     }
 
@@ -319,37 +317,36 @@
         true
     }
 
-    fn make_call(&self, mut attempts: Vec<AttemptId>) -> Option<OutgoingFrame> {
+    fn make_call(&self, mut attempts: Vec<AttemptHandle>) -> Option<OutgoingFrame> {
         let (event_loop, state) = (self.event_loop, self.state);
-        // A cancelled attempt that is still queued here may have the same id as an attempt of another part that is
-        // queued on another connection to the replica.
-        let is_waiting = |attempt: &AttemptId| {
+        // An attempt that was cancelled while it was queued is not assigned any more.
+        let is_queued = |attempt: &AttemptHandle| {
             let assigned = state.assigned.borrow();
-            assigned.iter().any(|assigned| assigned.attempt == *attempt && assigned.part_id.is_none())
+            assigned.iter().any(|assigned| assigned.attempt == *attempt && !assigned.is_started())
         };
-        attempts.retain(is_waiting);
+        attempts.retain(is_queued);
         let now = event_loop.clock.now();
         let allowed = event_loop.update(|e| e.authorize_send(now, state.replica, &mut attempts));
-        let mut assigned = state.assigned.borrow_mut();
         // Attempts that the send guard dropped have ended and are no longer outstanding.
-        assigned.retain(|a| a.part_id.is_some() || event_loop.read(|e| e.is_outstanding(a.attempt)));
+        let is_outstanding = |attempt| event_loop.read(|e| e.is_outstanding(attempt));
+        state.assigned.borrow_mut().retain(|a| a.is_started() || is_outstanding(a.attempt));
         if allowed.is_empty() {
             return None;
         }
-        for (part, attempt) in allowed.iter().zip(&attempts) {
-            if let Some(assigned) = assigned.iter_mut().find(|assigned| assigned.attempt == *attempt) {
-                assigned.part_id = Some(part.id.clone());
-            }
-        }
+        self.set_progress(&attempts, SendProgress::Started);
         Some(OutgoingFrame { bytes: frames::encode_call(&allowed), attempts })
     }
 
-    fn return_unwritten(&self, attempts: Vec<AttemptId>) -> ConnectionCommand {
+    fn set_progress(&self, attempts: &[AttemptHandle], progress: SendProgress) {
         for assigned in self.state.assigned.borrow_mut().iter_mut() {
             if attempts.contains(&assigned.attempt) {
-                assigned.part_id = None;
+                assigned.progress = progress;
             }
         }
+    }
+
+    fn return_unwritten(&self, attempts: Vec<AttemptHandle>) -> ConnectionCommand {
+        self.set_progress(&attempts, SendProgress::Queued);
         self.event_loop.update(|e| e.return_unwritten(&attempts));
         ConnectionCommand::SendCall(attempts)
     }
@@ -385,20 +382,11 @@
     ) -> Result<(), ConnectionEnd> {
         let (event_loop, state) = (self.event_loop, self.state);
         let mut assigned = state.assigned.borrow_mut();
-        let Some(position) = assigned.iter().position(|a| a.part_id.as_deref() == Some(id)) else {
-            if state.finished.borrow().contains(id) {
-                event_loop.counters.add(group::FRAMES, frame::LATE_ANSWERS);
-                return Ok(());
-            }
-            // The id may have been corrupted. Its part would then never be answered, so the connection is closed.
-            tracing::warn!(
-                "replica {} sent an answer for an unknown part id; closing the connection",
-                state.replica.0
-            );
-            return Err(ConnectionEnd::ProtocolError);
+        let Some(position) = assigned.iter().position(|a| a.is_started() && *a.part_id == *id) else {
+            return self.drop_answer(id);
         };
         let attempt = assigned.swap_remove(position).attempt;
-        tracing::debug!(target: REQUEST_LOG_TARGET, part = id, part_index = attempt.part.0, attempt = attempt.number, replica = state.replica.0, connection = state.number, retired = state.retired.get(), "answer received");
+        tracing::debug!(target: REQUEST_LOG_TARGET, part = id, attempt = attempt.id.number, generation = attempt.generation, replica = state.replica.0, connection = state.number, retired = state.retired.get(), "answer received");
         // The id is recorded so that a second answer to the part counts as late.
         state.finished.borrow_mut().add(id);
         event_loop.counters.add(group::FRAMES, frame::ANSWERS);
@@ -407,6 +395,26 @@
         Ok(())
     }
 
+    /// Drops an answer that belongs to no attempt on the connection.
+    fn drop_answer(&self, id: &str) -> Result<(), ConnectionEnd> {
+        let (counters, state) = (&self.event_loop.counters, self.state);
+        let (replica, connection) = (state.replica.0, state.number);
+        if state.finished.borrow().contains(id) {
+            counters.add(group::FRAMES, frame::LATE_ANSWERS);
+            counters.add(group::DROPPED_ANSWERS, dropped_answer::PART_ENDED);
+            tracing::debug!(target: REQUEST_LOG_TARGET, part = id, replica, connection, "answer dropped: its part was cancelled or answered before");
+            return Ok(());
+        }
+        counters.add(group::DROPPED_ANSWERS, dropped_answer::UNKNOWN_PART);
+        // The id may have been corrupted. Its part would then never be answered, so the connection is closed.
+        tracing::warn!(
+            part = ?id,
+            connection,
+            "replica {replica} sent an answer for an unknown part id; closing the connection"
+        );
+        Err(ConnectionEnd::ProtocolError)
+    }
+
     fn handle_load(&self, outcome: AttemptOutcome, report: Option<LoadReport>) -> Result<(), ConnectionEnd> {
         let state = self.state;
         let Some(pending) = state.probes_pending.get().checked_sub(1) else {
--- a/crates/pipitcrank-server/src/replicas/connection/tests.rs
+++ b/crates/pipitcrank-server/src/replicas/connection/tests.rs
@@ -1,13 +1,15 @@
 use std::cell::RefCell;
 
 use pipitcrank_core::config::SettingsReader;
-use pipitcrank_core::ids::{PartId, ReplicaId, RequestClassId};
+use pipitcrank_core::ids::{AttemptId, PartId, ReplicaId, RequestClassId};
 use pipitcrank_core::time::TimeSpan;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::unbounded_channel;
 
 use super::*;
-use crate::exchange::{Endpoint, Exchange, QueryPart, QueryRequest, QueryResponse, ReplicaTransport};
+use crate::exchange::{
+    Endpoint, Exchange, PartIds, QueryPart, QueryRequest, QueryResponse, ReplicaTransport,
+};
 use crate::replicas::connection_state::AssignedAttempt;
 use crate::runtime::clock::Clock;
 use crate::runtime::connection_limits::ConnectionLimiter;
@@ -24,8 +26,8 @@
 impl ReplicaTransport for NullTransport {
     fn set_address(&mut self, _: ReplicaId, _: SocketAddr) {}
     fn remove_replica(&mut self, _: ReplicaId) {}
-    fn send_attempts(&mut self, _: ReplicaId, _: Vec<AttemptId>) {}
-    fn cancel_attempt(&mut self, _: ReplicaId, _: AttemptId) {}
+    fn send_attempts(&mut self, _: ReplicaId, _: Vec<AttemptHandle>, _: &dyn PartIds) {}
+    fn cancel_attempt(&mut self, _: ReplicaId, _: AttemptHandle) {}
     fn send_load_probe(&mut self, _: ReplicaId) {}
 }
 
@@ -64,7 +66,7 @@
 }
 
 /// A connection to one replica, and a query whose only attempt is outstanding.
-async fn one_outstanding_attempt() -> (TcpStream, Stream, Rc<EventLoop>, AttemptId) {
+async fn one_outstanding_attempt() -> (TcpStream, Stream, Rc<EventLoop>, AttemptHandle) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let stream = TcpStream::connect(address).await.unwrap();
@@ -76,7 +78,7 @@
 }
 
 /// An event loop with one replica at `address` and one query, whose only attempt is outstanding.
-fn one_query(address: SocketAddr) -> (Rc<EventLoop>, AttemptId) {
+fn one_query(address: SocketAddr) -> (Rc<EventLoop>, AttemptHandle) {
     let (clock, counters) = (Clock::start(), Counters::default());
     let mut exchange = exchange(&counters);
     let endpoint =
@@ -94,7 +96,8 @@
     };
     exchange.submit(1, request, Box::new(|_: QueryResponse| ()));
     exchange.run_batch(clock.now(), &mut NullTransport);
-    let attempt = AttemptId { part: PartId(0), number: 0 };
+    let id = AttemptId { part: PartId(0), number: 0 };
+    let attempt = AttemptHandle { id, generation: 1 };
     assert!(exchange.is_outstanding(attempt));
     (Rc::new(EventLoop::new(clock, counters, ConnectionLimiter::new(9), exchange)), attempt)
 }
@@ -166,11 +169,11 @@
     assert_eq!(event_loop.counters.get("frames", "calls_sent"), 0, "sent on the wrong connection");
     assert!(matches!(task(&event_loop, &owner, &stream).write(queued()).unwrap(), WriteState::Idle));
     assert_eq!(event_loop.counters.get("frames", "calls_sent"), 1, "sent on its own connection");
-    assert!(owner.assigned.borrow()[0].written);
+    assert_eq!(owner.assigned.borrow()[0].progress, SendProgress::Written);
 }
 
-fn assigned(attempt: AttemptId) -> RefCell<Vec<AssignedAttempt>> {
-    RefCell::new(vec![AssignedAttempt { attempt, part_id: None, written: false }])
+fn assigned(attempt: AttemptHandle) -> RefCell<Vec<AssignedAttempt>> {
+    RefCell::new(vec![AssignedAttempt::queued(attempt, "q.0".into())])
 }
 
 #[tokio::test]
@@ -185,7 +188,7 @@
         .write(WriteState::Queued(ConnectionCommand::SendCall(vec![attempt])))
         .unwrap();
     assert!(matches!(next, WriteState::Queued(ConnectionCommand::SendCall(_))), "no byte was written");
-    assert!(state.assigned.borrow()[0].part_id.is_none());
+    assert_eq!(state.assigned.borrow()[0].progress, SendProgress::Queued);
     event_loop.update(|e| e.attempt_ended(attempt, AttemptOutcome::Cancelled, None, None));
     assert!(
         matches!(task(&event_loop, &state, &stream).write(next).unwrap(), WriteState::Idle),
--- a/crates/pipitcrank-server/src/replicas/connection_state.rs
+++ b/crates/pipitcrank-server/src/replicas/connection_state.rs
@@ -5,13 +5,15 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
-use pipitcrank_core::ids::{AttemptId, ReplicaId};
+use pipitcrank_core::ids::ReplicaId;
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::exchange::AttemptHandle;
+
 /// A command to a connection's task. Commands are executed in order.
 pub enum ConnectionCommand {
     /// Send these attempts in one call. An empty list only wakes the task.
-    SendCall(Vec<AttemptId>),
+    SendCall(Vec<AttemptHandle>),
     /// Cancel the part with this id.
     Cancel(Rc<str>),
     /// Send a load probe.
@@ -20,14 +22,37 @@
     Ping,
 }
 
+/// Progress of the write of an attempt's frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendProgress {
+    /// No byte was written.
+    Queued,
+    /// The write of the frame has started.
+    Started,
+    /// The frame was written completely.
+    Written,
+}
+
 /// An attempt assigned to a connection, from its queueing until its end.
 pub struct AssignedAttempt {
     /// The attempt.
-    pub attempt: AttemptId,
-    /// Id of the part; `None` until the writing of its frame starts.
-    pub part_id: Option<Rc<str>>,
-    /// Whether the frame was written completely.
-    pub written: bool,
+    pub attempt: AttemptHandle,
+    /// Id of the part on the wire.
+    pub part_id: Rc<str>,
+    /// Progress of the write of its frame.
+    pub progress: SendProgress,
+}
+
+impl AssignedAttempt {
+    /// Creates the record of an attempt of which no byte was written.
+    pub fn queued(attempt: AttemptHandle, part_id: Rc<str>) -> AssignedAttempt {
+        AssignedAttempt { attempt, part_id, progress: SendProgress::Queued }
+    }
+
+    /// Whether the write of the frame has started.
+    pub fn is_started(&self) -> bool {
+        self.progress != SendProgress::Queued
+    }
 }
 
 /// One connection to a replica.
@@ -101,7 +126,7 @@
     /// Whether the frame of an attempt has been started. Attempts without a written byte can still move to another
     /// connection.
     pub fn has_started_attempt(&self) -> bool {
-        self.assigned.borrow().iter().any(|assigned| assigned.part_id.is_some())
+        self.assigned.borrow().iter().any(AssignedAttempt::is_started)
     }
 }
 
--- a/crates/pipitcrank-server/src/replicas/pool.rs
+++ b/crates/pipitcrank-server/src/replicas/pool.rs
@@ -7,13 +7,13 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use pipitcrank_core::ids::{AttemptId, AttemptOutcome, ReplicaId};
+use pipitcrank_core::ids::{AttemptOutcome, ReplicaId};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use super::connection::{self, ClosedConnection, ConnectionTimeouts};
 use super::connection_end::ConnectionEnd;
-use super::connection_state::{AssignedAttempt, ConnectionCommand, ConnectionState};
-use crate::exchange::{REQUEST_LOG_TARGET, ReplicaTransport};
+use super::connection_state::{AssignedAttempt, ConnectionCommand, ConnectionState, SendProgress};
+use crate::exchange::{AttemptHandle, PartIds, REQUEST_LOG_TARGET, ReplicaTransport};
 use crate::runtime::connection_limits::ConnectionPermit;
 use crate::runtime::counter_names::{group, replica_connection};
 use crate::runtime::event_loop::EventLoop;
@@ -134,6 +134,32 @@
         connections.is_some_and(|replica| replica.open.iter().any(|c| c.partial_frame.get()))
     }
 
+    /// Assigns the attempts of one call, of which nothing has been written, to a connection.
+    fn assign(&mut self, replica: ReplicaId, attempts: Vec<AssignedAttempt>) {
+        let handles = attempts.iter().map(|assigned| assigned.attempt).collect();
+        match self.connection(replica, attempts.len()) {
+            Ok(connection) => {
+                connection.assigned.borrow_mut().extend(attempts);
+                // A failed send needs no handling: when the connection's task ends, all assigned attempts end.
+                let _ = connection.commands.send(ConnectionCommand::SendCall(handles));
+            }
+            Err(end) => self.reject(handles, end),
+        }
+    }
+
+    /// Ends attempts for which there is no connection.
+    fn reject(&self, attempts: Vec<AttemptHandle>, end: ConnectionEnd) {
+        self.event_loop.counters.add(group::REPLICA_CONNECTIONS, end.name());
+        let event_loop = self.event_loop.clone();
+        // The report is deferred, since the exchange is processing a batch.
+        tokio::task::spawn_local(async move {
+            for attempt in attempts {
+                let outcome = end.attempt_outcome(false);
+                event_loop.update(|e| e.attempt_ended(attempt, outcome, None, None));
+            }
+        });
+    }
+
     /// Ends all attempts on a connection that has ended. If this side closed it, calls of which nothing was written are
     /// sent on another connection instead.
     fn connection_closed(&mut self, connection: &Rc<ConnectionState>, closed: ClosedConnection) {
@@ -146,14 +172,14 @@
         }
         let mut assigned = connection.assigned.take();
         if matches!(end, ConnectionEnd::Idle | ConnectionEnd::NotNeeded) {
-            for mut attempts in unsent {
-                attempts.retain(|attempt| assigned.iter().any(|a| a.attempt == *attempt));
-                assigned.retain(|a| !attempts.contains(&a.attempt));
-                self.send_attempts(replica, attempts);
+            for call in unsent {
+                let attempts = assigned.extract_if(.., |a| call.contains(&a.attempt)).collect();
+                self.assign(replica, attempts);
             }
         }
-        for AssignedAttempt { attempt, written, .. } in assigned {
-            self.event_loop.update(|e| e.attempt_ended(attempt, end.attempt_outcome(written), None, None));
+        for AssignedAttempt { attempt, progress, .. } in assigned {
+            let outcome = end.attempt_outcome(progress == SendProgress::Written);
+            self.event_loop.update(|e| e.attempt_ended(attempt, outcome, None, None));
         }
         // No probe result is reported for a removed replica, since its id may have been reused.
         if connection.probes_pending.get() > 0 && !connection.retired.get() {
@@ -202,45 +228,26 @@
         }
     }
 
-    fn send_attempts(&mut self, replica: ReplicaId, attempts: Vec<AttemptId>) {
-        match self.connection(replica, attempts.len()) {
-            Ok(connection) => {
-                let assigned = attempts.iter().map(|&attempt| AssignedAttempt {
-                    attempt,
-                    part_id: None,
-                    written: false,
-                });
-                connection.assigned.borrow_mut().extend(assigned);
-                // A failed send needs no handling: when the connection's task ends, all assigned attempts end.
-                let _ = connection.commands.send(ConnectionCommand::SendCall(attempts));
-            }
-            Err(end) => {
-                self.event_loop.counters.add(group::REPLICA_CONNECTIONS, end.name());
-                let event_loop = self.event_loop.clone();
-                // The report is deferred, since the exchange is processing a batch.
-                tokio::task::spawn_local(async move {
-                    for attempt in attempts {
-                        let outcome = end.attempt_outcome(false);
-                        event_loop.update(|e| e.attempt_ended(attempt, outcome, None, None));
-                    }
-                });
-            }
-        }
+    fn send_attempts(&mut self, replica: ReplicaId, attempts: Vec<AttemptHandle>, part_ids: &dyn PartIds) {
+        let queued = |attempt| AssignedAttempt::queued(attempt, part_ids.part_id(attempt));
+        self.assign(replica, attempts.into_iter().map(queued).collect());
     }
 
-    fn cancel_attempt(&mut self, replica: ReplicaId, attempt: AttemptId) {
+    fn cancel_attempt(&mut self, replica: ReplicaId, attempt: AttemptHandle) {
         let Some(connections) = self.replicas.get(&replica) else { return };
         for connection in &connections.open {
             let mut assigned = connection.assigned.borrow_mut();
             let Some(position) = assigned.iter().position(|a| a.attempt == attempt) else { continue };
-            if let Some(id) = assigned.swap_remove(position).part_id {
-                tracing::debug!(target: REQUEST_LOG_TARGET, part = &*id, attempt = attempt.number, replica = replica.0, connection = connection.number, "attempt cancelled");
+            let cancelled = assigned.swap_remove(position);
+            if cancelled.is_started() {
+                let id = cancelled.part_id;
+                tracing::debug!(target: REQUEST_LOG_TARGET, part = &*id, attempt = attempt.id.number, generation = attempt.generation, replica = replica.0, connection = connection.number, "attempt cancelled");
                 connection.finished.borrow_mut().add(&id);
                 let _ = connection.commands.send(ConnectionCommand::Cancel(id));
             }
             return;
         }
-        tracing::debug!(target: REQUEST_LOG_TARGET, part_index = attempt.part.0, attempt = attempt.number, replica = replica.0, "attempt to cancel is on no open connection");
+        tracing::debug!(target: REQUEST_LOG_TARGET, part_index = attempt.id.part.0, attempt = attempt.id.number, generation = attempt.generation, replica = replica.0, "attempt to cancel is on no open connection");
     }
 
     fn send_load_probe(&mut self, replica: ReplicaId) {
--- a/crates/pipitcrank-server/src/runtime/counter_names.rs
+++ b/crates/pipitcrank-server/src/runtime/counter_names.rs
@@ -16,6 +16,8 @@
     pub const CLIENTS_ENDED: &str = "clients_ended";
     /// Updates of the endpoint list, and calls to the discovery service that ended without one.
     pub const DISCOVERY: &str = "discovery";
+    /// Answers of replicas that were dropped, by reason.
+    pub const DROPPED_ANSWERS: &str = "dropped_answers";
     /// Frames between this process and replicas.
     pub const FRAMES: &str = "frames";
     /// Load probes, by outcome.
@@ -98,6 +100,18 @@
     pub const LATE_ANSWERS: &str = "late_answers";
 }
 
+/// Names in the group of dropped answers: why it is not certain, or not true, that somebody waits for the answer.
+pub mod dropped_answer {
+    /// The attempt had ended before the exchange got the answer.
+    pub const ATTEMPT_ENDED: &str = "attempt_ended";
+    /// The part was cancelled or answered before on the same connection.
+    pub const PART_ENDED: &str = "part_ended";
+    /// The load probe was sent to a replica that was removed meanwhile.
+    pub const REPLICA_REMOVED: &str = "replica_removed";
+    /// The part was never sent on the connection, or too long ago to be remembered.
+    pub const UNKNOWN_PART: &str = "unknown_part";
+}
+
 /// Names in the group of discovery, in addition to the ends of calls.
 pub mod discovery {
     /// Updates with changes of the endpoint list.
--- a/crates/pipitcrank-server/tests/exchange/harness.rs
+++ b/crates/pipitcrank-server/tests/exchange/harness.rs
@@ -10,7 +10,7 @@
 use pipitcrank_core::time::{TimeSpan, Timestamp};
 use pipitcrank_server::audit;
 use pipitcrank_server::exchange::{
-    AttemptId, Endpoint, Exchange, QueryPart, QueryRequest, QueryResponse, ReplicaTransport,
+    AttemptHandle, Endpoint, Exchange, PartIds, QueryPart, QueryRequest, QueryResponse, ReplicaTransport,
 };
 use pipitcrank_server::runtime::counters::Counters;
 
@@ -31,8 +31,8 @@
 /// A replica side that records all commands.
 #[derive(Default)]
 pub struct RecordingTransport {
-    pub calls: Vec<(ReplicaId, Vec<AttemptId>)>,
-    pub cancelled: Vec<AttemptId>,
+    pub calls: Vec<(ReplicaId, Vec<AttemptHandle>)>,
+    pub cancelled: Vec<AttemptHandle>,
     pub addresses: BTreeMap<ReplicaId, SocketAddr>,
     pub probed: Vec<ReplicaId>,
 }
@@ -44,10 +44,10 @@
     fn remove_replica(&mut self, replica: ReplicaId) {
         self.addresses.remove(&replica);
     }
-    fn send_attempts(&mut self, replica: ReplicaId, attempts: Vec<AttemptId>) {
+    fn send_attempts(&mut self, replica: ReplicaId, attempts: Vec<AttemptHandle>, _: &dyn PartIds) {
         self.calls.push((replica, attempts));
     }
-    fn cancel_attempt(&mut self, _replica: ReplicaId, attempt: AttemptId) {
+    fn cancel_attempt(&mut self, _replica: ReplicaId, attempt: AttemptHandle) {
         self.cancelled.push(attempt);
     }
     fn send_load_probe(&mut self, replica: ReplicaId) {
@@ -158,7 +158,7 @@
 
     /// Passes all recorded calls through the send guard, as connections do before the first byte. Returns the
     /// authorized attempts.
-    pub fn authorize_calls(&mut self, ms: i64) -> Vec<(ReplicaId, AttemptId, String, u32)> {
+    pub fn authorize_calls(&mut self, ms: i64) -> Vec<(ReplicaId, AttemptHandle, String, u32)> {
         let mut out = Vec::new();
         for (replica, mut attempts) in std::mem::take(&mut self.transport.calls) {
             let allowed = self.exchange.authorize_send(at(ms), replica, &mut attempts);
@@ -171,7 +171,7 @@
         out
     }
 
-    pub fn succeed(&mut self, attempt: AttemptId, value: &str) {
+    pub fn succeed(&mut self, attempt: AttemptHandle, value: &str) {
         self.exchange.attempt_ended(attempt, AttemptOutcome::Success, Some(value.into()), None);
     }
 
--- a/crates/pipitcrank-server/tests/exchange/send_guard.rs
+++ b/crates/pipitcrank-server/tests/exchange/send_guard.rs
@@ -72,7 +72,8 @@
 }
 
 /// Guards against a duplicate send: the id of an attempt that is still queued has been reused for another attempt. The
-/// queued attempt must not be sent, and its end must not end the other one.
+/// queued attempt must not be sent, to whichever replica and whether or not the other one was sent, and none of its ends
+/// may end the other one.
 #[test]
 fn a_queued_attempt_with_a_reused_id_is_not_sent() {
     let mut harness = Harness::new();
@@ -85,18 +86,25 @@
     harness.submit_query("second", 2, 0..1, 4000);
     harness.run_batch(30);
     let (new_replica, attempts) = harness.transport.calls.remove(0);
-    assert_eq!(attempts, queued, "the id must be reused");
+    assert_eq!(attempts[0].id, queued[0].id, "the id must be reused");
+    assert_ne!(attempts, queued, "the handle must not be reused");
+    assert!(harness.exchange.authorize_send(at(30), replica, &mut queued.clone()).is_empty());
+    assert!(harness.exchange.authorize_send(at(30), new_replica, &mut queued.clone()).is_empty());
+    harness.exchange.attempt_never_started(queued[0]);
     assert_eq!(harness.exchange.authorize_send(at(31), new_replica, &mut attempts.clone()).len(), 1);
     assert!(
         harness.exchange.authorize_send(at(32), replica, &mut queued.clone()).is_empty(),
         "the attempt may be sent only once and to its own replica"
     );
-    harness.exchange.attempt_never_started(replica, queued[0]);
+    harness.exchange.attempt_never_started(queued[0]);
+    harness.exchange.attempt_ended(queued[0], AttemptOutcome::Success, Some("w".into()), None);
+    harness.exchange.attempt_ended(queued[0], AttemptOutcome::Disconnected, None, None);
     harness.run_batch(33);
     assert!(harness.transport.calls.is_empty(), "a query with side effects was sent again");
     harness.exchange.attempt_ended(attempts[0], AttemptOutcome::Success, Some("v".into()), None);
     harness.run_batch(34);
-    assert_eq!(harness.responses.borrow().len(), 1);
+    assert!(harness.response_to("second").is_some_and(|response| response.contains("\"v\"")));
+    assert_eq!(harness.counters.get("dropped_answers", "attempt_ended"), 1);
 }
 
 /// Guards against exceeding the retry budget: retries that wait for a connection may be sent in the same window as later
@@ -130,7 +138,7 @@
     assert_eq!(harness.counters.get("again", "after_cut"), 4, "the retries of the next window were decided");
     harness.transport.calls.extend(waiting);
     let retries =
-        harness.authorize_calls(150).into_iter().filter(|(_, attempt, ..)| attempt.number > 0).count();
+        harness.authorize_calls(150).into_iter().filter(|(_, attempt, ..)| attempt.id.number > 0).count();
     assert_eq!(retries, 2, "retries sent in one window");
     assert_eq!(harness.counters.get("not_sent", "budget_spent"), 2);
 }
