Cancel attempts and move calls when a replica's address changes

A call that waited for a connection to the earlier address went there whatever listened by then, or ended as unreachable with the connection's time limit.

Cause: ReplicaPool::set_address took the connections out of the list in which cancel_attempt looks.

Change: retired connections stay listed until they end; they take no calls, as before. A connection that is retired while it waits for its permit or opens ends at once, and its calls, of which nothing was written, are assigned again, to the present address.

--- a/crates/pipitcrank-server/src/replicas/connection.rs
+++ b/crates/pipitcrank-server/src/replicas/connection.rs
@@ -44,7 +44,7 @@
     pub unsent: Vec<Vec<AttemptHandle>>,
 }
 
-/// Opens the connection and executes its commands until it ends.
+/// Opens the connection and executes its commands until it ends, or until it is retired while it opens.
 pub async fn run(
     event_loop: &Rc<EventLoop>,
     state: &ConnectionState,
@@ -52,7 +52,13 @@
     address: SocketAddr,
     timeouts: ConnectionTimeouts,
 ) -> ClosedConnection {
-    let end = match open(address, timeouts.connect).await {
+    // Nothing has been written yet, so the calls of a connection that is retired while it opens can move to another.
+    let opened = tokio::select! {
+        biased;
+        () = state.until_retired() => Err(ConnectionEnd::NotNeeded),
+        opened = open(address, timeouts.connect) => opened,
+    };
+    let end = match opened {
         Ok(stream) => {
             event_loop.counters.add(group::REPLICA_CONNECTIONS, replica_connection::OPENED);
             ConnectionTask::new(event_loop, state, &stream, timeouts).serve(&mut commands).await
--- a/crates/pipitcrank-server/src/replicas/connection_state.rs
+++ b/crates/pipitcrank-server/src/replicas/connection_state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use pipitcrank_core::ids::ReplicaId;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::exchange::AttemptHandle;
@@ -79,6 +80,8 @@
     pub finished: RefCell<FinishedIds>,
     /// Whether the connection is no longer needed and closes as soon as nothing is pending on it.
     pub retired: Cell<bool>,
+    /// Notified when the connection is retired.
+    pub retirement: Notify,
     /// Value of the pool's use counter at the last use of the connection.
     pub last_use: Cell<u64>,
 }
@@ -102,10 +105,26 @@
             suspected: Cell::default(),
             finished: RefCell::default(),
             retired: Cell::default(),
+            retirement: Notify::new(),
             last_use: Cell::default(),
         }
     }
 
+    /// Marks the connection to be closed as soon as nothing is pending on it.
+    pub fn retire(&self) {
+        self.retired.set(true);
+        self.retirement.notify_one();
+        // An empty call wakes the task and sends nothing.
+        let _ = self.commands.send(ConnectionCommand::SendCall(Vec::new()));
+    }
+
+    /// Waits until the connection is retired.
+    pub async fn until_retired(&self) {
+        while !self.retired.get() {
+            self.retirement.notified().await;
+        }
+    }
+
     /// Whether the connection accepts further calls. It accepts none if a write is stalled, if it is suspected or
     /// retired, or if it holds a partial frame that may absorb the answers behind it, since another connection could
     /// carry those calls without delay.
--- a/crates/pipitcrank-server/src/replicas/pool.rs
+++ b/crates/pipitcrank-server/src/replicas/pool.rs
@@ -21,7 +21,7 @@
 /// One replica's connections.
 struct ReplicaConnections {
     address: SocketAddr,
-    /// Connections that have not ended.
+    /// Connections that have not ended, including the retired ones, whose attempts can still be cancelled.
     open: Vec<Rc<ConnectionState>>,
 }
 
@@ -76,7 +76,7 @@
         let connections = self.replicas.values().flat_map(|replica| &replica.open);
         let unused = connections.filter(|connection| connection.is_unused());
         match unused.min_by_key(|connection| connection.last_use.get()) {
-            Some(connection) => retire([connection.clone()]),
+            Some(connection) => connection.retire(),
             None => return false,
         }
         self.event_loop.counters.add(group::REPLICA_CONNECTIONS, replica_connection::RELEASED);
@@ -173,8 +173,10 @@
         let mut assigned = connection.assigned.take();
         if matches!(end, ConnectionEnd::Idle | ConnectionEnd::NotNeeded) {
             for call in unsent {
-                let attempts = assigned.extract_if(.., |a| call.contains(&a.attempt)).collect();
-                self.assign(replica, attempts);
+                let attempts: Vec<_> = assigned.extract_if(.., |a| call.contains(&a.attempt)).collect();
+                if !attempts.is_empty() {
+                    self.assign(replica, attempts);
+                }
             }
         }
         for AssignedAttempt { attempt, progress, .. } in assigned {
@@ -203,12 +205,14 @@
             None => event_loop.replica_connections.acquire().await,
         }
     };
-    match tokio::time::timeout(timeouts.connect, permit).await {
+    let permit = tokio::select! {
+        biased;
+        () = state.until_retired() => Err(ConnectionEnd::NotNeeded),
+        permit = tokio::time::timeout(timeouts.connect, permit) => permit.map_err(|_| ConnectionEnd::LimitReached),
+    };
+    match permit {
         Ok(_permit) => connection::run(event_loop, state, commands, address, timeouts).await,
-        Err(_) => {
-            let unsent = connection::unsent_calls(commands);
-            ClosedConnection { end: ConnectionEnd::LimitReached, unsent }
-        }
+        Err(end) => ClosedConnection { end, unsent: connection::unsent_calls(commands) },
     }
 }
 
@@ -218,13 +222,13 @@
         let connections = self.replicas.entry(replica).or_insert(new);
         if connections.address != address {
             connections.address = address;
-            retire(std::mem::take(&mut connections.open));
+            connections.open.iter().for_each(|connection| connection.retire());
         }
     }
 
     fn remove_replica(&mut self, replica: ReplicaId) {
         if let Some(connections) = self.replicas.remove(&replica) {
-            retire(connections.open);
+            connections.open.iter().for_each(|connection| connection.retire());
         }
     }
 
@@ -262,12 +266,3 @@
         }
     }
 }
-
-/// Marks connections to be closed as soon as nothing is pending on them.
-fn retire(connections: impl IntoIterator<Item = Rc<ConnectionState>>) {
-    for connection in connections {
-        connection.retired.set(true);
-        // An empty call wakes the task and sends nothing.
-        let _ = connection.commands.send(ConnectionCommand::SendCall(Vec::new()));
-    }
-}
