Carry each part id only once on a connection to a replica

Callers would see: a client that sends a query under the id of an earlier one, whose part was cancelled and is still unanswered, is served the value made for the earlier query. The same with an answer that comes twice, and with a retry at the same replica, which the second copy of an error would end while it runs.

Cause: a frame from a replica names nothing but its part, and the part id is QUERY.SHARD. With the same id sent twice on a connection it can't be told which attempt an answer belongs to. The list of finished parts told late answers apart only while the id wasn't sent again, and forgot the oldest of 512, after which a late answer closed the connection as a protocol error.

Change: an attempt goes to a connection on which its part id was not sent before; another is opened if there is none.

--- a/crates/pipitcrank-server/src/replicas/connection.rs
+++ b/crates/pipitcrank-server/src/replicas/connection.rs
@@ -393,8 +393,8 @@
         };
         let attempt = assigned.swap_remove(position).attempt;
         tracing::debug!(target: REQUEST_LOG_TARGET, part = id, attempt = attempt.id.number, generation = attempt.generation, replica = state.replica.0, connection = state.number, retired = state.retired.get(), "answer received");
-        // The id is recorded so that a second answer to the part counts as late.
-        state.finished.borrow_mut().add(id);
+        // A second answer to the part counts as late.
+        state.finished.borrow_mut().answered(id);
         event_loop.counters.add(group::FRAMES, frame::ANSWERS);
         let value = (outcome == AttemptOutcome::Success).then_some(value);
         event_loop.update(|e| e.attempt_ended(attempt, outcome, value, report));
@@ -406,6 +406,7 @@
         let (counters, state) = (&self.event_loop.counters, self.state);
         let (replica, connection) = (state.replica.0, state.number);
         if state.finished.borrow().contains(id) {
+            state.finished.borrow_mut().answered(id);
             counters.add(group::FRAMES, frame::LATE_ANSWERS);
             counters.add(group::DROPPED_ANSWERS, dropped_answer::PART_ENDED);
             tracing::debug!(target: REQUEST_LOG_TARGET, part = id, replica, connection, "answer dropped: its part was cancelled or answered before");
--- a/crates/pipitcrank-server/src/replicas/connection_state.rs
+++ b/crates/pipitcrank-server/src/replicas/connection_state.rs
@@ -1,14 +1,13 @@
 //! The state of a connection that is shared by the pool and the connection's task.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
 use pipitcrank_core::ids::ReplicaId;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::finished_parts::FinishedParts;
 use crate::exchange::AttemptHandle;
 
 /// A command to a connection's task. Commands are executed in order.
@@ -77,7 +76,7 @@
     /// Whether nothing was received for the connect timeout while an answer was pending.
     pub suspected: Cell<bool>,
     /// Parts sent on the connection that were cancelled or answered.
-    pub finished: RefCell<FinishedIds>,
+    pub finished: RefCell<FinishedParts>,
     /// Whether the connection is no longer needed and closes as soon as nothing is pending on it.
     pub retired: Cell<bool>,
     /// Notified when the connection is retired.
@@ -132,6 +131,22 @@
         !self.write_stalled.get() && !self.partial_frame.get() && !self.suspected.get() && !self.retired.get()
     }
 
+    /// Whether the connection has carried a part with this id, or is about to. An answer names nothing but its part, so
+    /// that it is only certain to which attempt an answer belongs while a connection carries a part id once.
+    pub fn has_carried(&self, part_id: &str) -> bool {
+        let is_assigned = |assigned: &AssignedAttempt| *assigned.part_id == *part_id;
+        self.finished.borrow().contains(part_id) || self.assigned.borrow().iter().any(is_assigned)
+    }
+
+    /// Records that an attempt on the connection was cancelled. The connection is retired once it has too many
+    /// cancelled parts, for each of which an answer may still come, to remember further ones.
+    pub fn part_cancelled(&self, part_id: &str) {
+        self.finished.borrow_mut().cancelled(part_id);
+        if self.finished.borrow().is_full() && !self.retired.get() {
+            self.retire();
+        }
+    }
+
     /// Whether no attempt is assigned to the connection, no load probe is pending, and it is not already retired.
     pub fn is_unused(&self) -> bool {
         self.assigned.borrow().is_empty() && self.probes_pending.get() == 0 && !self.retired.get()
@@ -148,32 +163,3 @@
         self.assigned.borrow().iter().any(AssignedAttempt::is_started)
     }
 }
-
-/// Hashes of the most recent part ids whose answers are no longer expected. An answer to one of them is late, while an
-/// answer to an id that was never sent is a protocol error.
-#[derive(Default)]
-pub struct FinishedIds(VecDeque<u64>);
-
-impl FinishedIds {
-    /// Maximum number of stored hashes, which take 4 kB. The oldest is evicted first.
-    const MAX: usize = 512;
-
-    fn hash(id: &str) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        id.hash(&mut hasher);
-        hasher.finish()
-    }
-
-    /// Adds an id, and evicts the oldest one if the list is full.
-    pub fn add(&mut self, id: &str) {
-        if self.0.len() == Self::MAX {
-            self.0.pop_front();
-        }
-        self.0.push_back(Self::hash(id));
-    }
-
-    /// Whether the list contains the id.
-    pub fn contains(&self, id: &str) -> bool {
-        self.0.contains(&Self::hash(id))
-    }
-}
--- a/crates/pipitcrank-server/src/replicas/mod.rs
+++ b/crates/pipitcrank-server/src/replicas/mod.rs
@@ -3,5 +3,6 @@
 pub mod connection;
 pub mod connection_end;
 pub mod connection_state;
+pub mod finished_parts;
 pub mod frames;
 pub mod pool;
--- a/crates/pipitcrank-server/src/replicas/pool.rs
+++ b/crates/pipitcrank-server/src/replicas/pool.rs
@@ -83,13 +83,20 @@
         true
     }
 
-    /// Returns a healthy connection with free streams for `parts` parts, and opens one if there is none.
-    fn connection(&mut self, replica: ReplicaId, parts: usize) -> Result<Rc<ConnectionState>, ConnectionEnd> {
+    /// Returns a healthy connection with free streams for the attempts, on which none of their parts was sent before,
+    /// and opens one if there is none.
+    fn connection(
+        &mut self,
+        replica: ReplicaId,
+        attempts: &[AssignedAttempt],
+    ) -> Result<Rc<ConnectionState>, ConnectionEnd> {
         self.uses += 1;
         let connections = self.replicas.get(&replica).ok_or(ConnectionEnd::NotNeeded)?;
         let has_room = |connection: &&Rc<ConnectionState>| {
             let assigned = connection.assigned.borrow().len();
-            connection.is_healthy() && assigned + parts <= self.streams_per_connection
+            connection.is_healthy()
+                && assigned + attempts.len() <= self.streams_per_connection
+                && !attempts.iter().any(|attempt| connection.has_carried(&attempt.part_id))
         };
         if let Some(connection) = connections.open.iter().find(has_room) {
             connection.last_use.set(self.uses);
@@ -137,7 +144,7 @@
     /// Assigns the attempts of one call, of which nothing has been written, to a connection.
     fn assign(&mut self, replica: ReplicaId, attempts: Vec<AssignedAttempt>) {
         let handles = attempts.iter().map(|assigned| assigned.attempt).collect();
-        match self.connection(replica, attempts.len()) {
+        match self.connection(replica, &attempts) {
             Ok(connection) => {
                 connection.assigned.borrow_mut().extend(attempts);
                 // A failed send needs no handling: when the connection's task ends, all assigned attempts end.
@@ -246,8 +253,9 @@
             if cancelled.is_started() {
                 let id = cancelled.part_id;
                 tracing::debug!(target: REQUEST_LOG_TARGET, part = &*id, attempt = attempt.id.number, generation = attempt.generation, replica = replica.0, connection = connection.number, "attempt cancelled");
-                connection.finished.borrow_mut().add(&id);
-                let _ = connection.commands.send(ConnectionCommand::Cancel(id));
+                let _ = connection.commands.send(ConnectionCommand::Cancel(id.clone()));
+                drop(assigned);
+                connection.part_cancelled(&id);
             }
             return;
         }
@@ -255,7 +263,7 @@
     }
 
     fn send_load_probe(&mut self, replica: ReplicaId) {
-        if let Ok(connection) = self.connection(replica, 0) {
+        if let Ok(connection) = self.connection(replica, &[]) {
             connection.probes_pending.set(connection.probes_pending.get() + 1);
             let _ = connection.commands.send(ConnectionCommand::SendLoadProbe);
         } else {
--- a/crates/pipitcrank-server/tests/replica_pool/late_answers.rs
+++ b/crates/pipitcrank-server/tests/replica_pool/late_answers.rs
@@ -130,3 +130,46 @@
         harness.wait_for_counter("leaf_connections", "let_go", 1).await;
     });
 }
+
+/// Guards against a client being served the value of another query that had the same id: an answer names its part by the
+/// query's id, so the connection on which an answer may still come carries no other part of that name.
+#[test]
+fn a_late_answer_reaches_no_query_that_reuses_its_id() {
+    run_scenario(async {
+        let mut harness = Harness::new(8, 9, LONG).await;
+        let _first = harness.submit_with_id("same", 1, "first".into());
+        let mut earlier = harness.accepted.recv().await.unwrap();
+        assert!(read_frame(&mut earlier).await.starts_with("Qsame.0 "));
+        harness.disconnect_client(1).await;
+        assert_eq!(read_frame(&mut earlier).await, "Xsame.0");
+        let response = harness.submit_with_id("same", 1, "second".into());
+        harness.wait_for_counter("frames", "calls_sent", 2).await;
+        write_value(&mut earlier, "same.0", "value of the first").await;
+        harness.wait_for_counter("frames", "late_answers", 1).await;
+        let mut present = harness.accepted.recv().await.unwrap();
+        assert!(read_frame(&mut present).await.starts_with("Qsame.0 "));
+        write_value(&mut present, "same.0", "value of the second").await;
+        assert_eq!(response.await.unwrap(), answered("value of the second"));
+    });
+}
+
+/// Guards against the same with an answer that came twice: the second copy concerns the first query as well.
+#[test]
+fn a_second_answer_reaches_no_query_that_reuses_its_id() {
+    run_scenario(async {
+        let mut harness = Harness::new(8, 9, LONG).await;
+        let first = harness.submit_with_id("same", 1, "first".into());
+        let mut earlier = harness.accepted.recv().await.unwrap();
+        read_frame(&mut earlier).await;
+        write_value(&mut earlier, "same.0", "value of the first").await;
+        assert_eq!(first.await.unwrap(), answered("value of the first"));
+        let response = harness.submit_with_id("same", 1, "second".into());
+        harness.wait_for_counter("frames", "calls_sent", 2).await;
+        write_value(&mut earlier, "same.0", "value of the first").await;
+        harness.wait_for_counter("frames", "late_answers", 1).await;
+        let mut present = harness.accepted.recv().await.unwrap();
+        read_frame(&mut present).await;
+        write_value(&mut present, "same.0", "value of the second").await;
+        assert_eq!(response.await.unwrap(), answered("value of the second"));
+    });
+}
