--- a/crates/pipitcrank-cli/tests/endpoint_list.rs
+++ b/crates/pipitcrank-cli/tests/endpoint_list.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use pipitcrank_testkit::client::{DedicatedConnection, QueryRequest, get};
+use pipitcrank_testkit::client::{Clients, DedicatedConnection, HttpResponse, QueryRequest, get};
 use pipitcrank_testkit::discovery::row;
 use pipitcrank_testkit::process::Process;
 use pipitcrank_testkit::query_log::QueryLog;
@@ -14,6 +14,7 @@
 use rustix::process::Signal;
 use serde_json::Value;
 use stand_ins::{CallFault, ScriptedDiscovery, StandInReplica, node_config, program};
+use tokio::task::JoinHandle;
 
 const LIMIT: Duration = Duration::from_secs(60);
 /// Required longest time until a change takes effect.
@@ -380,3 +381,39 @@
     })
     .unwrap();
 }
+
+/// Sends a query on a new connection; its final answer is the result of the task.
+fn spawn_query(process: &Process, id: &str, wait: Duration) -> JoinHandle<Option<HttpResponse>> {
+    let clients = Clients::new(process.address, QueryLog::default());
+    let query =
+        QueryRequest { id: id.to_string(), class: "view", shards: vec![0], wait, text: id.to_string() };
+    tokio::task::spawn_local(async move { clients.send(query).await })
+}
+
+/// Guards against a client being served a value that was made for another client (review case 6): after SIGHUP to a
+/// discovery that lists the replica at another address, the late answer to a query that was refused came from the earlier
+/// address while a newer query was open.
+#[test]
+fn a_late_answer_from_an_earlier_address_is_served_to_no_other_client() {
+    on_one_thread(LIMIT, async {
+        let mut fixture = Fixture::start().await?;
+        let refused = spawn_query(&fixture.process, "early", Duration::from_secs(1));
+        let early = fixture.replicas[0].next_part().await;
+        let rows = vec![row("a", fixture.replicas[1].address, 0, "active", 0)];
+        let new_source = ScriptedDiscovery::start(2, rows).await?;
+        fixture.process.override_node_config("/discovery", new_source.address.to_string().into())?;
+        fixture.process.signal(Signal::HUP)?;
+        assert_eq!(refused.await?.map(|response| response.status), Some(503));
+        let served = spawn_query(&fixture.process, "late", Duration::from_secs(4));
+        let late = fixture.replicas[1].next_part().await;
+        early.answer_with("made for early");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        late.answer_with("made for late");
+        let response = served.await?.expect("the query has a final answer");
+        assert_eq!(response.status, 200);
+        assert!(response.body.contains("made for late"), "{}", response.body);
+        assert_eq!(*fixture.replicas[0].cancelled.borrow(), ["early.0"], "the part is cancelled where it is");
+        Ok(())
+    })
+    .unwrap();
+}
--- a/crates/pipitcrank-cli/tests/stand_ins/replica.rs
+++ b/crates/pipitcrank-cli/tests/stand_ins/replica.rs
@@ -36,7 +36,11 @@
     }
 
     pub fn answer(&self) {
-        self.send_frame(&format!("A{} ok 7 -\nvalue", self.id));
+        self.answer_with("value");
+    }
+
+    pub fn answer_with(&self, value: &str) {
+        self.send_frame(&format!("A{} ok 7 -\n{value}", self.id));
     }
 
     pub fn fail(&self) {
--- a/crates/pipitcrank-testkit/src/replica.rs
+++ b/crates/pipitcrank-testkit/src/replica.rs
@@ -295,6 +295,18 @@
     parts
 }
 
+/// The value of a part, which names the client's query and the shard. The part id of a forwarded query continues with the
+/// forwarding site behind the client's id.
+fn part_value(part_id: &str, shard: u32) -> String {
+    let query_id = part_id.split(['@', '.']).next().unwrap_or_default();
+    value_for(query_id, shard)
+}
+
+/// The value with which a replica answers a shard of the client's query.
+pub fn value_for(query_id: &str, shard: u32) -> String {
+    format!("d{shard}-{query_id}")
+}
+
 fn accept_part(
     shared: &Rc<Shared>,
     part: Part,
@@ -321,7 +333,7 @@
             ReplicaBehavior::Silent => return,
             ReplicaBehavior::Fails => frame(format!("A{} err 0 -\n", part.id).as_bytes()),
             ReplicaBehavior::Malformed => frame(b"?what"),
-            _ => frame(format!("A{} ok 7 -\nd{}-{}", part.id, part.shard, part.text.len()).as_bytes()),
+            _ => frame(format!("A{} ok 7 -\n{}", part.id, part_value(&part.id, part.shard)).as_bytes()),
         };
         let half_length = answer.len() / 2;
         let _ = out.send(if behavior == ReplicaBehavior::Truncates {
--- a/crates/pipitcrank-testkit/src/soak/clients.rs
+++ b/crates/pipitcrank-testkit/src/soak/clients.rs
@@ -16,6 +16,7 @@
 use super::cluster::{SHARDS, SoakCluster};
 use super::requests::{ClientBehavior, Request, RequestEnd};
 use crate::client::{HttpResponse, connect, read_response};
+use crate::replica::value_for;
 
 /// How long after its deadline a client still waits for an answer.
 const LATE_ANSWER_WAIT: Duration = Duration::from_millis(1500);
@@ -140,7 +141,8 @@
         self.head("Transfer-Encoding: chunked") + &chunk(first) + &chunk(second) + "0\r\n\r\n"
     }
 
-    /// Whether each hit of the answer is one that a replica sent for a requested shard, and missing hits are reported.
+    /// Whether each hit of the answer is one that a replica made for this query and a requested shard, and missing hits
+    /// are reported.
     fn matches_answer(&self, answer: &HttpResponse) -> bool {
         if answer.status != 200 {
             return true;
@@ -149,7 +151,7 @@
         let Some(hits) = body["hits"].as_array() else { return false };
         let is_valid = |hit: &serde_json::Value| {
             let shard = hit["shard"].as_u64().unwrap_or(u64::MAX) as u32;
-            self.shards.contains(&shard) && hit["doc"] == json!(format!("d{shard}-4"))
+            self.shards.contains(&shard) && hit["doc"] == json!(value_for(&self.id, shard))
         };
         let complete = hits.len() == self.shards.len();
         hits.iter().all(is_valid) && (complete || body["complete"] == json!(false))
