Drop the result of a load probe whose replica was removed meanwhile

Callers would see: a sound new replica gets nothing for a while, as another one's failed probe ejects it.

Cause: the result of a load probe names its replica by index, and waits for the next batch. A list that removes the replica and one that adds another may be processed first in that batch, and the new replica has the index. The pool's deferred report of a probe for which there is no connection has the same gap.

Change: replicas have a generation in the exchange's table; a result counts only if the generation is that of its report, else it is dropped, counted (dropped_answers replica_removed) and logged. The pool compares its own generation before the deferred report.

The connection's tests take the attempt's handle from the transport in place of a literal.

--- a/crates/pipitcrank-server/src/exchange/batch.rs
+++ b/crates/pipitcrank-server/src/exchange/batch.rs
@@ -7,14 +7,14 @@
 use pipitcrank_core::time::Timestamp;
 
 use super::attempt_handle::AttemptHandle;
-use super::event::{EndedAttempt, EndpointChange, Event};
+use super::event::{EndedAttempt, EndedProbe, EndpointChange, Event};
 use super::query::REQUEST_LOG_TARGET;
 use super::request_table::Command;
 use super::state::Exchange;
 use super::transport::ReplicaTransport;
 use crate::replicas::connection_end::outcome_name;
 use crate::replicas::frames::LoadReport;
-use crate::runtime::counter_names::{group, query, shed};
+use crate::runtime::counter_names::{dropped_answer, group, query, shed};
 use crate::runtime::memory_budget::{MemoryAccount, Reservation};
 
 /// Length of a value that the memory of a part includes.
@@ -56,11 +56,7 @@
                 self.apply_load_report(now, replica, report);
                 self.finish_attempt(now, attempt, outcome, value);
             }
-            Event::LoadProbeEnded { replica, outcome, report } => {
-                self.table.counters.add(group::LOAD_PROBES, outcome_name(outcome));
-                self.apply_load_report(now, replica, report);
-                self.coordinator.load_probe_ended(now, replica, outcome);
-            }
+            Event::LoadProbeEnded(ended) => self.finish_load_probe(now, ended),
             Event::EndpointsUpdated(change) => self.apply_endpoint_change(change),
             Event::ZoneProbeRequested { zone, max_probes } => {
                 self.coordinator.probe_zone(&mut self.table, now, zone, max_probes);
@@ -121,6 +117,19 @@
         self.coordinator.attempt_ended(&mut self.table, now, attempt, outcome);
     }
 
+    fn finish_load_probe(&mut self, now: Timestamp, ended: EndedProbe) {
+        let EndedProbe { replica, generation, outcome, report } = ended;
+        // The replica may have been removed since the end was reported, and its id given to another one.
+        if self.table.replica_generation(replica) != generation {
+            self.table.counters.add(group::DROPPED_ANSWERS, dropped_answer::REPLICA_REMOVED);
+            tracing::debug!(target: REQUEST_LOG_TARGET, replica = replica.0, outcome = outcome_name(outcome), "result of a load probe dropped: its replica was removed");
+            return;
+        }
+        self.table.counters.add(group::LOAD_PROBES, outcome_name(outcome));
+        self.apply_load_report(now, replica, report);
+        self.coordinator.load_probe_ended(now, replica, outcome);
+    }
+
     /// Reserves memory for a long value. Without memory the value is dropped, and the attempt counts as failed.
     fn hold_value(
         &self,
--- a/crates/pipitcrank-server/src/exchange/endpoint_list.rs
+++ b/crates/pipitcrank-server/src/exchange/endpoint_list.rs
@@ -50,7 +50,10 @@
     fn apply_endpoint(&mut self, at: Timestamp, endpoint: Endpoint) {
         let Endpoint { uid, address, cell, zone, up, started } = endpoint;
         let replica = ReplicaId(self.table.replica_uids.intern(&uid));
-        let new = ReplicaEntry { address: None, cell, zone: None, started, site: None, down_since: Some(at) };
+        let generation = self.table.next_generation();
+        let down_since = Some(at);
+        let new =
+            ReplicaEntry { generation, address: None, cell, zone: None, started, site: None, down_since };
         let entry = self.table.replicas.entry(replica.0).or_insert(new);
         (entry.cell, entry.started) = (cell, started);
         entry.zone = zone.or(entry.zone.take());
--- a/crates/pipitcrank-server/src/exchange/event.rs
+++ b/crates/pipitcrank-server/src/exchange/event.rs
@@ -27,6 +27,15 @@
     pub(super) report: Option<LoadReport>,
 }
 
+/// A load probe that has ended.
+pub(super) struct EndedProbe {
+    pub(super) replica: ReplicaId,
+    /// Generation of the replica when the end was reported.
+    pub(super) generation: Option<u64>,
+    pub(super) outcome: AttemptOutcome,
+    pub(super) report: Option<LoadReport>,
+}
+
 /// A complete endpoint list, or an incremental change of it.
 pub(super) struct EndpointChange {
     pub(super) at: Timestamp,
@@ -39,7 +48,7 @@
     Submitted(Submission),
     ClientDisconnected { ticket: u64 },
     AttemptEnded(EndedAttempt),
-    LoadProbeEnded { replica: ReplicaId, outcome: AttemptOutcome, report: Option<LoadReport> },
+    LoadProbeEnded(EndedProbe),
     EndpointsUpdated(EndpointChange),
     ZoneProbeRequested { zone: ZoneId, max_probes: usize },
     DeadlinesCapped { by: Timestamp },
--- a/crates/pipitcrank-server/src/exchange/remote_sites.rs
+++ b/crates/pipitcrank-server/src/exchange/remote_sites.rs
@@ -54,8 +54,15 @@
             let replica = ReplicaId(self.table.replica_uids.intern(&format!("site {name} {cell}")));
             let zone = self.site_zones.get(name).cloned();
             let id = zone_id(&self.zones, &zone);
-            let entry =
-                ReplicaEntry { address: None, cell, zone, started: None, site: Some(site), down_since: None };
+            let entry = ReplicaEntry {
+                generation: self.table.next_generation(),
+                address: None,
+                cell,
+                zone,
+                started: None,
+                site: Some(site),
+                down_since: None,
+            };
             self.table.replicas.insert(replica.0, entry);
             self.coordinator.list_replica(replica, cell, true, None);
             self.coordinator.set_remote_delay(replica, None);
--- a/crates/pipitcrank-server/src/exchange/request_table.rs
+++ b/crates/pipitcrank-server/src/exchange/request_table.rs
@@ -52,6 +52,8 @@
 }
 
 pub(super) struct ReplicaEntry {
+    /// Distinguishes the replica from all others that have had its id.
+    pub(super) generation: u64,
     pub(super) address: Option<SocketAddr>,
     pub(super) cell: u32,
     pub(super) zone: Option<String>,
@@ -118,7 +120,7 @@
 }
 
 impl RequestTable {
-    /// Returns a number that no other attempt of this process has had.
+    /// Returns a number that no other attempt or replica of this process has had.
     pub(super) fn next_generation(&mut self) -> u64 {
         self.last_generation += 1;
         self.last_generation
@@ -160,6 +162,11 @@
         self.queries.len() + open.count()
     }
 
+    /// Generation of the replica that has this id now.
+    pub(super) fn replica_generation(&self, replica: ReplicaId) -> Option<u64> {
+        self.replicas.get(&replica.0).map(|entry| entry.generation)
+    }
+
     /// Replicas of this site.
     pub(super) fn local_replicas(&self) -> impl Iterator<Item = (u32, &ReplicaEntry)> {
         self.replicas.iter().filter(|(_, entry)| entry.is_local()).map(|(&index, entry)| (index, entry))
--- a/crates/pipitcrank-server/src/exchange/state.rs
+++ b/crates/pipitcrank-server/src/exchange/state.rs
@@ -9,7 +9,7 @@
 
 use super::attempt_handle::AttemptHandle;
 use super::endpoint::Endpoint;
-use super::event::{EndedAttempt, EndpointChange, Event, Submission};
+use super::event::{EndedAttempt, EndedProbe, EndpointChange, Event, Submission};
 use super::query::{DelegatedRequest, QueryRequest, QueryResponse, REQUEST_LOG_TARGET, ResponseSink};
 use super::request_table::{ReplicaEntry, RequestTable};
 use crate::audit::{Audit, AuditRules};
@@ -149,7 +149,8 @@
         outcome: AttemptOutcome,
         report: Option<LoadReport>,
     ) {
-        self.events.push(Event::LoadProbeEnded { replica, outcome, report });
+        let generation = self.table.replica_generation(replica);
+        self.events.push(Event::LoadProbeEnded(EndedProbe { replica, generation, outcome, report }));
     }
 
     /// Caps the deadlines of open queries at `by`, for the shutdown of this process.
--- a/crates/pipitcrank-server/src/replicas/connection/tests.rs
+++ b/crates/pipitcrank-server/src/replicas/connection/tests.rs
@@ -1,7 +1,7 @@
 use std::cell::RefCell;
 
 use pipitcrank_core::config::SettingsReader;
-use pipitcrank_core::ids::{AttemptId, PartId, ReplicaId, RequestClassId};
+use pipitcrank_core::ids::{ReplicaId, RequestClassId};
 use pipitcrank_core::time::TimeSpan;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::unbounded_channel;
@@ -21,12 +21,16 @@
   "sets":1,"shards":1,"span":1},"rules":{"cold_from":0.3,"cold_s":9.0,"fall_s":1.5,"overload_factor":4.0},
   "tick_s":0.001}"#;
 
-struct NullTransport;
+/// Transport that records the attempts to be sent.
+#[derive(Default)]
+struct RecordingTransport(Vec<AttemptHandle>);
 
-impl ReplicaTransport for NullTransport {
+impl ReplicaTransport for RecordingTransport {
     fn set_address(&mut self, _: ReplicaId, _: SocketAddr) {}
     fn remove_replica(&mut self, _: ReplicaId) {}
-    fn send_attempts(&mut self, _: ReplicaId, _: Vec<AttemptHandle>, _: &dyn PartIds) {}
+    fn send_attempts(&mut self, _: ReplicaId, attempts: Vec<AttemptHandle>, _: &dyn PartIds) {
+        self.0.extend(attempts);
+    }
     fn cancel_attempt(&mut self, _: ReplicaId, _: AttemptHandle) {}
     fn send_load_probe(&mut self, _: ReplicaId) {}
 }
@@ -95,9 +99,9 @@
         text: "t".into(),
     };
     exchange.submit(1, request, Box::new(|_: QueryResponse| ()));
-    exchange.run_batch(clock.now(), &mut NullTransport);
-    let id = AttemptId { part: PartId(0), number: 0 };
-    let attempt = AttemptHandle { id, generation: 1 };
+    let mut transport = RecordingTransport::default();
+    exchange.run_batch(clock.now(), &mut transport);
+    let [attempt] = transport.0[..] else { panic!("expected one attempt, got {:?}", transport.0) };
     assert!(exchange.is_outstanding(attempt));
     (Rc::new(EventLoop::new(clock, counters, ConnectionLimiter::new(9), exchange)), attempt)
 }
@@ -208,8 +212,9 @@
         let endpoint =
             Endpoint { uid: "l".into(), address: None, cell: 0, zone: None, up: !drains, started: None };
         event_loop.update(|e| e.update_endpoints(event_loop.clock.now(), false, vec![endpoint]));
-        let run_batches =
-            async { event_loop.run(TimeSpan::from_millis(1), &RefCell::new(NullTransport)).await };
+        let run_batches = async {
+            event_loop.run(TimeSpan::from_millis(1), &RefCell::new(RecordingTransport::default())).await
+        };
         assert!(tokio::time::timeout(Duration::from_millis(50), run_batches).await.is_err());
         assert!(matches!(
             task(&event_loop, &state, &stream)
--- a/crates/pipitcrank-server/src/replicas/pool.rs
+++ b/crates/pipitcrank-server/src/replicas/pool.rs
@@ -20,6 +20,8 @@
 
 /// One replica's connections.
 struct ReplicaConnections {
+    /// Distinguishes the replica from all others that have had its id.
+    generation: u64,
     address: SocketAddr,
     /// Connections that have not ended, including the retired ones, whose attempts can still be cancelled.
     open: Vec<Rc<ConnectionState>>,
@@ -37,6 +39,8 @@
     uses: u64,
     /// Number of connections opened so far, from which each gets its own number.
     opened: u64,
+    /// Number of replicas added so far, from which each gets its generation.
+    added: u64,
 }
 
 impl ReplicaPool {
@@ -58,6 +62,7 @@
                 replicas: BTreeMap::new(),
                 uses: 0,
                 opened: 0,
+                added: 0,
             })
         });
         let this = Rc::downgrade(&pool);
@@ -135,6 +140,11 @@
         Ok(connection)
     }
 
+    /// Generation of the replica that has this id now.
+    fn generation(&self, replica: ReplicaId) -> Option<u64> {
+        self.replicas.get(&replica).map(|replica| replica.generation)
+    }
+
     /// Whether a connection to the replica has received only part of a frame.
     pub fn has_partial_frame(&self, replica: ReplicaId) -> bool {
         let connections = self.replicas.get(&replica);
@@ -225,7 +235,8 @@
 
 impl ReplicaTransport for ReplicaPool {
     fn set_address(&mut self, replica: ReplicaId, address: SocketAddr) {
-        let new = ReplicaConnections { address, open: Vec::new() };
+        self.added += 1;
+        let new = ReplicaConnections { generation: self.added, address, open: Vec::new() };
         let connections = self.replicas.entry(replica).or_insert(new);
         if connections.address != address {
             connections.address = address;
@@ -266,11 +277,17 @@
         if let Ok(connection) = self.connection(replica, &[]) {
             connection.probes_pending.set(connection.probes_pending.get() + 1);
             let _ = connection.commands.send(ConnectionCommand::SendLoadProbe);
-        } else {
-            let event_loop = self.event_loop.clone();
-            tokio::task::spawn_local(async move {
-                event_loop.update(|e| e.load_probe_ended(replica, AttemptOutcome::Unreachable, None))
-            });
+            return;
         }
+        let (event_loop, this, generation) =
+            (self.event_loop.clone(), self.this.clone(), self.generation(replica));
+        // The report is deferred, since the exchange is processing a batch. The replica may be removed until then, and
+        // its id given to another one.
+        tokio::task::spawn_local(async move {
+            let is_same = this.upgrade().is_some_and(|pool| pool.borrow().generation(replica) == generation);
+            if is_same {
+                event_loop.update(|e| e.load_probe_ended(replica, AttemptOutcome::Unreachable, None));
+            }
+        });
     }
 }
--- a/crates/pipitcrank-server/tests/exchange/queries.rs
+++ b/crates/pipitcrank-server/tests/exchange/queries.rs
@@ -167,3 +167,18 @@
     harness.run_batch(20);
     assert!(harness.exchange.can_serve());
 }
+
+/// Guards against a replica being ejected for another one's fault: the result of a load probe came after its replica had
+/// been removed and its id given to a new replica, but before the replica side had been told.
+#[test]
+fn the_late_result_of_a_load_probe_concerns_no_other_replica() {
+    let mut harness = Harness::new();
+    let (&probed, _) = harness.transport.addresses.iter().find(|(_, at)| at.port() == 5000).unwrap();
+    harness.exchange.update_endpoints(at(20), true, vec![endpoint(1, true), endpoint(2, true)]);
+    harness.exchange.update_endpoints(at(20), false, vec![endpoint(9, true)]);
+    harness.exchange.load_probe_ended(probed, AttemptOutcome::Unreachable, None);
+    harness.run_batch(20);
+    assert_eq!(harness.transport.addresses[&probed].port(), 5009, "the new replica has the id");
+    assert_eq!(harness.counters.get("probes", "no_route"), 0, "the result was applied to the new replica");
+    assert_eq!(harness.counters.get("dropped_answers", "replica_removed"), 1);
+}
