--- a/crates/pipitcrank-core/src/coordinator/learned_state.rs
+++ b/crates/pipitcrank-core/src/coordinator/learned_state.rs
@@ -59,6 +59,12 @@
 }
 
 impl LearnedState {
+    /// Names of the request classes, by their indices in the process that wrote the state. A name is empty if that
+    /// process stored none.
+    pub fn class_names(&self) -> impl Iterator<Item = &str> {
+        self.classes.iter().map(|class| class.name.as_str())
+    }
+
     /// Returns whether all numbers are finite and within bounds, and all ages are non-negative.
     pub fn is_valid(&self) -> bool {
         self.classes.iter().all(LearnedClassState::is_valid)
--- a/crates/pipitcrank-server/src/runtime/counter_names.rs
+++ b/crates/pipitcrank-server/src/runtime/counter_names.rs
@@ -178,6 +178,8 @@
     pub const COMPLETED: &str = "done";
     /// Relayed queries that the successor did not answer in time.
     pub const NOT_ANSWERED_IN_TIME: &str = "not_answered_in_time";
+    /// Relayed queries that this process rejected, since its configuration has no such class or shard.
+    pub const QUERIES_REFUSED: &str = "queries_refused";
     /// Requested upgrades.
     pub const REQUESTED: &str = "asked";
     /// Upgrades that were rolled back.
--- a/crates/pipitcrank-server/src/upgrade/context.rs
+++ b/crates/pipitcrank-server/src/upgrade/context.rs
@@ -34,8 +34,10 @@
     pub initial_list: Cell<Option<EndpointList>>,
     /// The next ticket.
     pub tickets: Arc<AtomicU64>,
-    /// Number of request classes.
-    pub class_count: usize,
+    /// Names of the request classes, by id.
+    pub classes: Arc<[String]>,
+    /// Whether a query needs an idempotency key, by request class.
+    pub keyed_idempotency: Arc<[bool]>,
     /// Number of shards.
     pub shards: u32,
     /// Maximum time for which a query may be open.
--- a/crates/pipitcrank-server/src/upgrade/predecessor.rs
+++ b/crates/pipitcrank-server/src/upgrade/predecessor.rs
@@ -15,11 +15,12 @@
 use pipitcrank_handover::snapshot::Snapshot;
 use tokio::net::TcpStream;
 
+use super::class_mapping::ClassMapping;
 use super::context::UpgradeContext;
 use super::relayed::{KnownDomain, decode_query, encode_response};
 use crate::clients::acceptor::AcceptorCommand;
 use crate::clients::connection::AdoptedConnection;
-use crate::exchange::{QueryResponse, ResponseSink};
+use crate::exchange::{QueryResponse, REQUEST_LOG_TARGET, ResponseSink};
 use crate::runtime::clock::duration;
 use crate::runtime::counter_names::{group, upgrade};
 
@@ -31,6 +32,8 @@
     link: LinkSender,
     /// Retries delegated to the predecessor; `None` before its state is loaded and after the settlement.
     delegated_retries: Option<u32>,
+    /// The predecessor's request classes; none before its state is loaded.
+    classes: ClassMapping,
     tickets: TicketMap,
 }
 
@@ -51,7 +54,12 @@
 
 impl Predecessor {
     pub(super) fn new(link: LinkSender) -> Predecessor {
-        Predecessor { link, delegated_retries: None, tickets: Rc::default() }
+        Predecessor {
+            link,
+            delegated_retries: None,
+            classes: ClassMapping::default(),
+            tickets: Rc::default(),
+        }
     }
 
     /// Whether the predecessor's state is loaded and the predecessor has not finished.
@@ -76,7 +84,8 @@
                 self.delegated_retries = None;
             }
             ToSuccessor::Snapshot(bytes) => {
-                self.delegated_retries = Some(load_state(context, &bytes));
+                let LoadedState { delegated_retries, classes } = load_state(context, &bytes);
+                (self.delegated_retries, self.classes) = (Some(delegated_retries), classes);
                 supervisor.send(&ToSupervisor::StateLoaded, None);
             }
             ToSuccessor::Query(query) => self.submit(context, query, None),
@@ -104,12 +113,21 @@
     }
 
     fn submit(&self, context: &UpgradeContext, query: RelayedQuery, idempotency_key: Option<String>) {
-        let ticket = query.ticket;
-        let domain = KnownDomain { class_count: context.class_count, shards: context.shards };
+        let (ticket, id) = (query.ticket, query.id.clone());
+        let domain = KnownDomain {
+            classes: &self.classes,
+            keyed_idempotency: &context.keyed_idempotency,
+            shards: context.shards,
+        };
         let now = context.event_loop.clock.now();
-        let Some(request) = decode_query(now, domain, query, idempotency_key) else {
-            let response = RelayedResponse::Rejected { retry_after: TimeSpan::ZERO };
-            return self.link.send(&ToPredecessor::Response { ticket, response }, None);
+        let request = match decode_query(now, &domain, query, idempotency_key) {
+            Ok(request) => request,
+            Err(error) => {
+                context.event_loop.counters.add(group::UPGRADES, upgrade::QUERIES_REFUSED);
+                tracing::debug!(target: REQUEST_LOG_TARGET, request = id, "relayed query rejected: {error}");
+                let response = RelayedResponse::Rejected { retry_after: TimeSpan::ZERO };
+                return self.link.send(&ToPredecessor::Response { ticket, response }, None);
+            }
         };
         let own_ticket = context.tickets.fetch_add(1, Ordering::Relaxed);
         self.tickets.borrow_mut().insert(ticket, own_ticket);
@@ -140,8 +158,15 @@
     }
 }
 
-/// Loads the predecessor's state; returns the number of retries delegated to it.
-fn load_state(context: &UpgradeContext, bytes: &[u8]) -> u32 {
+/// What the predecessor's state says of the predecessor itself.
+struct LoadedState {
+    /// Number of retries delegated to the predecessor.
+    delegated_retries: u32,
+    classes: ClassMapping,
+}
+
+/// Loads the predecessor's state.
+fn load_state(context: &UpgradeContext, bytes: &[u8]) -> LoadedState {
     match Snapshot::decode(bytes) {
         Ok(snapshot) => {
             let now = context.event_loop.clock.now();
@@ -155,10 +180,16 @@
             );
             context.initial_list.take();
             context.revision.set(snapshot.revision);
-            let delegated = snapshot.delegated_retries.count;
+            let delegated_retries = snapshot.delegated_retries.count;
+            let classes = ClassMapping::new(&snapshot.learned, &context.classes);
+            for name in classes.unknown_names() {
+                tracing::warn!(
+                    "predecessor serves an unknown request class '{name}'; its queries are rejected during the upgrade"
+                );
+            }
             context.event_loop.update(|e| e.resume_from_predecessor(now, age, snapshot));
             (context.start_discovery)();
-            delegated
+            LoadedState { delegated_retries, classes }
         }
         Err(error) => {
             tracing::warn!(
@@ -167,7 +198,7 @@
             context.event_loop.counters.add(group::UPGRADES, upgrade::SNAPSHOTS_REFUSED);
             context.use_initial_list();
             context.resume_without_peer();
-            0
+            LoadedState { delegated_retries: 0, classes: ClassMapping::by_position(&context.classes) }
         }
     }
 }
