--- a/crates/pipitcrank-cli/src/failover_driver.rs
+++ b/crates/pipitcrank-cli/src/failover_driver.rs
@@ -12,7 +12,7 @@
 use pipitcrank_core::time::Timestamp;
 use pipitcrank_failover::controller::{FailoverController, FailoverTiming};
 use pipitcrank_failover::follower::{DecisionFollower, RoutingPlan};
-use pipitcrank_failover::node::{FailoverNode, FailoverNodeConfig};
+use pipitcrank_failover::node::{FailoverNode, FailoverNodeConfig, RestartState};
 use pipitcrank_failover::routing_table::{Proximity, shed_fractions};
 use pipitcrank_membership::envelope::{MAX_DATAGRAM_BYTES, OutgoingDatagram, derive_key};
 use pipitcrank_membership::members::Departure;
@@ -37,8 +37,8 @@
 /// Smallest change of a request class's shed fraction that updates the routing. Smaller ones occur with every query.
 const MIN_SHED_CHANGE: f64 = 0.02;
 
-/// Prepares failover and returns the future that runs it until this process drains. The future opens the store only
-/// after it has bound the failover address, since until then another process of this co-ordinator uses the store.
+/// Prepares failover and returns the future that runs it whenever this process does not drain. The future opens the store
+/// only after it has bound the failover address, since until then another process of this co-ordinator uses the store.
 ///
 /// # Errors
 /// The zones of the operators' file contradict those of the platform; the error names the key.
@@ -69,7 +69,7 @@
     Ok(startup.run())
 }
 
-/// State before the socket is open.
+/// State that outlasts the individual sockets and nodes.
 struct FailoverStartup {
     zones: ZonesConfig,
     topology: Rc<ZoneTopology>,
@@ -82,27 +82,39 @@
 }
 
 impl FailoverStartup {
-    async fn run(self) {
+    /// Runs failover until this process drains, and again each time the draining ends because the upgrade was rolled
+    /// back. Never returns, but has nothing to do once the process drains for good.
+    async fn run(mut self) {
         let mut draining = self.draining.clone();
-        let shutdown_requested = self.shutdown_requested.clone();
-        let Some(socket) = bind_when_free(self.zones.listen, &mut draining).await else { return };
-        let mut driver = self.start(socket).await;
-        driver.run(&mut draining).await;
-        let departure =
-            if shutdown_requested.borrow().is_some() { Departure::Left } else { Departure::Upgraded };
+        let mut known = RestartState::default();
+        while draining.wait_for(|draining| !draining).await.is_ok() {
+            let Some(socket) = bind_when_free(self.zones.listen, &mut draining).await else { continue };
+            let mut driver = self.start(socket, known).await;
+            driver.run(&mut draining).await;
+            known = self.leave(driver);
+        }
+    }
+
+    /// Ends the node's membership, and returns what the node knew.
+    fn leave(&self, mut driver: FailoverDriver) -> RestartState {
+        let is_shutdown = self.shutdown_requested.borrow().is_some();
+        let departure = if is_shutdown { Departure::Left } else { Departure::Upgraded };
+        let known = driver.node.restart_state();
         let now = driver.event_loop.clock.now();
         driver.node.leave(now, departure);
         driver.publish(now);
+        known
     }
 
-    async fn start(self, socket: UdpSocket) -> FailoverDriver {
-        let OpenedStore { driver: store, state } = self.store.open(self.draining).await;
+    /// `known`: what the node knew before this process last drained.
+    async fn start(&mut self, socket: UdpSocket, known: RestartState) -> FailoverDriver {
+        let OpenedStore { driver: store, state } = self.store.open(self.draining.clone()).await;
         let now = self.event_loop.clock.now();
         let mut node = new_node(now, &self.zones, self.topology.own);
         if store.is_some() {
             node.require_durable_state();
-            restore(now, &mut node, state);
         }
+        restore(now, &mut node, state, known);
         let is_voter = self.zones.voter_slot(self.zones.advertised).is_some();
         let zone = &self.topology.names[self.topology.own];
         tracing::info!(
@@ -115,12 +127,12 @@
             socket,
             node,
             store,
-            revision: self.revision,
-            event_loop: self.event_loop,
+            revision: self.revision.clone(),
+            event_loop: self.event_loop.clone(),
             is_dry_run: self.zones.dry_run,
-            priority_weights: self.priority_weights,
+            priority_weights: self.priority_weights.clone(),
             event_log: EventLog::new(self.topology.clone()),
-            topology: self.topology,
+            topology: self.topology.clone(),
             evidence: EvidenceCollector::new(now),
             plan: None,
             shed_fractions: Vec::new(),
@@ -167,13 +179,17 @@
     FailoverNode::new(now, config)
 }
 
-fn restore(now: Timestamp, node: &mut FailoverNode, state: StoredState) {
-    let StoredState { recovered, voter_state } = state;
+/// Restores the node from the store and from what this process knew before; of two decisions the newer one holds.
+fn restore(now: Timestamp, node: &mut FailoverNode, state: StoredState, known: RestartState) {
+    let StoredState { mut recovered, voter_state } = state;
+    recovered.members.extend(known.members);
+    let decisions = recovered.decision.into_iter().chain(known.decision);
+    recovered.decision = decisions.max_by_key(|decision| decision.number);
     if let Some(decision) = &recovered.decision {
         let (generation, count) = (decision.number >> 32, decision.number as u32);
         tracing::info!(
             members = recovered.members.len(),
-            "restored zone decision {generation}.{count} from the store; older decisions are ignored"
+            "restored zone decision {generation}.{count}; older decisions are ignored"
         );
     }
     node.restore(now, recovered.decision, recovered.members, voter_state);
--- a/crates/pipitcrank-cli/src/serve.rs
+++ b/crates/pipitcrank-cli/src/serve.rs
@@ -21,7 +21,7 @@
 use crate::exit_code;
 use crate::failover_driver;
 use crate::runtime::block_on_local;
-use crate::store_driver::{OpenedStore, StoreDriver, StoreSource, save_until_draining};
+use crate::store_driver::{OpenedStore, StoreDriver, StoreSource, save_while_serving};
 use crate::upgrade_supervisor::supervise;
 use crate::zone_topology::own_zone;
 
@@ -119,11 +119,7 @@
 fn start_store(context: &ServerContext, store: StoreSource) {
     let (event_loop, revision) = (context.event_loop.clone(), context.revision.clone());
     let draining = context.draining.clone();
-    tokio::task::spawn_local(async move {
-        if let Some(driver) = store.open(draining.clone()).await.driver {
-            save_until_draining(driver, event_loop, revision, draining).await;
-        }
-    });
+    tokio::task::spawn_local(save_while_serving(store, event_loop, revision, draining));
 }
 
 fn start_gateway(context: ServerContext, config: GatewayConfig) -> Transport {
--- a/crates/pipitcrank-cli/src/store_driver.rs
+++ b/crates/pipitcrank-cli/src/store_driver.rs
@@ -50,14 +50,15 @@
 }
 
 impl StoreSource {
-    /// Returns the store, opened once no other process of this co-ordinator has it open.
-    pub(crate) async fn open(self, draining: watch::Receiver<bool>) -> OpenedStore {
-        if let Some(opened) = self.opened {
+    /// Returns the store, opened once no other process of this co-ordinator has it open. Can be called again once the
+    /// store has been dropped.
+    pub(crate) async fn open(&mut self, draining: watch::Receiver<bool>) -> OpenedStore {
+        if let Some(opened) = self.opened.take() {
             return opened;
         }
-        let Some(config) = self.config else { return OpenedStore::default() };
+        let Some(config) = &self.config else { return OpenedStore::default() };
         let owner = node_name().unwrap_or_default();
-        let (driver, state) = StoreDriver::open_when_free(&config, &owner, draining).await;
+        let (driver, state) = StoreDriver::open_when_free(config, &owner, draining).await;
         OpenedStore { driver: Some(driver), state }
     }
 }
@@ -232,8 +233,22 @@
     }
 }
 
-/// Saves the last known state at intervals until this process drains, for a co-ordinator without failover.
-pub(crate) async fn save_until_draining(
+/// Saves the last known state whenever this process does not drain, for a co-ordinator without failover.
+pub(crate) async fn save_while_serving(
+    mut store: StoreSource,
+    event_loop: Rc<EventLoop>,
+    revision: SharedRevision,
+    draining: watch::Receiver<bool>,
+) {
+    let mut resumed = draining.clone();
+    // The draining ends if the upgrade is rolled back.
+    while resumed.wait_for(|draining| !draining).await.is_ok() {
+        let Some(driver) = store.open(draining.clone()).await.driver else { return };
+        save_until_draining(driver, event_loop.clone(), revision.clone(), draining.clone()).await;
+    }
+}
+
+async fn save_until_draining(
     mut driver: StoreDriver,
     event_loop: Rc<EventLoop>,
     revision: SharedRevision,
